--- /dev/null
+++ b/include/snipe/counter.h
@@ -0,0 +1,69 @@
+/**
+ * @file counter.h
+ * The process's own counters, printed at /metrics in the Prometheus text
+ * format. Adding is one atomic instruction of Concurrency Kit.
+ */
+#ifndef SNIPE_COUNTER_H
+#define SNIPE_COUNTER_H
+
+#include <stdint.h>
+#include "snipe/str.h"
+
+/** Every counter and gauge: enumerator, metric name, type, help text. */
+#define SNIPE_COUNTERS(X)                                                     \
+  X (JOBS_ACCEPTED, "jobs_accepted_total", "counter", "Jobs accepted")        \
+  X (JOBS_COMPLETE, "jobs_complete_total", "counter", "Jobs complete")        \
+  X (JOBS_NOT_RUN, "jobs_not_run_total", "counter", "Jobs not run")           \
+  X (JOBS_UNKNOWN, "jobs_unknown_total", "counter",                           \
+     "Jobs failed that may have run")                                         \
+  X (JOBS_RESUBMITTED, "jobs_resubmitted_total", "counter",                   \
+     "Submissions of an id already known")                                    \
+  X (TASK_STARTS, "task_starts_total", "counter",                             \
+     "Start requests sent to endpoints")                                      \
+  X (TASK_ANSWERS, "task_answers_total", "counter",                           \
+     "Answers of started tasks")                                              \
+  X (TASK_REFUSED, "task_refused_total", "counter",                           \
+     "Starts refused by an endpoint")                                         \
+  X (TASK_RETRIES, "task_retries_total", "counter", "Tasks started again")    \
+  X (TASK_LOST, "task_lost_total", "counter",                                 \
+     "Started tasks whose answer was lost")                                   \
+  X (PROBES, "probes_total", "counter", "Probes of suspended endpoints")      \
+  X (PASS_BATCHES, "pass_batches_total", "counter",                           \
+     "Batches of tasks passed to a peer")                                     \
+  X (PASS_TASKS, "pass_tasks_total", "counter", "Tasks passed to a peer")     \
+  X (PASS_REFUSED, "pass_refused_total", "counter",                           \
+     "Passed tasks that the peer refused")                                    \
+  X (OFFERS, "offers_total", "counter", "Offers of free slots to peers")      \
+  X (HELLOS, "hellos_total", "counter", "Heartbeats sent to peers")           \
+  X (FORWARDS, "forwards_total", "counter", "Requests forwarded to a home")   \
+  X (STORE_READS, "store_reads_total", "counter",                             \
+     "Reads sent to the platform")                                            \
+  X (STORE_WRITES, "store_writes_total", "counter",                           \
+     "Writes sent to the platform")                                           \
+  X (STORE_FAILURES, "store_failures_total", "counter",                       \
+     "Calls to the platform that failed")                                     \
+  X (CLAIMS, "claims_total", "counter", "Ids claimed in the table")           \
+  X (CLAIM_TXNS, "claim_transactions_total", "counter",                       \
+     "Transactions that carried claims")                                      \
+  X (QUOTA_WAITS, "quota_waits_total", "counter",                             \
+     "Times a task had to wait for a share of its quota")                     \
+  X (RULES_VERSION, "rules_version", "gauge", "Version of rules in force")    \
+  X (TASKS_QUEUED, "tasks_queued", "gauge", "Tasks waiting")                  \
+  X (TASKS_RUNNING, "tasks_running", "gauge", "Tasks running at endpoints")   \
+  X (PLATFORM_UP, "platform_up", "gauge",                                     \
+     "1 if the last call to the platform succeeded")
+
+#define SNIPE_COUNTER_ENUM(id, name, type, help) SNIPE_C_##id,
+enum snipe_counter
+{
+  SNIPE_COUNTERS (SNIPE_COUNTER_ENUM) SNIPE_COUNTER_COUNT
+};
+#undef SNIPE_COUNTER_ENUM
+
+void snipe_counter_add (enum snipe_counter counter, uint64_t n);
+void snipe_counter_set (enum snipe_counter counter, uint64_t value);
+uint64_t snipe_counter_get (enum snipe_counter counter);
+/** Prints all counters in the Prometheus text format. */
+int snipe_counter_print (struct snipe_str *out);
+
+#endif
--- /dev/null
+++ b/src/endpoint/client.h
@@ -0,0 +1,61 @@
+/**
+ * @file client.h
+ * Starts tasks at endpoints over HTTP with a fixed number of threads, each
+ * with one libcurl multi handle. A start is written at most once.
+ */
+#ifndef SNIPE_ENDPOINT_CLIENT_H
+#define SNIPE_ENDPOINT_CLIENT_H
+
+#include <stdint.h>
+#include "snipe/clock.h"
+#include "snipe/sched.h"
+#include "snipe/str.h"
+
+struct snipe_endpoint_client;
+
+struct snipe_start_result
+{
+  enum snipe_end end;
+  struct snipe_str result; /**< JSON text of "result" if OK; the callback may
+                              take it over by clearing this field */
+  snipe_time duration;     /**< from handing over to the answer */
+};
+
+/** Called exactly once per start, on a thread of the client. */
+typedef void (*snipe_start_done) (void *ctx,
+                                  struct snipe_start_result *result);
+
+struct snipe_endpoint_client_options
+{
+  unsigned int version;
+  uint32_t threads;           /**< default 2 */
+  uint32_t connections;       /**< kept per endpoint, default 64 */
+  snipe_time connect_timeout; /**< default 250 ms */
+};
+#define SNIPE_ENDPOINT_CLIENT_OPTIONS_VERSION 1
+#define SNIPE_ENDPOINT_CLIENT_OPTIONS_INIT                                    \
+  {                                                                           \
+    .version = SNIPE_ENDPOINT_CLIENT_OPTIONS_VERSION, .threads = 2,           \
+    .connections = 64, .connect_timeout = 250 * SNIPE_MS                      \
+  }
+
+int
+snipe_endpoint_client_new (struct snipe_endpoint_client **out,
+                           const struct snipe_endpoint_client_options *opts);
+/** Stops the threads; starts that were written end as LOST, others as
+ * NOT_CONNECTED. */
+void snipe_endpoint_client_free (struct snipe_endpoint_client *client);
+
+/**
+ * Posts @p body to http://@p address/run. Thread-safe.
+ * @param address "ip:port", copied
+ * @param body JSON, taken over and cleared
+ * @param timeout of the whole exchange; past it the start ends as LOST, or
+ * NOT_CONNECTED if it was never written
+ */
+int snipe_endpoint_client_start (struct snipe_endpoint_client *client,
+                                 const char *address, struct snipe_str *body,
+                                 snipe_time timeout, snipe_start_done done,
+                                 void *ctx);
+
+#endif
