--- /dev/null
+++ b/src/engine/engine.h
@@ -0,0 +1,123 @@
+/**
+ * @file engine.h
+ * The engine of an entry daemon: submissions and their outcomes, the
+ * scheduler and what it decides, and the traffic with peers.
+ */
+#ifndef SNIPE_ENGINE_H
+#define SNIPE_ENGINE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include "peer/net.h"
+#include "platform/platform.h"
+#include "snipe/clock.h"
+#include "snipe/job.h"
+#include "snipe/rules.h"
+#include "snipe/sched.h"
+#include "snipe/str.h"
+
+struct snipe_engine;
+struct snipe_endpoint_client;
+
+struct snipe_engine_options
+{
+  unsigned int version;
+  uint64_t incarnation;
+  const char *host;   /**< this host's name */
+  const char *domain; /**< its failure domain */
+  const char *region;
+  double size;                 /**< relative capacity of this host */
+  snipe_time horizon;          /**< memory of ids, default 600 s */
+  size_t answer_bytes;         /**< answers kept, default 64 MiB */
+  uint32_t decisions;          /**< decisions kept to explain, a power of two,
+                                    default 65536 */
+  snipe_time hello_interval;   /**< between heartbeats, default 1 s */
+  snipe_time archive_interval; /**< between archive segments, default 2 s */
+  struct snipe_job_limits limits;
+  struct snipe_sched_options sched;
+};
+#define SNIPE_ENGINE_OPTIONS_VERSION 1
+#define SNIPE_ENGINE_OPTIONS_INIT                                             \
+  {                                                                           \
+    .version = SNIPE_ENGINE_OPTIONS_VERSION, .size = 1,                       \
+    .horizon = 600 * SNIPE_S, .answer_bytes = 64 * 1048576,                   \
+    .decisions = 65536, .hello_interval = SNIPE_S,                            \
+    .archive_interval = 2 * SNIPE_S, .limits = SNIPE_JOB_LIMITS_INIT,         \
+    .sched = SNIPE_SCHED_OPTIONS_INIT                                         \
+  }
+
+/** Creates an engine; it decides nothing before snipe_engine_start (). */
+int snipe_engine_new (struct snipe_engine **out,
+                      const struct snipe_engine_options *options);
+/** Handlers to give to the peer net and to the platform client, with the
+ * engine as their context. */
+const struct snipe_peer_handlers *snipe_engine_peer_handlers (void);
+const struct snipe_platform_events *snipe_engine_platform_events (void);
+
+/** What the engine acts through. All outlive the engine's threads. */
+struct snipe_engine_links
+{
+  struct snipe_endpoint_client *endpoints;
+  struct snipe_peer_net *net;
+  struct snipe_platform *platform; /**< may be NULL until the next call */
+  const char *rpc_address;         /**< "ip:port" for peers */
+  const char *const *seeds;        /**< peers' "ip:port", NULL-terminated */
+};
+/** Connects the engine and starts its threads. */
+int snipe_engine_start (struct snipe_engine *engine,
+                        const struct snipe_engine_links *links);
+/** Stops the threads and frees. Call after drain, with the endpoint client,
+ * the net and the platform client already stopped. */
+void snipe_engine_free (struct snipe_engine *engine);
+/** Stops the engine's threads, so that its links can be freed. */
+void snipe_engine_stop (struct snipe_engine *engine);
+
+/**
+ * The one answer to a request. May be called on any thread, also before the
+ * call that asked for it returns.
+ * @param http HTTP status
+ * @param body JSON, valid during the call
+ */
+typedef void (*snipe_reply) (void *ctx, int http,
+                             const struct snipe_str *body);
+
+enum snipe_verb
+{
+  SNIPE_VERB_SUBMIT, /**< run the job, or attach to it if known */
+  SNIPE_VERB_QUERY,  /**< attach if known, start nothing */
+  SNIPE_VERB_CANCEL, /**< cancel, or keep the id from ever starting */
+};
+
+struct snipe_request
+{
+  enum snipe_verb verb;
+  const char *id; /**< as the caller wrote it */
+  const char *body;
+  size_t body_len;
+  snipe_time wait; /**< longest wait, negative: until the job has ended */
+};
+/** Handles a caller's request; @p reply is called exactly once. */
+void snipe_engine_request (struct snipe_engine *engine,
+                           const struct snipe_request *request,
+                           snipe_time now, snipe_reply reply, void *ctx);
+/** Hands out ids. @p out receives {"ids":[...]}. */
+int snipe_engine_issue (struct snipe_str *out, struct snipe_engine *engine,
+                        uint32_t count, snipe_time now);
+
+/** Begins to drain: no new work, in-flight work ends. */
+void snipe_engine_drain (struct snipe_engine *engine);
+bool snipe_engine_draining (const struct snipe_engine *engine);
+/** @return whether no submission, batch or answer is still in flight. */
+bool snipe_engine_idle (struct snipe_engine *engine);
+/** Writes what is not archived yet. @p final: nothing starts any more. */
+int snipe_engine_archive (struct snipe_engine *engine, bool final);
+
+/** Whether the host can accept work (rules loaded, not draining). */
+bool snipe_engine_ready (const struct snipe_engine *engine);
+/** JSON for operators: see docs/operations.md. */
+int snipe_engine_status (struct snipe_str *out, struct snipe_engine *engine,
+                         snipe_time now);
+int snipe_engine_explain (struct snipe_str *out, struct snipe_engine *engine,
+                          const char *job);
+
+#endif
--- a/src/peer/snipe_peer.h
+++ b/src/peer/snipe_peer.h
@@ -28,7 +28,9 @@
 struct peer_load {
 	u_quad_t incarnation;
 	peer_name name;
+	peer_name address;
 	peer_name domain;
+	u_int size_permille;
 	peer_state state;
 	u_quad_t rules_version;
 	u_int free_slots;
--- a/src/peer/snipe_peer.x
+++ b/src/peer/snipe_peer.x
@@ -13,7 +13,10 @@
 {
   unsigned hyper incarnation;
   peer_name name;
+  /* "ip:port" of the sender's own RPC server. */
+  peer_name address;
   peer_name domain;
+  unsigned int size_permille;
   peer_state state;
   unsigned hyper rules_version;
   unsigned int free_slots;
--- a/src/peer/snipe_peer_xdr.c
+++ b/src/peer/snipe_peer_xdr.c
@@ -36,8 +36,12 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->name))
 			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->address))
+			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->size_permille))
+			 return FALSE;
 		 if (!xdr_peer_state (xdrs, &objp->state))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->rules_version))
@@ -65,8 +69,12 @@
 			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->name))
 			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->address))
+			 return FALSE;
 		 if (!xdr_peer_name (xdrs, &objp->domain))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->size_permille))
+			 return FALSE;
 		 if (!xdr_peer_state (xdrs, &objp->state))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->rules_version))
@@ -95,8 +103,12 @@
 		 return FALSE;
 	 if (!xdr_peer_name (xdrs, &objp->name))
 		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->address))
+		 return FALSE;
 	 if (!xdr_peer_name (xdrs, &objp->domain))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size_permille))
+		 return FALSE;
 	 if (!xdr_peer_state (xdrs, &objp->state))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rules_version))
