--- a/tests/standins/timer.c
+++ b/tests/standins/timer.c
@@ -8,6 +8,7 @@
 struct entry
 {
   snipe_time due;
+  uint64_t number; /**< keeps entries of equal time in order */
   timer_fn fn;
   void *arg;
 };
@@ -15,6 +16,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed;
 static GArray *heap;
+static uint64_t entries;
 
 static struct entry *
 at (guint i)
@@ -22,6 +24,14 @@
   return &g_array_index (heap, struct entry, i);
 }
 
+static bool
+before (guint a, guint b)
+{
+  if (at (a)->due != at (b)->due)
+    return at (a)->due < at (b)->due;
+  return at (a)->number < at (b)->number;
+}
+
 static void
 swap (guint a, guint b)
 {
@@ -33,7 +43,7 @@
 static void
 sift_up (guint i)
 {
-  for (; i > 0 && at (i)->due < at ((i - 1) / 2)->due; i = (i - 1) / 2)
+  for (; i > 0 && before (i, (i - 1) / 2); i = (i - 1) / 2)
     swap (i, (i - 1) / 2);
 }
 
@@ -44,7 +54,7 @@
     {
       guint least = i;
       for (guint c = 2 * i + 1; c <= 2 * i + 2 && c < heap->len; c++)
-        if (at (c)->due < at (least)->due)
+        if (before (c, least))
           least = c;
       if (least == i)
         return;
@@ -117,9 +127,10 @@
 {
   struct entry entry = { .due = due, .fn = fn, .arg = arg };
   pthread_mutex_lock (&lock);
+  entry.number = entries++;
   g_array_append_val (heap, entry);
   sift_up (heap->len - 1);
-  bool first = at (0)->due == due;
+  bool first = at (0)->number == entry.number;
   pthread_mutex_unlock (&lock);
   if (first)
     pthread_cond_signal (&changed);
--- a/tests/standins/timer.h
+++ b/tests/standins/timer.h
@@ -11,8 +11,9 @@
 
 /** Starts the thread; call once, before timer_at (). @return 0 or -1. */
 int timer_start (void);
-/** Calls @p fn on the timer thread at @p due (snipe_clock_now ()). Cannot be
- * cancelled. Thread-safe. */
+/** Calls @p fn on the timer thread at @p due (snipe_clock_now ()), calls of
+ * equal time in the order in which they were made. Cannot be cancelled.
+ * Thread-safe. */
 void timer_at (snipe_time due, timer_fn fn, void *arg);
 
 #endif
--- a/tests/standins/web.c
+++ b/tests/standins/web.c
@@ -21,9 +21,10 @@
   struct sockaddr_in addr;
   char address[64];
   int reserved; /**< bound, not listening, while closed; otherwise -1 */
-  pthread_mutex_t lock; /**< guards held, stopping, request.held */
+  pthread_mutex_t lock; /**< guards all below, request.held */
   GQueue held;
   bool stopping;
+  bool frozen;
 };
 
 static void
@@ -68,8 +69,14 @@
       request->cut = true;
       return false;
     }
+  if (delay == WEB_NEVER && !web->frozen)
+    {
+      pthread_mutex_unlock (&web->lock);
+      return false;
+    }
   MHD_suspend_connection (request->connection);
   request->held = true;
+  request->frozen = delay == WEB_NEVER;
   g_queue_push_tail_link (&web->held, &request->link);
   if (delay != WEB_NEVER)
     g_atomic_int_inc (&request->refs);
@@ -289,11 +296,18 @@
 }
 
 void
-web_release (struct web *web)
+web_freeze (struct web *web, bool frozen)
 {
   pthread_mutex_lock (&web->lock);
-  while (web->held.head)
-    resume (web, web->held.head->data);
+  web->frozen = frozen;
+  GList *link = web->held.head;
+  while (link && !frozen)
+    {
+      struct web_request *request = link->data;
+      link = link->next;
+      if (request->frozen)
+        resume (web, request);
+    }
   pthread_mutex_unlock (&web->lock);
 }
 
--- a/tests/standins/web.h
+++ b/tests/standins/web.h
@@ -34,10 +34,12 @@
   GList link;
   bool handled;
   bool held;
+  bool frozen;
   gint refs;
 };
 
-/** Delay of an answer that waits for web_release (). */
+/** Delay of an answer that waits until web_freeze (web, false); sent at once
+ * if the server is not frozen. */
 #define WEB_NEVER INT64_MAX
 
 /** Fills in the answer. Called once for each request, on a server thread.
@@ -64,8 +66,9 @@
 void web_close (struct web *web);
 /** Listens again on the same port. @return 0 or -1. */
 int web_reopen (struct web *web);
-/** Sends all answers that are held with WEB_NEVER or a delay. */
-void web_release (struct web *web);
+/** Starts or stops holding answers with WEB_NEVER; stopping sends those that
+ * are held. */
+void web_freeze (struct web *web, bool frozen);
 
 /** Sets a JSON answer and drops the reference to @p body. */
 void web_reply (struct web_request *request, unsigned int status,
