--- a/tests/standins/fake-endpoints.c
+++ b/tests/standins/fake-endpoints.c
@@ -238,7 +238,6 @@
 {
   GRand *rand = g_rand_new_with_seed (farm->seed);
   int rc = 0;
-  farm->endpoints = g_new0 (struct endpoint *, farm->count);
   for (unsigned int i = 0; i < farm->count && rc == 0; i++)
     {
       char *name = g_strdup_printf ("ep-%03u", i);
@@ -390,41 +389,50 @@
   static const struct argp parser = { .options = options,
                                       .parser = parse_option,
                                       .doc = "Stand-in for endpoints." };
-  struct farm farm = { .count = 8,
-                       .slots = 8,
-                       .connections = 64,
-                       .rack_size = 8,
-                       .cores = 64,
-                       .mem_mb = 131072,
-                       .seed = 1,
-                       .speed_min = 1,
-                       .speed_max = 1,
-                       .domains = "a",
-                       .region = "region",
-                       .listen = "127.0.0.1:0",
-                       .control = "127.0.0.1:0" };
+  /* Static, as the timer may still hold tasks of the endpoints at exit. */
+  static struct farm farm = { .count = 8,
+                              .slots = 8,
+                              .connections = 64,
+                              .rack_size = 8,
+                              .cores = 64,
+                              .mem_mb = 131072,
+                              .seed = 1,
+                              .speed_min = 1,
+                              .speed_max = 1,
+                              .domains = "a",
+                              .region = "region",
+                              .listen = "127.0.0.1:0",
+                              .control = "127.0.0.1:0" };
+  static struct web *web;
+  int rc = EXIT_FAILURE;
   if (argp_parse (&parser, argc, argv, 0, NULL, &farm) != 0)
     return EXIT_FAILURE;
   web_prepare ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
   farm.domain_names = g_strsplit (farm.domains, ",", -1);
   farm.domain_count = g_strv_length (farm.domain_names);
+  farm.endpoints = g_new0 (struct endpoint *, farm.count);
   farm.starts = starts_new ();
-  if (timer_start () != 0 || open_endpoints (&farm) != 0)
-    return EXIT_FAILURE;
   const struct web_options web_options = { .listen = farm.control,
                                            .threads = 1,
                                            .connections = 64,
                                            .handler = on_control,
                                            .ctx = &farm };
-  struct web *web = web_new (&web_options);
+  if (timer_start () != 0 || open_endpoints (&farm) != 0)
+    goto cleanup;
+  web = web_new (&web_options);
   if (!web || report_all (&farm) != 0)
-    return EXIT_FAILURE;
-  if (farm.port_file && web_write_file (farm.port_file, web_address (web)))
-    return EXIT_FAILURE;
+    goto cleanup;
+  if (farm.port_file
+      && web_write_file (farm.port_file, web_address (web)) != 0)
+    goto cleanup;
   web_wait ();
-  web_close (web);
-  for (unsigned int i = 0; i < farm.count; i++)
+  rc = EXIT_SUCCESS;
+
+cleanup:
+  if (web)
+    web_close (web);
+  for (unsigned int i = 0; i < farm.count && farm.endpoints[i]; i++)
     endpoint_close (farm.endpoints[i]);
-  return EXIT_SUCCESS;
+  return rc;
 }
--- a/tests/standins/fake-platform.c
+++ b/tests/standins/fake-platform.c
@@ -388,7 +388,8 @@
 int
 main (int argc, char **argv)
 {
-  struct platform platform = { .listen = "127.0.0.1:0" };
+  /* Static, as the timer may still hold answers at exit. */
+  static struct platform platform = { .listen = "127.0.0.1:0" };
   if (argp_parse (&parser, argc, argv, 0, NULL, &platform) != 0)
     return EXIT_FAILURE;
   web_prepare ();
@@ -403,7 +404,8 @@
                                            .connections = 4096,
                                            .handler = on_request,
                                            .ctx = &platform };
-  struct web *web = timer_start () == 0 ? web_new (&web_options) : NULL;
+  static struct web *web;
+  web = timer_start () == 0 ? web_new (&web_options) : NULL;
   if (!web)
     return EXIT_FAILURE;
   if (platform.port_file
