Add a blocking HTTP client for command line programs

The commands have to tell a request that was never sent from one that may have taken effect. A callback that runs when the connection stands, before the request is written, decides between SNIPE_E_UNREACHABLE and SNIPE_E_TIMEOUT, and aborts a second request on a fresh connection. Proxy settings of the environment are ignored, since hosts are met by address. Answers are limited to 16 MiB.

--- /dev/null
+++ b/src/util/http.c
@@ -0,0 +1,185 @@
+#include "util/http.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "snipe/status.h"
+
+#define BODY_MAX (16U * 1024 * 1024)
+
+struct call
+{
+  CURL *easy;
+  struct curl_slist *headers;
+  char *data;
+  size_t len;
+  size_t room;
+  bool connected;
+  bool too_large;
+  char message[CURL_ERROR_SIZE];
+};
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+
+static void
+init_curl (void)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+/* Called when the connection stands, before the request is written. */
+static int
+on_ready (void *ctx, char *remote_ip, char *local_ip, int remote_port,
+          int local_port)
+{
+  struct call *call = ctx;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  if (call->connected)
+    return CURL_PREREQFUNC_ABORT; /* a second request on a new connection */
+  call->connected = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *ctx)
+{
+  struct call *call = ctx;
+  size_t len = size * count;
+
+  if (call->len + len > BODY_MAX)
+    {
+      call->too_large = true;
+      return 0;
+    }
+  if (call->len + len + 1 > call->room)
+    {
+      size_t room = (call->len + len + 1) * 2;
+      char *grown = realloc (call->data, room);
+
+      if (grown == NULL)
+        return 0;
+      call->data = grown;
+      call->room = room;
+    }
+  memcpy (call->data + call->len, data, len);
+  call->len += len;
+  call->data[call->len] = '\0';
+  return len;
+}
+
+static int
+add_header (struct call *call, const char *header)
+{
+  struct curl_slist *list = curl_slist_append (call->headers, header);
+
+  if (list == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a header");
+  call->headers = list;
+  return SNIPE_OK;
+}
+
+static int
+set_headers (struct call *call, const struct snipe_http_request *request)
+{
+  /* Without this, libcurl waits up to a second for "100 Continue". */
+  int status = add_header (call, "Expect:");
+
+  if (status == SNIPE_OK && request->body != NULL)
+    status = add_header (call, "Content-Type: application/json");
+  for (int i = 0; status == SNIPE_OK && request->headers != NULL
+                  && request->headers[i] != NULL;
+       i++)
+    status = add_header (call, request->headers[i]);
+  return status;
+}
+
+static void
+set_options (struct call *call, const struct snipe_http_request *request)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->message);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_ready);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  if (request->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)request->body_len);
+    }
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static int
+perform (struct call *call, const struct snipe_http_request *request)
+{
+  CURLcode code = curl_easy_perform (call->easy);
+  const char *why
+      = call->message[0] != '\0' ? call->message : curl_easy_strerror (code);
+
+  if (code == CURLE_OK)
+    return SNIPE_OK;
+  if (code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
+    return snipe_status_set (SNIPE_E_INVALID, "%s: %s", request->url, why);
+  if (call->too_large)
+    return snipe_status_set (SNIPE_E_TOO_LARGE, "%s: answer over %u bytes",
+                             request->url, BODY_MAX);
+  return snipe_status_set (call->connected ? SNIPE_E_TIMEOUT
+                                           : SNIPE_E_UNREACHABLE,
+                           "%s %s: %s", request->method, request->url, why);
+}
+
+int
+snipe_http_call (struct snipe_http_response *out,
+                 const struct snipe_http_request *request)
+{
+  struct call call = { 0 };
+  long http_status = 0;
+  int status;
+
+  if (request->version != SNIPE_HTTP_REQUEST_VERSION)
+    return snipe_status_set (SNIPE_E_INVALID, "unknown version %u of request",
+                             request->version);
+  pthread_once (&curl_once, init_curl);
+  call.easy = curl_easy_init ();
+  if (call.easy == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a request");
+  status = set_headers (&call, request);
+  if (status != SNIPE_OK)
+    goto cleanup;
+  set_options (&call, request);
+  status = perform (&call, request);
+  if (status != SNIPE_OK)
+    goto cleanup;
+  curl_easy_getinfo (call.easy, CURLINFO_RESPONSE_CODE, &http_status);
+  out->status = (int)http_status;
+  snipe_str_take (&out->body, call.data, call.len);
+  call.data = NULL;
+
+cleanup:
+  curl_slist_free_all (call.headers);
+  curl_easy_cleanup (call.easy);
+  free (call.data);
+  return status;
+}
+
+void
+snipe_http_response_clear (struct snipe_http_response *response)
+{
+  snipe_str_clear (&response->body);
+}
