Add the scheduler of one host and the retry judge

Tasks of equal needs share a shape; a shape that fits nowhere is blocked until capacity appears that could hold it, so a misfit costs nothing while it waits and blocks nobody. Free endpoints are listed by failure domain and speed class, works of a team are in a heap by remaining work.

--- /dev/null
+++ b/src/decide/sched.c
@@ -0,0 +1,322 @@
+#include <string.h>
+
+#include "sched_private.h"
+#include "snipe/status.h"
+
+uint64_t
+sched_random (struct snipe_sched *sched)
+{
+  uint64_t z;
+
+  /* splitmix64 */
+  sched->random += UINT64_C (0x9e3779b97f4a7c15);
+  z = sched->random;
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return z ^ (z >> 31);
+}
+
+void
+sched_team_rekey (struct sched_team *team)
+{
+  team->key = (double)team->active / team->weight;
+}
+
+static guint
+shape_key_hash (gconstpointer data)
+{
+  const struct sched_shape_key *key = data;
+  uint64_t hash = key->domains * UINT64_C (0x9e3779b97f4a7c15);
+
+  hash ^= key->needs.cores + ((uint64_t)key->needs.mem_mb << 20)
+          + ((uint64_t)key->needs.accel << 10);
+  hash ^= (uint64_t)key->passable << 61 | (uint64_t)key->idempotent << 62
+          | (uint64_t)key->counts_quota << 63;
+  hash *= UINT64_C (0xbf58476d1ce4e5b9);
+  return (guint)(hash >> 32);
+}
+
+static gboolean
+shape_key_equal (gconstpointer a, gconstpointer b)
+{
+  const struct sched_shape_key *x = a;
+  const struct sched_shape_key *y = b;
+
+  return x->domains == y->domains && x->needs.cores == y->needs.cores
+         && x->needs.mem_mb == y->needs.mem_mb
+         && x->needs.accel == y->needs.accel && x->passable == y->passable
+         && x->idempotent == y->idempotent
+         && x->counts_quota == y->counts_quota;
+}
+
+int
+snipe_sched_new (struct snipe_sched **out,
+                 const struct snipe_sched_options *options)
+{
+  struct snipe_sched *sched;
+
+  *out = NULL;
+  if (options->version != SNIPE_SCHED_OPTIONS_VERSION || options->pass_gain < 0
+      || options->suspend_min <= 0
+      || options->suspend_max < options->suspend_min)
+    return snipe_status_set (SNIPE_E_INVALID, "options of the scheduler");
+  sched = g_new0 (struct snipe_sched, 1);
+  sched->options = *options;
+  sched->team_ids
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->kind_ids
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->domain_ids
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->endpoint_names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched->shape_keys = g_hash_table_new (shape_key_hash, shape_key_equal);
+  sched->teams = g_array_new (FALSE, TRUE, sizeof (struct sched_team));
+  sched->kinds = g_array_new (FALSE, TRUE, sizeof (struct sched_kind));
+  sched->peers = g_array_new (FALSE, TRUE, sizeof (struct sched_peer));
+  sched->endpoints = g_ptr_array_new ();
+  sched->shapes = g_ptr_array_new ();
+  sched->probes = g_ptr_array_new ();
+  sched->random = options->seed;
+  sched->starved_at = INT64_MAX;
+  *out = sched;
+  return SNIPE_OK;
+}
+
+void
+snipe_sched_free (struct snipe_sched *sched)
+{
+  if (sched == NULL)
+    return;
+  while (sched->endpoints->len > 0)
+    sched_endpoint_free (sched, g_ptr_array_index (sched->endpoints, 0));
+  for (guint i = 0; i < sched->teams->len; i++)
+    {
+      struct sched_team *team = sched_team_at (sched, i);
+
+      for (guint j = 0; j < team->lanes->len; j++)
+        {
+          struct sched_lane *lane = g_ptr_array_index (team->lanes, j);
+
+          g_free (lane->parts.nodes);
+          g_free (lane);
+        }
+      g_ptr_array_free (team->lanes, TRUE);
+    }
+  for (guint i = 0; i < sched->shapes->len; i++)
+    g_free (g_ptr_array_index (sched->shapes, i));
+  for (uint32_t i = 0; i < SCHED_DOMAINS; i++)
+    g_free (sched->domains[i]);
+  g_hash_table_destroy (sched->team_ids);
+  g_hash_table_destroy (sched->kind_ids);
+  g_hash_table_destroy (sched->domain_ids);
+  g_hash_table_destroy (sched->endpoint_names);
+  g_hash_table_destroy (sched->shape_keys);
+  g_array_free (sched->teams, TRUE);
+  g_array_free (sched->kinds, TRUE);
+  g_array_free (sched->peers, TRUE);
+  g_ptr_array_free (sched->endpoints, TRUE);
+  g_ptr_array_free (sched->shapes, TRUE);
+  g_ptr_array_free (sched->probes, TRUE);
+  g_free (sched->timers.nodes);
+  g_free (sched->expiries.nodes);
+  g_free (sched);
+}
+
+/* @return the number of a name, counting from 0; @p name is taken over. */
+static uint32_t
+intern (GHashTable *ids, char *name, bool *added)
+{
+  gpointer value;
+  uint32_t id = g_hash_table_size (ids);
+
+  *added = !g_hash_table_lookup_extended (ids, name, NULL, &value);
+  if (!*added)
+    {
+      g_free (name);
+      return GPOINTER_TO_UINT (value);
+    }
+  g_hash_table_insert (ids, name, GUINT_TO_POINTER (id));
+  return id;
+}
+
+uint32_t
+snipe_sched_team (struct snipe_sched *sched, const struct snipe_str *team)
+{
+  bool added;
+  uint32_t id
+      = intern (sched->team_ids, g_strdup (snipe_str_c (team)), &added);
+
+  if (added)
+    {
+      struct sched_team entry = {
+        .weight = 1,
+        .share = UINT32_MAX,
+        .lanes = g_ptr_array_new (),
+      };
+
+      g_array_append_val (sched->teams, entry);
+    }
+  return id;
+}
+
+uint32_t
+snipe_sched_kind (struct snipe_sched *sched, const struct snipe_str *team,
+                  const struct snipe_str *kind)
+{
+  bool added;
+  /* The unit separator keeps ("a", "bc") and ("ab", "c") apart. */
+  char *name
+      = g_strdup_printf ("%s\x1f%s", snipe_str_c (team), snipe_str_c (kind));
+  uint32_t id = intern (sched->kind_ids, name, &added);
+
+  if (added)
+    {
+      struct sched_kind entry = { .log_factor = sched->kinds_log_mean };
+
+      g_array_append_val (sched->kinds, entry);
+    }
+  return id;
+}
+
+uint64_t
+snipe_sched_domain (struct snipe_sched *sched, const struct snipe_str *domain)
+{
+  bool added;
+  uint32_t id;
+
+  if (g_hash_table_size (sched->domain_ids) == SCHED_DOMAINS
+      && !g_hash_table_contains (sched->domain_ids, snipe_str_c (domain)))
+    return 0;
+  id = intern (sched->domain_ids, g_strdup (snipe_str_c (domain)), &added);
+  if (added)
+    sched->domains[id] = g_new0 (struct sched_domain, 1);
+  return UINT64_C (1) << id;
+}
+
+void
+snipe_sched_team_weight (struct snipe_sched *sched, uint32_t team,
+                         uint32_t weight)
+{
+  struct sched_team *entry = sched_team_at (sched, team);
+
+  entry->weight = MAX (weight, 1);
+  sched_team_rekey (entry);
+}
+
+void
+snipe_sched_team_share (struct snipe_sched *sched, uint32_t team,
+                        uint32_t share)
+{
+  sched_team_at (sched, team)->share = share;
+}
+
+void
+snipe_sched_team_use (const struct snipe_sched *sched, uint32_t team,
+                      uint32_t *running, uint32_t *queued)
+{
+  const struct sched_team *entry = sched_team_at (sched, team);
+
+  *running = entry->used;
+  *queued = entry->queued_quota;
+}
+
+static void
+task_done (struct snipe_sched *sched, struct snipe_work *work,
+           struct sched_task *entry)
+{
+  struct sched_team *team = sched_team_at (sched, work->team);
+
+  entry->state = SNIPE_TASK_ENDED;
+  entry->endpoint = NULL;
+  team->active--;
+  if (work->counts_quota)
+    team->used--;
+  sched_team_rekey (team);
+  sched_work_shrink (work, (double)entry->expected);
+}
+
+void
+snipe_sched_task_end (struct snipe_sched *sched, struct snipe_work *work,
+                      uint32_t task, enum snipe_end end, snipe_time duration,
+                      snipe_time now)
+{
+  struct sched_task *entry = &work->tasks[task];
+  struct snipe_sched_endpoint *endpoint = entry->endpoint;
+  const struct sched_shape *shape;
+  snipe_time started = entry->at;
+
+  if (entry->state != SNIPE_TASK_RUNNING)
+    return;
+  shape = work->parts[entry->part].lane->shape;
+  task_done (sched, work, entry);
+  /* The only task that starts at a suspended endpoint is its probe. */
+  if (endpoint->suspended && started >= endpoint->suspended_at)
+    endpoint->probing = false;
+  switch (end)
+    {
+    case SNIPE_END_OK:
+      sched_learn_ended (sched, endpoint, entry->kind, (double)entry->declared,
+                         duration);
+      sched_health_judge (sched, endpoint, false, started, now);
+      break;
+    case SNIPE_END_FAILED:
+    case SNIPE_END_LOST:
+    case SNIPE_END_NOT_CONNECTED:
+      sched_health_judge (sched, endpoint, true, started, now);
+      break;
+    case SNIPE_END_REFUSED_FULL:
+      endpoint->full_until = now + sched->options.full_backoff;
+      if (endpoint->probe_ready)
+        {
+          endpoint->retry_at = endpoint->full_until;
+          sched_health_probe_ready (sched, endpoint, false);
+        }
+      sched_endpoint_timer (sched, endpoint);
+      break;
+    case SNIPE_END_REFUSED_LEAVING:
+      endpoint->info.leaving = true;
+      endpoint->said_leaving = true;
+      break;
+    default:
+      break;
+    }
+  sched_endpoint_give (sched, endpoint, &shape->key.needs, now);
+}
+
+void
+snipe_sched_pass_end (struct snipe_sched *sched, struct snipe_work *work,
+                      uint32_t task, snipe_time now)
+{
+  (void)now;
+  if (work->tasks[task].state == SNIPE_TASK_PASSED)
+    task_done (sched, work, &work->tasks[task]);
+}
+
+uint32_t
+snipe_sched_passable (const struct snipe_sched *sched)
+{
+  return sched->passable;
+}
+
+const char *
+snipe_reason_name (enum snipe_reason reason)
+{
+  switch (reason)
+    {
+    case SNIPE_REASON_FASTEST_FREE:
+      return "fastest-free";
+    case SNIPE_REASON_PROBE:
+      return "probe";
+    case SNIPE_REASON_HOME_FULL:
+      return "home-full";
+    case SNIPE_REASON_PEER_FASTER:
+      return "peer-faster";
+    case SNIPE_REASON_WAITED:
+      return "waited";
+    case SNIPE_REASON_BASELINE:
+      return "baseline";
+    default:
+      return "unknown";
+    }
+}
--- /dev/null
+++ b/src/decide/sched_endpoint.c
@@ -0,0 +1,448 @@
+#include <math.h>
+#include <string.h>
+
+#include "sched_private.h"
+#include "snipe/status.h"
+
+static int
+speed_class (const struct snipe_sched_endpoint *endpoint)
+{
+  int class = (int)floor (endpoint->log_speed / SCHED_CLASS_STEP)
+              + SCHED_CLASSES / 2;
+
+  return CLAMP (class, 0, SCHED_CLASSES - 1);
+}
+
+static void
+order_insert (struct snipe_sched *sched, struct snipe_sched_endpoint *endpoint,
+              int class)
+{
+  struct sched_domain *domain = sched->domains[endpoint->domain];
+
+  endpoint->free_class = class;
+  endpoint->next = NULL;
+  endpoint->prev = domain->tail[class];
+  if (endpoint->prev != NULL)
+    endpoint->prev->next = endpoint;
+  else
+    domain->head[class] = endpoint;
+  domain->tail[class] = endpoint;
+  domain->bits[class / 64] |= UINT64_C (1) << (class % 64);
+  sched->domains_free |= endpoint->domain_bit;
+}
+
+static void
+order_remove (struct snipe_sched *sched, struct snipe_sched_endpoint *endpoint)
+{
+  struct sched_domain *domain = sched->domains[endpoint->domain];
+  int class = endpoint->free_class;
+  uint64_t any = 0;
+
+  endpoint->free_class = -1;
+  if (endpoint->prev != NULL)
+    endpoint->prev->next = endpoint->next;
+  else
+    domain->head[class] = endpoint->next;
+  if (endpoint->next != NULL)
+    endpoint->next->prev = endpoint->prev;
+  else
+    domain->tail[class] = endpoint->prev;
+  if (domain->head[class] != NULL)
+    return;
+  domain->bits[class / 64] &= ~(UINT64_C (1) << (class % 64));
+  for (int i = 0; i < SCHED_CLASS_WORDS; i++)
+    any |= domain->bits[i];
+  if (any == 0)
+    sched->domains_free &= ~endpoint->domain_bit;
+}
+
+bool
+sched_endpoint_usable (const struct snipe_sched_endpoint *endpoint,
+                       snipe_time now)
+{
+  return !endpoint->dropped && !endpoint->info.leaving && !endpoint->suspended
+         && endpoint->full_until <= now;
+}
+
+bool
+sched_endpoint_could_hold (const struct snipe_sched_endpoint *endpoint,
+                           const struct sched_shape_key *key)
+{
+  const struct snipe_endpoint_info *info = &endpoint->info;
+
+  return (key->domains & endpoint->domain_bit) != 0
+         && (info->cores == 0 || key->needs.cores <= info->cores)
+         && (info->mem_mb == 0 || key->needs.mem_mb <= info->mem_mb)
+         && key->needs.accel <= info->accel;
+}
+
+bool
+sched_endpoint_can_hold (const struct snipe_sched_endpoint *endpoint,
+                         const struct sched_shape_key *key)
+{
+  return (key->domains & endpoint->domain_bit) != 0
+         && endpoint->running < endpoint->slots
+         && (int64_t)key->needs.cores <= endpoint->cores_left
+         && (int64_t)key->needs.mem_mb <= endpoint->mem_left
+         && (int64_t)key->needs.accel <= endpoint->accel_left;
+}
+
+static void
+count_live (struct snipe_sched *sched, struct snipe_sched_endpoint *endpoint,
+            bool live)
+{
+  uint32_t *count = &sched->domain_live[endpoint->domain];
+
+  if (endpoint->counted_live == live)
+    return;
+  endpoint->counted_live = live;
+  *count += live ? 1U : UINT32_MAX;
+  if (*count > 0)
+    sched->domains_live |= endpoint->domain_bit;
+  else
+    sched->domains_live &= ~endpoint->domain_bit;
+}
+
+void
+sched_endpoint_refresh (struct snipe_sched *sched,
+                        struct snipe_sched_endpoint *endpoint, snipe_time now)
+{
+  bool usable = sched_endpoint_usable (endpoint, now);
+  bool full = endpoint->running >= endpoint->slots;
+  uint32_t counted = 0;
+  int class = -1;
+
+  count_live (sched, endpoint, !endpoint->dropped && !endpoint->info.leaving);
+  if (endpoint->reserved_for != NULL && !usable)
+    sched_endpoint_release (sched, endpoint, now);
+  if (usable && !full && endpoint->reserved_for == NULL)
+    {
+      counted = endpoint->slots - endpoint->running;
+      class = speed_class (endpoint);
+    }
+  sched->free_slots += counted - endpoint->counted;
+  endpoint->counted = counted;
+  if (class == endpoint->free_class)
+    return;
+  if (endpoint->free_class >= 0)
+    order_remove (sched, endpoint);
+  if (class >= 0)
+    order_insert (sched, endpoint, class);
+}
+
+void
+sched_endpoint_wake (struct snipe_sched *sched,
+                     struct snipe_sched_endpoint *endpoint, snipe_time now)
+{
+  bool probe = endpoint->probe_ready && !endpoint->probing;
+
+  if (!probe && !sched_endpoint_usable (endpoint, now))
+    return;
+  for (guint i = 0; i < sched->shapes->len; i++)
+    {
+      struct sched_shape *shape = g_ptr_array_index (sched->shapes, i);
+
+      if (!shape->blocked
+          || (endpoint->reserved_for != NULL
+              && endpoint->reserved_for != shape))
+        continue;
+      /* The baselines start at full endpoints too. */
+      if (sched_endpoint_can_hold (endpoint, &shape->key)
+          || (sched->options.policy != SNIPE_POLICY_POOLED
+              && sched_endpoint_could_hold (endpoint, &shape->key)))
+        sched_shape_unblock (sched, shape);
+      else if (shape->passed_over == 0 && shape->queued > 0
+               && shape->reserved == NULL
+               && endpoint->running < endpoint->slots
+               && sched_endpoint_could_hold (endpoint, &shape->key))
+        {
+          shape->passed_over = now;
+          sched->starved_at = MIN (sched->starved_at, now + SCHED_STARVED_AGE);
+        }
+    }
+}
+
+void
+sched_endpoint_take (struct snipe_sched *sched,
+                     struct snipe_sched_endpoint *endpoint,
+                     const struct snipe_needs *needs, snipe_time now)
+{
+  endpoint->running++;
+  /* Only the baselines start without regard to what is left. */
+  endpoint->cores_left -= needs->cores;
+  endpoint->mem_left -= needs->mem_mb;
+  endpoint->accel_left -= needs->accel;
+  if (endpoint->reserved_for != NULL)
+    sched_endpoint_release (sched, endpoint, now);
+  sched_endpoint_refresh (sched, endpoint, now);
+}
+
+void
+sched_endpoint_free (struct snipe_sched *sched,
+                     struct snipe_sched_endpoint *endpoint)
+{
+  struct snipe_sched_endpoint *last;
+
+  sched_heap_remove (&sched->timers, &endpoint->timer);
+  sched_health_probe_ready (sched, endpoint, false);
+  g_hash_table_remove (sched->endpoint_names,
+                       snipe_str_c (&endpoint->info.name));
+  last = g_ptr_array_index (sched->endpoints, sched->endpoints->len - 1);
+  last->index = endpoint->index;
+  g_ptr_array_remove_index_fast (sched->endpoints, endpoint->index);
+  snipe_str_clear (&endpoint->info.name);
+  snipe_str_clear (&endpoint->info.address);
+  snipe_str_clear (&endpoint->info.domain);
+  snipe_str_clear (&endpoint->info.region);
+  snipe_str_clear (&endpoint->info.rack);
+  g_free (endpoint);
+}
+
+void
+sched_endpoint_give (struct snipe_sched *sched,
+                     struct snipe_sched_endpoint *endpoint,
+                     const struct snipe_needs *needs, snipe_time now)
+{
+  endpoint->running--;
+  endpoint->cores_left += needs->cores;
+  endpoint->mem_left += needs->mem_mb;
+  endpoint->accel_left += needs->accel;
+  if (endpoint->dropped && endpoint->running == 0)
+    {
+      sched_endpoint_free (sched, endpoint);
+      return;
+    }
+  sched_endpoint_refresh (sched, endpoint, now);
+  sched_endpoint_wake (sched, endpoint, now);
+}
+
+void
+sched_endpoint_timer (struct snipe_sched *sched,
+                      struct snipe_sched_endpoint *endpoint)
+{
+  sched_heap_remove (&sched->timers, &endpoint->timer);
+  if (endpoint->suspended && !endpoint->probe_ready)
+    endpoint->timer.key = (double)endpoint->retry_at;
+  else if (!endpoint->suspended && endpoint->full_until != 0)
+    endpoint->timer.key = (double)endpoint->full_until;
+  else
+    return;
+  sched_heap_push (&sched->timers, &endpoint->timer);
+}
+
+void
+sched_endpoints_tick (struct snipe_sched *sched, snipe_time now)
+{
+  while (sched->timers.count > 0 && sched->timers.nodes[0]->key <= (double)now)
+    {
+      struct sched_node *node = sched->timers.nodes[0];
+      struct snipe_sched_endpoint *endpoint
+          = (struct snipe_sched_endpoint *)((char *)node
+                                            - offsetof (
+                                                struct snipe_sched_endpoint,
+                                                timer));
+
+      sched_heap_remove (&sched->timers, node);
+      if (endpoint->suspended)
+        sched_health_probe_ready (sched, endpoint, !endpoint->dropped);
+      else
+        endpoint->full_until = 0;
+      sched_endpoint_refresh (sched, endpoint, now);
+      sched_endpoint_wake (sched, endpoint, now);
+    }
+}
+
+void
+sched_endpoint_reserve (struct snipe_sched *sched,
+                        struct snipe_sched_endpoint *endpoint,
+                        struct sched_shape *shape, snipe_time now)
+{
+  endpoint->reserved_for = shape;
+  shape->reserved = endpoint;
+  sched->reservations++;
+  sched_endpoint_refresh (sched, endpoint, now);
+  sched_endpoint_wake (sched, endpoint, now);
+}
+
+void
+sched_endpoint_release (struct snipe_sched *sched,
+                        struct snipe_sched_endpoint *endpoint, snipe_time now)
+{
+  if (endpoint->reserved_for == NULL)
+    return;
+  endpoint->reserved_for->reserved = NULL;
+  endpoint->reserved_for = NULL;
+  sched->reservations--;
+  sched_endpoint_refresh (sched, endpoint, now);
+  sched_endpoint_wake (sched, endpoint, now);
+}
+
+static int
+copy_text (struct snipe_str *to, const struct snipe_str *from)
+{
+  /* Unchanged strings stay where they are, since callers keep pointers. */
+  if (snipe_str_equal (to, from))
+    return SNIPE_OK;
+  return snipe_str_set (to, from->data, from->len);
+}
+
+static int
+copy_info (struct snipe_endpoint_info *to,
+           const struct snipe_endpoint_info *from)
+{
+  int code = copy_text (&to->name, &from->name);
+
+  if (code == SNIPE_OK)
+    code = copy_text (&to->address, &from->address);
+  if (code == SNIPE_OK)
+    code = copy_text (&to->domain, &from->domain);
+  if (code == SNIPE_OK)
+    code = copy_text (&to->region, &from->region);
+  if (code == SNIPE_OK)
+    code = copy_text (&to->rack, &from->rack);
+  if (code != SNIPE_OK)
+    return code;
+  to->slots = from->slots;
+  to->connections = from->connections;
+  to->cores = from->cores;
+  to->mem_mb = from->mem_mb;
+  to->accel = from->accel;
+  to->leaving = from->leaving;
+  return SNIPE_OK;
+}
+
+/* A total of 0 cores or memory means that the list does not state it. */
+static int64_t
+stated (uint32_t total)
+{
+  return total == 0 ? INT64_MAX / 2 : total;
+}
+
+int
+snipe_sched_endpoint_set (struct snipe_sched *sched,
+                          const struct snipe_endpoint_info *info,
+                          snipe_time now)
+{
+  struct snipe_sched_endpoint *endpoint
+      = g_hash_table_lookup (sched->endpoint_names, snipe_str_c (&info->name));
+  int64_t cores_used = 0;
+  int64_t mem_used = 0;
+  int64_t accel_used = 0;
+  uint64_t bit = snipe_sched_domain (sched, &info->domain);
+  int code;
+
+  if (bit == 0)
+    return snipe_status_set (SNIPE_E_TOO_LARGE,
+                             "endpoint %s: more than %d failure domains",
+                             snipe_str_c (&info->name), SCHED_DOMAINS);
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (struct snipe_sched_endpoint, 1);
+      endpoint->timer.index = SCHED_NOWHERE;
+      endpoint->free_class = -1;
+      endpoint->log_speed = sched_learn_initial (sched);
+      endpoint->speed = (float)exp (endpoint->log_speed);
+      endpoint->index = sched->endpoints->len;
+      g_ptr_array_add (sched->endpoints, endpoint);
+      code = copy_info (&endpoint->info, info);
+      g_hash_table_insert (sched->endpoint_names,
+                           g_strdup (snipe_str_c (&info->name)), endpoint);
+    }
+  else
+    {
+      if (endpoint->free_class >= 0)
+        order_remove (sched, endpoint);
+      count_live (sched, endpoint, false);
+      if (endpoint->dropped)
+        endpoint->said_leaving = false;
+      cores_used = stated (endpoint->info.cores) - endpoint->cores_left;
+      mem_used = stated (endpoint->info.mem_mb) - endpoint->mem_left;
+      accel_used = (int64_t)endpoint->info.accel - endpoint->accel_left;
+      code = copy_info (&endpoint->info, info);
+    }
+  endpoint->dropped = false;
+  if (endpoint->said_leaving)
+    endpoint->info.leaving = true;
+  endpoint->domain_bit = bit;
+  endpoint->domain = (uint32_t)__builtin_ctzll (bit);
+  endpoint->slots = info->connections == 0
+                        ? info->slots
+                        : MIN (info->slots, info->connections);
+  /* A shrunk endpoint has less than nothing left until its tasks end. */
+  endpoint->cores_left = stated (endpoint->info.cores) - cores_used;
+  endpoint->mem_left = stated (endpoint->info.mem_mb) - mem_used;
+  endpoint->accel_left = (int64_t)endpoint->info.accel - accel_used;
+  sched_endpoint_timer (sched, endpoint);
+  sched_endpoint_refresh (sched, endpoint, now);
+  sched_endpoint_wake (sched, endpoint, now);
+  return code;
+}
+
+void
+snipe_sched_endpoint_drop (struct snipe_sched *sched,
+                           const struct snipe_str *name, snipe_time now)
+{
+  struct snipe_sched_endpoint *endpoint
+      = g_hash_table_lookup (sched->endpoint_names, snipe_str_c (name));
+
+  if (endpoint == NULL || endpoint->dropped)
+    return;
+  endpoint->dropped = true;
+  sched_health_probe_ready (sched, endpoint, false);
+  sched_endpoint_refresh (sched, endpoint, now);
+  if (endpoint->running == 0)
+    sched_endpoint_free (sched, endpoint);
+}
+
+const struct snipe_endpoint_info *
+snipe_sched_endpoint_info (const struct snipe_sched_endpoint *endpoint)
+{
+  return &endpoint->info;
+}
+
+void
+snipe_sched_endpoint_each (
+    const struct snipe_sched *sched,
+    void (*visit) (void *ctx, const struct snipe_endpoint_status *status),
+    void *ctx)
+{
+  for (guint i = 0; i < sched->endpoints->len; i++)
+    {
+      const struct snipe_sched_endpoint *endpoint
+          = g_ptr_array_index (sched->endpoints, i);
+      struct snipe_endpoint_status status = {
+        .info = &endpoint->info,
+        .running = endpoint->running,
+        .speed = endpoint->speed,
+        .suspended = endpoint->suspended,
+        .retry_at = endpoint->suspended ? endpoint->retry_at : 0,
+      };
+
+      if (!endpoint->dropped)
+        visit (ctx, &status);
+    }
+}
+
+void
+snipe_sched_load (const struct snipe_sched *sched, snipe_time now,
+                  struct snipe_peer_load *out)
+{
+  (void)now;
+  *out = (struct snipe_peer_load){
+    .domains = sched->domains_live,
+    .free_slots = sched->free_slots,
+    .queued = sched->queued,
+  };
+  for (uint64_t left = sched->domains_free; left != 0; left &= left - 1)
+    {
+      const struct sched_domain *domain
+          = sched->domains[__builtin_ctzll (left)];
+      int word = SCHED_CLASS_WORDS - 1;
+      int class;
+
+      while (domain->bits[word] == 0)
+        word--;
+      class = word * 64 + 63 - __builtin_clzll (domain->bits[word]);
+      out->best_speed = MAX (out->best_speed, domain->head[class]->speed);
+    }
+}
