--- a/include/snipe/share.h
+++ b/include/snipe/share.h
@@ -45,11 +45,15 @@
  * it does not use when others want it, drops lapsed holders. When the limit
  * shrank, holders give back as their tasks end; nobody takes until the sum
  * is under the new limit.
+ * @param use the share this host aims at. It is under the share in the row
+ * while tasks in use are still to be given back: the host must start no task
+ * beyond the lower of @p use and its confirmed share, or a busy host would
+ * never give anything back.
  * @return 1 if @p row was changed and should be written, 0 if not, or a
  * negative code.
  */
 int snipe_share_decide (struct snipe_share_row *row,
-                        const struct snipe_share_input *input);
+                        const struct snipe_share_input *input, uint32_t *use);
 /** @return the slots that @p self may use by this row. */
 uint32_t snipe_share_held (const struct snipe_share_row *row, uint64_t self);
 /** @return sum of all shares. */
