Add the platform client

Claims of ids are grouped into conditional transactions; conflicts name the owners, and an unknown effect is settled by sending the ids again.

--- a/src/decide/share.c
+++ b/src/decide/share.c
@@ -129,21 +129,26 @@
 }
 
 /* Whether @p want must be written although no share changes: always if it
- * starts or stops being a shortage, otherwise only if it moved by more than
- * a quarter while somebody is short, because nobody reads it before. */
+ * starts or stops being a shortage or while the sum is over the limit, because
+ * the parts of all hosts then add up only if their wants are exact. Otherwise
+ * only if it moved by more than a quarter while somebody is short: nobody
+ * reads it before. */
 static bool
 want_moved (const struct snipe_share_row *row,
-            const struct snipe_share_entry *entry, uint32_t want)
+            const struct snipe_share_entry *entry, uint32_t want,
+            uint32_t limit)
 {
-  uint32_t apart;
+  uint32_t apart
+      = want > entry->want ? want - entry->want : entry->want - want;
   bool was_short = entry->want > entry->held;
   bool any_short = was_short;
 
   if (was_short != (want > entry->held))
     return true;
+  if (snipe_share_sum (row) > limit)
+    return apart > 0;
   for (uint32_t i = 0; i < row->count; i++)
     any_short = any_short || row->entries[i].want > row->entries[i].held;
-  apart = want > entry->want ? want - entry->want : entry->want - want;
   return any_short && apart > 1 && apart > entry->want / 4;
 }
 
@@ -168,7 +173,7 @@
   if (next.held < old.held)
     next.held
         = (uint32_t)max_u64 (next.held, min_u32 (old.held, input->running));
-  if (next.held == old.held && !want_moved (row, &old, need))
+  if (next.held == old.held && !want_moved (row, &old, need, input->limit))
     return changed ? 1 : 0;
   if (next.held == 0 && next.want == 0)
     {
--- /dev/null
+++ b/src/platform/lease.c
@@ -0,0 +1,36 @@
+#include "platform/internal.h"
+
+void
+snipe_lease_note (GHashTable *leases, uint64_t incarnation, uint64_t version,
+                  snipe_time sent, snipe_time now)
+{
+  struct snipe_lease_seen *seen = g_hash_table_lookup (leases, &incarnation);
+
+  if (seen == NULL)
+    {
+      uint64_t *key = g_new (uint64_t, 1);
+
+      *key = incarnation;
+      seen = g_new0 (struct snipe_lease_seen, 1);
+      seen->version = version;
+      seen->since = now;
+      seen->last = sent;
+      g_hash_table_insert (leases, key, seen);
+      return;
+    }
+  if (seen->version != version)
+    {
+      seen->version = version;
+      seen->since = now;
+    }
+  seen->last = sent;
+}
+
+bool
+snipe_lease_lapsed (GHashTable *leases, uint64_t incarnation, snipe_time wait)
+{
+  const struct snipe_lease_seen *seen
+      = g_hash_table_lookup (leases, &incarnation);
+
+  return seen != NULL && seen->last - seen->since >= wait;
+}
--- /dev/null
+++ b/src/platform/txn.c
@@ -0,0 +1,127 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/internal.h"
+#include "snipe/status.h"
+
+static int
+append (json_t *array, json_t *item)
+{
+  if (item == NULL || json_array_append_new (array, item) != 0)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a transaction");
+  return SNIPE_OK;
+}
+
+int
+snipe_txn_init (struct snipe_txn *txn)
+{
+  txn->conditions = json_array ();
+  txn->puts = json_array ();
+  txn->deletes = json_array ();
+  if (txn->conditions != NULL && txn->puts != NULL && txn->deletes != NULL)
+    return SNIPE_OK;
+  snipe_txn_clear (txn);
+  return snipe_status_set (SNIPE_E_NOMEM, "no memory for a transaction");
+}
+
+void
+snipe_txn_clear (struct snipe_txn *txn)
+{
+  json_decref (txn->conditions);
+  json_decref (txn->puts);
+  json_decref (txn->deletes);
+  memset (txn, 0, sizeof *txn);
+}
+
+int
+snipe_txn_if (struct snipe_txn *txn, const char *key, uint64_t version)
+{
+  return append (txn->conditions, json_pack ("{s:s, s:I}", "key", key,
+                                             "version", (json_int_t)version));
+}
+
+int
+snipe_txn_put (struct snipe_txn *txn, const char *key, json_t *value)
+{
+  if (value == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a row");
+  return append (txn->puts,
+                 json_pack ("{s:s, s:o}", "key", key, "value", value));
+}
+
+int
+snipe_txn_delete (struct snipe_txn *txn, const char *key)
+{
+  return append (txn->deletes, json_string (key));
+}
+
+int
+snipe_txn_run (uint64_t *version, json_t **conflicts,
+               const struct snipe_txn *txn, struct snipe_http *http,
+               snipe_time timeout)
+{
+  struct snipe_http_call call
+      = { .method = "POST", .path = "/table/txn", .timeout = timeout };
+  json_t *request = json_pack ("{s:O, s:O, s:O}", "if", txn->conditions, "put",
+                               txn->puts, "delete", txn->deletes);
+  char *body = request == NULL ? NULL : json_dumps (request, JSON_COMPACT);
+  json_t *reply = NULL;
+  json_t *number;
+  int rc;
+
+  json_decref (request);
+  if (body == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a transaction");
+  call.body = body;
+  call.body_len = strlen (body);
+  rc = snipe_http_json (&reply, http, &call);
+  if (rc != SNIPE_OK)
+    goto cleanup;
+  if (http->status == 409)
+    {
+      json_t *list = json_object_get (reply, "conflicts");
+
+      rc = snipe_status_set (SNIPE_E_CONFLICT, "transaction conflicts");
+      if (conflicts != NULL)
+        *conflicts = json_is_array (list) ? json_incref (list) : json_array ();
+      goto cleanup;
+    }
+  number = json_object_get (reply, "version");
+  if (!json_is_integer (number))
+    rc = snipe_status_set (SNIPE_E_PLATFORM,
+                           "reply to a transaction has no version");
+  else if (version != NULL)
+    *version = (uint64_t)json_integer_value (number);
+cleanup:
+  json_decref (reply);
+  free (body);
+  return rc;
+}
+
+int
+snipe_range_read (json_t **out, struct snipe_http *http, const char *prefix,
+                  uint32_t limit, snipe_time timeout)
+{
+  struct snipe_http_call call = { .method = "GET", .timeout = timeout };
+  char *path = limit == 0 ? g_strdup_printf ("/table/range?prefix=%s", prefix)
+                          : g_strdup_printf ("/table/range?prefix=%s&limit=%u",
+                                             prefix, limit);
+  json_t *reply = NULL;
+  json_t *rows;
+  int rc;
+
+  *out = NULL;
+  call.path = path;
+  rc = snipe_http_json (&reply, http, &call);
+  g_free (path);
+  if (rc != SNIPE_OK)
+    return rc;
+  rows = json_object_get (reply, "rows");
+  if (http->status == 200 && json_is_array (rows))
+    *out = json_incref (rows);
+  else
+    rc = snipe_status_set (SNIPE_E_PLATFORM, "range %s: reply without rows",
+                           prefix);
+  json_decref (reply);
+  return rc;
+}
--- /dev/null
+++ b/src/platform/watch.c
@@ -0,0 +1,419 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/internal.h"
+#include "snipe/status.h"
+
+/* After this many failures a round ends, so that a slow platform delays the
+ * next renewal and the next look at the rules by a bounded time. */
+#define ROUND_FAILURES_MAX 2
+
+static const char *
+field (const json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text == NULL ? "" : text;
+}
+
+static uint32_t
+field_u32 (const json_t *object, const char *name)
+{
+  json_int_t value = json_integer_value (json_object_get (object, name));
+
+  if (value < 0)
+    return 0;
+  return value > UINT32_MAX ? UINT32_MAX : (uint32_t)value;
+}
+
+static int
+set_field (struct snipe_str *out, const json_t *object, const char *name)
+{
+  const json_t *value = json_object_get (object, name);
+
+  return snipe_str_set (out, field (object, name), json_string_length (value));
+}
+
+static bool
+is_stopping (struct snipe_platform *p, bool *leaving)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&p->lock);
+  stopping = p->stop || p->gone;
+  *leaving = p->leaving;
+  pthread_mutex_unlock (&p->lock);
+  return stopping;
+}
+
+int
+snipe_watch_register (struct snipe_platform *platform, struct snipe_http *http,
+                      bool leaving, snipe_time timeout)
+{
+  const struct snipe_entry_info *self = &platform->options.self;
+  struct snipe_txn txn;
+  int rc = snipe_txn_init (&txn);
+
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_put (
+        &txn, platform->entry_key,
+        json_pack ("{s:s, s:s, s:s, s:s, s:s, s:f, s:s}", "name",
+                   snipe_str_c (&self->name), "rpc", snipe_str_c (&self->rpc),
+                   "http", snipe_str_c (&self->http), "domain",
+                   snipe_str_c (&self->domain), "region",
+                   snipe_str_c (&self->region), "size", self->size, "state",
+                   leaving ? "leaving" : "live"));
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_run (NULL, NULL, &txn, http, timeout);
+  snipe_txn_clear (&txn);
+  return rc;
+}
+
+static int
+step_register (struct snipe_platform *p)
+{
+  bool leaving;
+  int rc;
+
+  if (is_stopping (p, &leaving)
+      || (p->registered && p->registered_leaving == leaving))
+    return SNIPE_OK;
+  rc = snipe_watch_register (p, &p->watch_http, leaving, p->options.timeout);
+  if (rc == SNIPE_OK)
+    {
+      p->registered = true;
+      p->registered_leaving = leaving;
+    }
+  return rc;
+}
+
+static int
+step_rules (struct snipe_platform *p)
+{
+  struct snipe_http_call call = { .method = "GET",
+                                  .path = "/table/row?key=rules",
+                                  .timeout = p->options.timeout };
+  struct snipe_str text = SNIPE_STR_INIT;
+  const json_t *number;
+  const json_t *value;
+  json_t *row;
+  uint64_t version;
+  int rc = snipe_http_json (&row, &p->watch_http, &call);
+
+  if (rc != SNIPE_OK || row == NULL)
+    return rc;
+  number = json_object_get (row, "version");
+  value = json_object_get (json_object_get (row, "value"), "text");
+  version = (uint64_t)json_integer_value (number);
+  if (!json_is_integer (number) || !json_is_string (value))
+    rc = snipe_status_set (SNIPE_E_PLATFORM, "malformed row of rules");
+  else if (version > p->rules_version)
+    rc = snipe_str_set (&text, json_string_value (value),
+                        json_string_length (value));
+  if (rc == SNIPE_OK && version > p->rules_version)
+    {
+      p->rules_version = version;
+      if (p->events.rules != NULL)
+        p->events.rules (p->options.ctx, version, &text);
+    }
+  snipe_str_clear (&text);
+  json_decref (row);
+  return rc;
+}
+
+static void
+clear_endpoint (struct snipe_endpoint_info *info)
+{
+  snipe_str_clear (&info->name);
+  snipe_str_clear (&info->address);
+  snipe_str_clear (&info->domain);
+  snipe_str_clear (&info->region);
+  snipe_str_clear (&info->rack);
+}
+
+static int
+parse_endpoint (struct snipe_endpoint_info *info, const json_t *host)
+{
+  int rc = set_field (&info->name, host, "name");
+
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->address, host, "address");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->domain, host, "domain");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->region, host, "region");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->rack, host, "rack");
+  info->slots = field_u32 (host, "slots");
+  info->connections = field_u32 (host, "connections");
+  info->cores = field_u32 (host, "cores");
+  info->mem_mb = field_u32 (host, "mem_mb");
+  info->accel = field_u32 (host, "accel");
+  info->leaving = strcmp (field (host, "state"), "leaving") == 0;
+  return rc;
+}
+
+static int
+report_endpoints (const struct snipe_platform *p, const json_t *hosts)
+{
+  struct snipe_endpoint_info *list
+      = calloc (json_array_size (hosts) + 1, sizeof *list);
+  uint32_t count = 0;
+  int rc = SNIPE_OK;
+  size_t i;
+  json_t *host;
+
+  if (list == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for endpoints");
+  json_array_foreach (hosts, i, host)
+  {
+    if (rc == SNIPE_OK && strcmp (field (host, "role"), "endpoint") == 0
+        && field (host, "name")[0] != '\0')
+      rc = parse_endpoint (&list[count++], host);
+  }
+  if (rc == SNIPE_OK && p->events.endpoints != NULL)
+    p->events.endpoints (p->options.ctx, list, count);
+  for (uint32_t k = 0; k < count; k++)
+    clear_endpoint (&list[k]);
+  free (list);
+  return rc;
+}
+
+static int
+step_hosts (struct snipe_platform *p, bool *changed)
+{
+  struct snipe_http_call call
+      = { .method = "GET", .path = "/hosts", .timeout = p->options.timeout };
+  json_t *reply;
+  json_t *hosts;
+  int rc = snipe_http_json (&reply, &p->watch_http, &call);
+
+  if (rc != SNIPE_OK)
+    return rc;
+  hosts = json_object_get (reply, "hosts");
+  if (!json_is_array (hosts))
+    rc = snipe_status_set (SNIPE_E_PLATFORM, "list of hosts is malformed");
+  else if (p->hosts == NULL || !json_equal (p->hosts, hosts))
+    rc = report_endpoints (p, hosts);
+  if (rc == SNIPE_OK && !json_equal (p->hosts, hosts))
+    {
+      json_decref (p->hosts);
+      p->hosts = json_incref (hosts);
+      *changed = true;
+    }
+  json_decref (reply);
+  return rc;
+}
+
+static bool
+is_listed (const json_t *hosts, const char *name)
+{
+  size_t i;
+  json_t *host;
+
+  json_array_foreach (hosts, i, host)
+  {
+    if (strcmp (field (host, "role"), "entry") == 0
+        && strcmp (field (host, "name"), name) == 0)
+      return strcmp (field (host, "state"), "live") == 0;
+  }
+  return false;
+}
+
+static void
+clear_entry (struct snipe_entry_info *info)
+{
+  snipe_str_clear (&info->name);
+  snipe_str_clear (&info->rpc);
+  snipe_str_clear (&info->http);
+  snipe_str_clear (&info->domain);
+  snipe_str_clear (&info->region);
+}
+
+static int
+parse_entry (struct snipe_entry_info *info, const json_t *hosts,
+             uint64_t incarnation, const json_t *value)
+{
+  double size = json_number_value (json_object_get (value, "size"));
+  int rc = set_field (&info->name, value, "name");
+
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->rpc, value, "rpc");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->http, value, "http");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->domain, value, "domain");
+  if (rc == SNIPE_OK)
+    rc = set_field (&info->region, value, "region");
+  info->incarnation = incarnation;
+  info->size = size > 0 ? size : 1;
+  info->leaving = strcmp (field (value, "state"), "leaving") == 0;
+  info->listed = is_listed (hosts, field (value, "name"));
+  return rc;
+}
+
+static int
+report_entries (struct snipe_platform *p)
+{
+  struct snipe_entry_info *list
+      = calloc (json_array_size (p->entries) + 1, sizeof *list);
+  uint32_t count = 0;
+  uint32_t live = 0;
+  int rc = SNIPE_OK;
+  size_t i;
+  json_t *row;
+
+  if (list == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for entry hosts");
+  json_array_foreach (p->entries, i, row)
+  {
+    const char *key = field (row, "key");
+    uint64_t incarnation;
+
+    if (rc != SNIPE_OK || !g_str_has_prefix (key, "entry/")
+        || snipe_inc_parse (&incarnation, key + strlen ("entry/")) != SNIPE_OK)
+      continue;
+    rc = parse_entry (&list[count], p->hosts, incarnation,
+                      json_object_get (row, "value"));
+    live += list[count].listed && !list[count].leaving ? 1 : 0;
+    count++;
+  }
+  if (rc == SNIPE_OK)
+    {
+      p->live_hosts = live > 0 ? live : 1;
+      if (p->events.entries != NULL)
+        p->events.entries (p->options.ctx, list, count);
+    }
+  for (uint32_t k = 0; k < count; k++)
+    clear_entry (&list[k]);
+  free (list);
+  return rc;
+}
+
+static bool
+has_key (const json_t *rows, const char *key)
+{
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (rows, i, row)
+  {
+    if (strcmp (field (row, "key"), key) == 0)
+      return true;
+  }
+  return false;
+}
+
+/* Entries are reported only together with a list of hosts: without one every
+ * peer would look as if the platform had taken it off the list. */
+static int
+step_entries (struct snipe_platform *p, bool hosts_changed)
+{
+  json_t *rows;
+  int rc = snipe_range_read (&rows, &p->watch_http, "entry/", 0,
+                             p->options.timeout);
+  bool changed;
+
+  if (rc != SNIPE_OK)
+    return rc;
+  if (!has_key (rows, p->entry_key))
+    p->registered = false;
+  changed = hosts_changed || !json_equal (p->entries, rows);
+  json_decref (p->entries);
+  p->entries = rows;
+  if (changed && p->hosts != NULL)
+    rc = report_entries (p);
+  if (rc != SNIPE_OK)
+    {
+      /* Reported again at the next poll. */
+      json_decref (p->entries);
+      p->entries = NULL;
+    }
+  return rc;
+}
+
+enum step
+{
+  STEP_RENEW,
+  STEP_REGISTER,
+  STEP_RULES,
+  STEP_HOSTS,
+  STEP_ENTRIES,
+  STEP_REGISTER_AGAIN,
+  STEP_QUOTA,
+  STEP_SWEEP,
+  STEP_COUNT
+};
+
+static int
+run_step (struct snipe_platform *p, enum step step, snipe_time now)
+{
+  int rc;
+
+  switch (step)
+    {
+    case STEP_RENEW:
+      return snipe_quota_renew (p, now);
+    case STEP_REGISTER:
+    case STEP_REGISTER_AGAIN:
+      return step_register (p);
+    case STEP_RULES:
+      return step_rules (p);
+    case STEP_HOSTS:
+      return step_hosts (p, &p->hosts_changed);
+    case STEP_ENTRIES:
+      rc = step_entries (p, p->hosts_changed);
+      p->hosts_changed = p->hosts_changed && rc != SNIPE_OK;
+      return rc;
+    case STEP_QUOTA:
+      return p->polls % 2 == 0 ? snipe_quota_round (p) : SNIPE_OK;
+    case STEP_SWEEP:
+      return snipe_sweep (p, now, snipe_clock_wall_ms ());
+    default:
+      return SNIPE_OK;
+    }
+}
+
+static void
+run_round (struct snipe_platform *p)
+{
+  uint32_t failures = 0;
+  bool leaving;
+
+  for (int step = 0; step < STEP_COUNT; step++)
+    {
+      if (is_stopping (p, &leaving) || failures >= ROUND_FAILURES_MAX)
+        return;
+      if (run_step (p, (enum step)step, snipe_clock_now ()) != SNIPE_OK)
+        {
+          failures++;
+          if (!p->failing)
+            g_warning ("platform: %s", snipe_status_last ());
+        }
+    }
+  p->failing = failures > 0;
+}
+
+void *
+snipe_watch_main (void *arg)
+{
+  struct snipe_platform *p = arg;
+
+  pthread_mutex_lock (&p->lock);
+  while (!p->stop)
+    {
+      snipe_time next = snipe_clock_now () + p->options.poll;
+      snipe_time now;
+
+      pthread_mutex_unlock (&p->lock);
+      pthread_mutex_lock (&p->round_lock);
+      run_round (p);
+      p->polls++;
+      pthread_mutex_unlock (&p->round_lock);
+      pthread_mutex_lock (&p->lock);
+      while (!p->stop && (now = snipe_clock_now ()) < next)
+        snipe_platform_wait (p, &p->watch_wake, next - now);
+    }
+  pthread_mutex_unlock (&p->lock);
+  return NULL;
+}
