--- a/src/decide/share.c
+++ b/src/decide/share.c
@@ -115,9 +115,13 @@
     if (row->entries[i].incarnation != in->self
         && row->entries[i].want > row->entries[i].held)
       missing += row->entries[i].want - row->entries[i].held;
+  /* Over a limit that shrank, idle slots count as gone at once: the slots in
+   * use or usable, over all hosts, must not grow before the sum is under. */
   if (sum > in->limit)
-    return min_u32 (held, fair_part (row, in, need));
-  if (missing > available)
+    return min_u32 (min_u32 (held, in->running), fair_part (row, in, need));
+  /* Own need counts too: two hosts would otherwise leave free slots to each
+   * other for ever. */
+  if (missing > 0 && missing + (need > held ? need - held : 0) > available)
     return min_u32 (held + available, fair_part (row, in, need));
   available -= missing;
   if (need > held)
