Add the ONC RPC transport between entry daemons

Entry daemons call each other without a port mapper, and a call must be known to be either surely not delivered or possibly delivered.

A kept connection is checked before each call. After the write, each failure is SNIPE_E_TIMEOUT and the connection is closed.

--- /dev/null
+++ b/src/peer/proc.h
@@ -0,0 +1,36 @@
+/**
+ * @file proc.h
+ * The procedures of the peer program: their XDR codecs and their sender.
+ */
+#ifndef SNIPE_PEER_PROC_H
+#define SNIPE_PEER_PROC_H
+
+#include "peer/net.h"
+
+/** Longest message record; a batch's results may hold 220 answers. */
+#define SNIPE_PEER_RECORD_MAX (64 << 20)
+
+/** Arguments and replies of all procedures begin at the union's address. */
+union snipe_peer_args
+{
+  peer_load load;
+  peer_forward forward;
+  peer_answer answer;
+  peer_batch run_batch;
+  peer_results results;
+};
+
+struct snipe_peer_proc
+{
+  xdrproc_t args;
+  xdrproc_t reply;
+};
+
+/** @return the codecs of @p procedure, NULL if there is no such one. */
+const struct snipe_peer_proc *snipe_peer_proc_find (uint32_t procedure);
+/** @return the name of the host that sent @p args; NULL for PEER_ANSWER,
+ * whose arguments carry none. */
+const char *snipe_peer_proc_from (uint32_t procedure,
+                                  const union snipe_peer_args *args);
+
+#endif
--- /dev/null
+++ b/src/peer/sender.c
@@ -0,0 +1,390 @@
+#include "peer/sender.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "snipe/status.h"
+#include "util/refuse.h"
+
+/* A peer that did not accept a connection is not tried again for this long,
+ * because each try holds up the other peers of the thread. */
+#define RETRY_AFTER (200 * SNIPE_MS)
+/* How often idle connections that the peer closed are looked for. */
+#define SWEEP_EVERY_S 5
+/* Size of libtirpc's buffers per connection; most messages fit. */
+#define BUFFER_BYTES (64U << 10)
+
+struct snipe_peer_sender
+{
+  pthread_t thread;
+  pthread_mutex_t lock;
+  pthread_cond_t ready;
+  struct snipe_peer_sender_call *first;
+  struct snipe_peer_sender_call *last;
+  bool stopping;
+  int busy_fd; /* of the call under way, -1 if none */
+  struct snipe_peer **peers;
+  size_t peer_count;
+  size_t peer_room;
+  snipe_time connect_timeout;
+};
+
+static void
+close_peer (struct snipe_peer *peer)
+{
+  if (peer->client == NULL)
+    return;
+  clnt_destroy (peer->client);
+  peer->client = NULL;
+  peer->fd = -1;
+}
+
+/* Whether the kept connection can no longer be used: the peer closed it, or
+ * sent something that no call asked for. */
+static bool
+is_stale (const struct snipe_peer *peer)
+{
+  struct pollfd poll_fd = { .fd = peer->fd, .events = POLLIN | POLLRDHUP };
+
+  return poll (&poll_fd, 1, 0) != 0;
+}
+
+/* Connects within @p limit. @return the blocking socket or -1. */
+static int
+open_socket (const struct snipe_peer *peer, snipe_time limit)
+{
+  int fd = socket (peer->address.addr.ss_family,
+                   SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  snipe_time until = snipe_clock_now () + limit;
+  int yes = 1;
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  if (fd < 0)
+    return -1;
+  if (connect (fd, (const struct sockaddr *)&peer->address.addr,
+               peer->address.len)
+      != 0)
+    {
+      struct pollfd poll_fd = { .fd = fd, .events = POLLOUT };
+      int ready = -1;
+
+      if (errno != EINPROGRESS)
+        goto on_error;
+      do
+        {
+          snipe_time left = until - snipe_clock_now ();
+
+          if (left < 0)
+            left = 0;
+          ready = poll (&poll_fd, 1, (int)((left + SNIPE_MS - 1) / SNIPE_MS));
+        }
+      while (ready < 0 && errno == EINTR);
+      if (ready != 1
+          || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0
+          || error != 0)
+        goto on_error;
+    }
+  if (setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes) != 0
+      || fcntl (fd, F_SETFL, 0) != 0)
+    goto on_error;
+  return fd;
+
+on_error:
+  close (fd);
+  return -1;
+}
+
+static int
+open_peer (struct snipe_peer *peer, snipe_time limit)
+{
+  struct netbuf address = {
+    .maxlen = sizeof peer->address.addr,
+    .len = peer->address.len,
+    .buf = &peer->address.addr,
+  };
+  int fd = open_socket (peer, limit);
+
+  if (fd < 0)
+    return SNIPE_E_UNREACHABLE;
+  peer->client = clnt_vc_create (fd, &address, SNIPE_PEER_PROGRAM,
+                                 SNIPE_PEER_V1, BUFFER_BYTES, BUFFER_BYTES);
+  if (peer->client == NULL)
+    {
+      close (fd);
+      return SNIPE_E_UNREACHABLE;
+    }
+  (void)clnt_control (peer->client, CLSET_FD_CLOSE, NULL);
+  peer->fd = fd;
+  return SNIPE_OK;
+}
+
+/* Brings up the connection of @p peer. */
+static int
+reach_peer (struct snipe_peer_sender *sender, struct snipe_peer *peer,
+            snipe_time deadline)
+{
+  snipe_time now = snipe_clock_now ();
+  snipe_time limit = deadline - now;
+
+  if (limit <= 0 || snipe_refuse_match (peer->text))
+    return SNIPE_E_UNREACHABLE;
+  if (peer->client != NULL && is_stale (peer))
+    close_peer (peer);
+  if (peer->client != NULL)
+    return SNIPE_OK;
+  if (now < peer->retry_at)
+    return SNIPE_E_UNREACHABLE;
+  if (limit > sender->connect_timeout)
+    limit = sender->connect_timeout;
+  if (open_peer (peer, limit) == SNIPE_OK)
+    return SNIPE_OK;
+  peer->retry_at = snipe_clock_now () + RETRY_AFTER;
+  return SNIPE_E_UNREACHABLE;
+}
+
+/* Marks the socket as in use, so that snipe_peer_sender_free () can shut it
+ * down. @return false if the sender is stopping. */
+static bool
+set_busy (struct snipe_peer_sender *sender, int fd)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&sender->lock);
+  sender->busy_fd = fd;
+  stopping = sender->stopping;
+  pthread_mutex_unlock (&sender->lock);
+  return !stopping;
+}
+
+static void
+end_call (struct snipe_peer_sender_call *call, int status,
+          union snipe_peer_reply *reply)
+{
+  call->done (call->ctx, status, reply);
+  xdr_free (call->proc->args, (char *)&call->call.args);
+  free (call);
+}
+
+static void
+send_call (struct snipe_peer_sender *sender,
+           struct snipe_peer_sender_call *call)
+{
+  struct snipe_peer *peer = call->peer;
+  const struct snipe_peer_proc *proc = call->proc;
+  union snipe_peer_reply reply;
+  struct timeval limit;
+  snipe_time left;
+  enum clnt_stat result;
+  int status = reach_peer (sender, peer, call->deadline);
+
+  if (status == SNIPE_OK && !set_busy (sender, peer->fd))
+    status = SNIPE_E_UNREACHABLE;
+  left = call->deadline - snipe_clock_now ();
+  if (status < 0 || left <= 0)
+    {
+      (void)set_busy (sender, -1);
+      end_call (call, SNIPE_E_UNREACHABLE, NULL);
+      return;
+    }
+  /* libtirpc waits in whole milliseconds and takes 0 as "don't wait". */
+  left = (left + SNIPE_MS - 1) / SNIPE_MS * SNIPE_MS;
+  limit = (struct timeval){ .tv_sec = left / SNIPE_S,
+                            .tv_usec = left % SNIPE_S };
+  (void)setsockopt (peer->fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  memset (&reply, 0, sizeof reply);
+  result = clnt_call (peer->client, call->call.procedure, proc->args,
+                      (char *)&call->call.args, proc->reply, (char *)&reply,
+                      limit);
+  (void)set_busy (sender, -1);
+  if (result != RPC_SUCCESS)
+    {
+      /* Bytes may have reached the peer; the stream is in an unknown state. */
+      close_peer (peer);
+      status = SNIPE_E_TIMEOUT;
+    }
+  else if (snipe_refuse_match (peer->text))
+    status = SNIPE_E_TIMEOUT;
+  end_call (call, status, status == SNIPE_OK ? &reply : NULL);
+  xdr_free (proc->reply, (char *)&reply);
+}
+
+/* Closes idle connections that their peer has closed. */
+static void
+sweep (struct snipe_peer_sender *sender)
+{
+  struct snipe_peer *peer;
+
+  pthread_mutex_lock (&sender->lock);
+  for (size_t i = 0; i < sender->peer_count; i++)
+    {
+      peer = sender->peers[i];
+      if (peer->client != NULL && is_stale (peer))
+        close_peer (peer);
+    }
+  pthread_mutex_unlock (&sender->lock);
+}
+
+/* Waits for a call. @return it, or NULL when the sender stops. */
+static struct snipe_peer_sender_call *
+take_call (struct snipe_peer_sender *sender)
+{
+  struct snipe_peer_sender_call *call = NULL;
+  struct timespec until;
+  int waited;
+
+  pthread_mutex_lock (&sender->lock);
+  while (sender->first == NULL && !sender->stopping)
+    {
+      (void)clock_gettime (CLOCK_MONOTONIC, &until);
+      until.tv_sec += SWEEP_EVERY_S;
+      waited = pthread_cond_timedwait (&sender->ready, &sender->lock, &until);
+      if (waited == ETIMEDOUT)
+        {
+          pthread_mutex_unlock (&sender->lock);
+          sweep (sender);
+          pthread_mutex_lock (&sender->lock);
+        }
+    }
+  if (!sender->stopping)
+    {
+      call = sender->first;
+      sender->first = call->next;
+      if (sender->first == NULL)
+        sender->last = NULL;
+    }
+  pthread_mutex_unlock (&sender->lock);
+  return call;
+}
+
+static void *
+run_sender (void *ctx)
+{
+  struct snipe_peer_sender *sender = ctx;
+  struct snipe_peer_sender_call *call;
+
+  while ((call = take_call (sender)) != NULL)
+    send_call (sender, call);
+  /* No call is added once the sender is stopping. */
+  while (sender->first != NULL)
+    {
+      call = sender->first;
+      sender->first = call->next;
+      end_call (call, SNIPE_E_UNREACHABLE, NULL);
+    }
+  pthread_mutex_lock (&sender->lock);
+  for (size_t i = 0; i < sender->peer_count; i++)
+    close_peer (sender->peers[i]);
+  pthread_mutex_unlock (&sender->lock);
+  return NULL;
+}
+
+int
+snipe_peer_sender_new (struct snipe_peer_sender **out,
+                       snipe_time connect_timeout)
+{
+  struct snipe_peer_sender *sender = calloc (1, sizeof *sender);
+  pthread_condattr_t attr;
+
+  if (sender == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for peer sender");
+  sender->busy_fd = -1;
+  sender->connect_timeout = connect_timeout;
+  pthread_mutex_init (&sender->lock, NULL);
+  pthread_condattr_init (&attr);
+  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
+  pthread_cond_init (&sender->ready, &attr);
+  pthread_condattr_destroy (&attr);
+  if (pthread_create (&sender->thread, NULL, run_sender, sender) != 0)
+    {
+      pthread_cond_destroy (&sender->ready);
+      pthread_mutex_destroy (&sender->lock);
+      free (sender);
+      return snipe_status_set (SNIPE_E_INTERNAL,
+                               "cannot start a peer sender thread");
+    }
+  *out = sender;
+  return SNIPE_OK;
+}
+
+void
+snipe_peer_sender_stop (struct snipe_peer_sender *sender)
+{
+  pthread_mutex_lock (&sender->lock);
+  sender->stopping = true;
+  if (sender->busy_fd >= 0)
+    (void)shutdown (sender->busy_fd, SHUT_RDWR);
+  pthread_cond_signal (&sender->ready);
+  pthread_mutex_unlock (&sender->lock);
+  pthread_join (sender->thread, NULL);
+}
+
+void
+snipe_peer_sender_free (struct snipe_peer_sender *sender)
+{
+  pthread_cond_destroy (&sender->ready);
+  pthread_mutex_destroy (&sender->lock);
+  free (sender->peers);
+  free (sender);
+}
+
+int
+snipe_peer_sender_add (struct snipe_peer_sender *sender,
+                       struct snipe_peer_sender_call *call)
+{
+  bool stopping;
+
+  call->next = NULL;
+  pthread_mutex_lock (&sender->lock);
+  stopping = sender->stopping;
+  if (!stopping)
+    {
+      if (sender->last == NULL)
+        sender->first = call;
+      else
+        sender->last->next = call;
+      sender->last = call;
+      pthread_cond_signal (&sender->ready);
+    }
+  pthread_mutex_unlock (&sender->lock);
+  return stopping ? SNIPE_E_DRAINING : SNIPE_OK;
+}
+
+int
+snipe_peer_sender_adopt (struct snipe_peer_sender *sender,
+                         struct snipe_peer *peer)
+{
+  int status = SNIPE_OK;
+
+  pthread_mutex_lock (&sender->lock);
+  if (sender->peer_count == sender->peer_room)
+    {
+      size_t room = 2 * sender->peer_room + 16;
+      struct snipe_peer **grown
+          = realloc (sender->peers, room * sizeof *sender->peers);
+
+      if (grown == NULL)
+        status = SNIPE_E_NOMEM;
+      else
+        {
+          sender->peers = grown;
+          sender->peer_room = room;
+        }
+    }
+  if (status == SNIPE_OK)
+    {
+      peer->sender = sender;
+      sender->peers[sender->peer_count++] = peer;
+    }
+  pthread_mutex_unlock (&sender->lock);
+  return status;
+}
