Join the parts into the entry daemon

Decided: a malformed or refused submission fences its id, so that its "not run" stays true for delayed attempts; an archive segment gets a new number on each try, because readers cache segments and a lost reply may hide a write.

--- /dev/null
+++ b/src/caller/server.c
@@ -0,0 +1,401 @@
+#include "caller/server.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "snipe/counter.h"
+#include "snipe/status.h"
+#include "util/address.h"
+
+#define JOBS_PATH "/v1/jobs/"
+#define IDS_MAX 1000
+#define CANCEL_MAX 10000
+#define IDLE_TIMEOUT_S 120
+#define CONNECTION_MEMORY 16384
+
+struct snipe_caller_server
+{
+  struct MHD_Daemon *daemon;
+  struct snipe_engine *engine;
+  struct snipe_operator *operator_pages;
+  size_t body_bytes;
+  uint32_t waiting;
+};
+
+/** One HTTP request, from its headers to its answer. */
+struct exchange
+{
+  struct snipe_caller_server *server;
+  struct MHD_Connection *connection;
+  GString *body;
+  bool too_large;
+  int http; /**< 0 until answered */
+  const char *type;
+  struct snipe_str answer;
+};
+
+/** A cancellation of many jobs; answers when every part has. */
+struct bulk
+{
+  struct exchange *exchange;
+  uint32_t open;
+  uint32_t not_run;
+  uint32_t running;
+  uint32_t other;
+};
+
+static void
+answer_now (struct exchange *ex, int http, const char *type, const char *data,
+            size_t len)
+{
+  snipe_str_set (&ex->answer, data, len);
+  ex->type = type;
+  ex->http = http;
+}
+
+static void
+answer_error (struct exchange *ex, int http, int code)
+{
+  json_t *root
+      = json_pack ("{s:s, s:s, s:i, s:s, s:s}", "id", "", "outcome", "unknown",
+                   "code", code, "status", snipe_status_name (code), "message",
+                   snipe_status_last ());
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  answer_now (ex, http, "application/json", text, strlen (text));
+  free (text);
+}
+
+/** The engine's answer to a suspended request. */
+static void
+on_reply (void *ctx, int http, const struct snipe_str *body)
+{
+  struct exchange *ex = ctx;
+
+  answer_now (ex, http, "application/json", snipe_str_c (body), body->len);
+  __atomic_sub_fetch (&ex->server->waiting, 1, __ATOMIC_RELAXED);
+  MHD_resume_connection (ex->connection);
+}
+
+static void
+suspend (struct exchange *ex)
+{
+  __atomic_add_fetch (&ex->server->waiting, 1, __ATOMIC_RELAXED);
+  MHD_suspend_connection (ex->connection);
+}
+
+/** Reads ?wait=MS. @return microseconds, or -1 without the argument. */
+static snipe_time
+wait_argument (struct exchange *ex)
+{
+  const char *text = MHD_lookup_connection_value (
+      ex->connection, MHD_GET_ARGUMENT_KIND, "wait");
+  guint64 ms;
+
+  if (text == NULL
+      || !g_ascii_string_to_unsigned (text, 10, 0, 3600000, &ms, NULL))
+    return -1;
+  return (snipe_time)ms * SNIPE_MS;
+}
+
+static bool
+handle_job (struct exchange *ex, const char *method, const char *id)
+{
+  struct snipe_request request = {
+    .id = id,
+    .body = ex->body->str,
+    .body_len = ex->body->len,
+    .wait = wait_argument (ex),
+  };
+
+  if (strcmp (method, "PUT") == 0 || strcmp (method, "POST") == 0)
+    request.verb = SNIPE_VERB_SUBMIT;
+  else if (strcmp (method, "GET") == 0)
+    request.verb = SNIPE_VERB_QUERY;
+  else if (strcmp (method, "DELETE") == 0)
+    request.verb = SNIPE_VERB_CANCEL;
+  else
+    {
+      answer_error (ex, 405,
+                    snipe_status_set (SNIPE_E_INVALID,
+                                      "method %s is not one of PUT, GET, "
+                                      "DELETE",
+                                      method));
+      return false;
+    }
+  suspend (ex);
+  snipe_engine_request (ex->server->engine, &request, snipe_clock_now (),
+                        on_reply, ex);
+  return true;
+}
+
+static void
+handle_ids (struct exchange *ex)
+{
+  const char *text = MHD_lookup_connection_value (
+      ex->connection, MHD_GET_ARGUMENT_KIND, "count");
+  struct snipe_str body = SNIPE_STR_INIT;
+  guint64 count = 1;
+  int status;
+
+  if (text != NULL
+      && !g_ascii_string_to_unsigned (text, 10, 1, IDS_MAX, &count, NULL))
+    {
+      answer_error (ex, 400,
+                    snipe_status_set (SNIPE_E_INVALID,
+                                      "count \"%.32s\" is not a whole number "
+                                      "from 1 to %d",
+                                      text, IDS_MAX));
+      return;
+    }
+  status = snipe_engine_issue (&body, ex->server->engine, (uint32_t)count,
+                               snipe_clock_now ());
+  if (status < 0)
+    answer_error (ex, 503, status);
+  else
+    answer_now (ex, 200, "application/json", body.data, body.len);
+  snipe_str_clear (&body);
+}
+
+static void
+bulk_release (struct bulk *bulk)
+{
+  struct snipe_str answer;
+
+  if (__atomic_sub_fetch (&bulk->open, 1, __ATOMIC_ACQ_REL) > 0)
+    return;
+  answer.data
+      = g_strdup_printf ("{\"cancelled\":%u,\"running\":%u,\"other\":%u}",
+                         bulk->not_run, bulk->running, bulk->other);
+  answer.len = strlen (answer.data);
+  on_reply (bulk->exchange, 200, &answer);
+  g_free (answer.data);
+  g_free (bulk);
+}
+
+static void
+bulk_part (void *ctx, int http, const struct snipe_str *body)
+{
+  struct bulk *bulk = ctx;
+  uint32_t *count = http == 409   ? &bulk->not_run
+                    : http == 202 ? &bulk->running
+                                  : &bulk->other;
+
+  (void)body;
+  __atomic_add_fetch (count, 1, __ATOMIC_RELAXED);
+  bulk_release (bulk);
+}
+
+static bool
+handle_cancel (struct exchange *ex)
+{
+  json_t *root = json_loadb (ex->body->str, ex->body->len, 0, NULL);
+  json_t *ids = json_object_get (root, "ids");
+  size_t count = json_array_size (ids);
+  struct bulk *bulk;
+  json_t *id;
+  size_t i;
+
+  if (count == 0 || count > CANCEL_MAX)
+    {
+      json_decref (root);
+      answer_error (ex, 400,
+                    snipe_status_set (SNIPE_E_INVALID,
+                                      "\"ids\" must be an array of 1 to %d "
+                                      "ids",
+                                      CANCEL_MAX));
+      return false;
+    }
+  bulk = g_new0 (struct bulk, 1);
+  bulk->exchange = ex;
+  bulk->open = (uint32_t)count + 1;
+  suspend (ex);
+  json_array_foreach (ids, i, id)
+  {
+    const char *text = json_string_value (id);
+    struct snipe_request request = { .verb = SNIPE_VERB_CANCEL,
+                                     .id = text == NULL ? "" : text,
+                                     .wait = 0 };
+
+    snipe_engine_request (ex->server->engine, &request, snipe_clock_now (),
+                          bulk_part, bulk);
+  }
+  json_decref (root);
+  /* The last reference is this function's own, so that the answer cannot go
+     out while ids are still being read. */
+  bulk_release (bulk);
+  return true;
+}
+
+static void
+handle_page (struct exchange *ex, const char *method, const char *url)
+{
+  struct snipe_page_request request = {
+    .method = method,
+    .path = url,
+    .job = MHD_lookup_connection_value (ex->connection, MHD_GET_ARGUMENT_KIND,
+                                        "job"),
+    .body = ex->body->str,
+    .body_len = ex->body->len,
+  };
+  struct snipe_page page;
+
+  snipe_operator_page (&page, ex->server->operator_pages, &request,
+                       snipe_clock_now ());
+  answer_now (ex, page.http, page.type, snipe_str_c (&page.body),
+              page.body.len);
+  snipe_str_clear (&page.body);
+}
+
+/** @return whether the request was suspended: the engine then answers it,
+ * maybe already on another thread, so that @p ex must not be looked at. */
+static bool
+handle (struct exchange *ex, const char *method, const char *url)
+{
+  if (ex->too_large)
+    answer_error (ex, 413,
+                  snipe_status_set (SNIPE_E_TOO_LARGE,
+                                    "body is over the limit of %zu bytes; "
+                                    "this attempt was not acted on",
+                                    ex->server->body_bytes));
+  else if (g_str_has_prefix (url, JOBS_PATH))
+    return handle_job (ex, method, url + strlen (JOBS_PATH));
+  else if (strcmp (url, "/v1/jobs") == 0)
+    answer_error (ex, 400,
+                  snipe_status_set (SNIPE_E_BAD_ID,
+                                    "a job needs an id: get one by POST "
+                                    "/v1/ids, or use a UUID version 7, and "
+                                    "PUT the job to /v1/jobs/{id}"));
+  else if (strcmp (url, "/v1/ids") == 0 && strcmp (method, "POST") == 0)
+    handle_ids (ex);
+  else if (strcmp (url, "/v1/cancel") == 0 && strcmp (method, "POST") == 0)
+    return handle_cancel (ex);
+  else
+    handle_page (ex, method, url);
+  return false;
+}
+
+static enum MHD_Result
+send_answer (struct exchange *ex)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      ex->answer.len, ex->answer.data, MHD_RESPMEM_MUST_FREE);
+  enum MHD_Result result;
+
+  if (response == NULL)
+    return MHD_NO;
+  ex->answer = (struct snipe_str)SNIPE_STR_INIT;
+  MHD_add_response_header (response, "Content-Type", ex->type);
+  result
+      = MHD_queue_response (ex->connection, (unsigned int)ex->http, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+on_request (void *ctx, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **state)
+{
+  struct exchange *ex = *state;
+
+  (void)version;
+  if (ex == NULL)
+    {
+      ex = g_new0 (struct exchange, 1);
+      ex->server = ctx;
+      ex->connection = connection;
+      ex->body = g_string_new (NULL);
+      *state = ex;
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      if (ex->body->len + *size > ex->server->body_bytes)
+        ex->too_large = true;
+      else
+        g_string_append_len (ex->body, data, (gssize)*size);
+      *size = 0;
+      return MHD_YES;
+    }
+  /* A suspended request comes back here, answered, when it is resumed. */
+  if (ex->http == 0 && handle (ex, method, url))
+    return MHD_YES;
+  return send_answer (ex);
+}
+
+static void
+on_completed (void *ctx, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct exchange *ex = *state;
+
+  (void)ctx;
+  (void)connection;
+  (void)code;
+  if (ex == NULL)
+    return;
+  g_string_free (ex->body, TRUE);
+  snipe_str_clear (&ex->answer);
+  g_free (ex);
+  *state = NULL;
+}
+
+int
+snipe_caller_server_new (struct snipe_caller_server **out,
+                         const struct snipe_caller_server_options *opts)
+{
+  struct snipe_caller_server *server;
+  struct sockaddr_in address;
+  int status = snipe_address_parse (&address, opts->listen);
+
+  if (status < 0)
+    return status;
+  server = calloc (1, sizeof *server);
+  if (server == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for the HTTP server");
+  server->engine = opts->engine;
+  server->operator_pages = opts->operator_pages;
+  server->body_bytes = opts->body_bytes;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      on_request, server, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_THREAD_POOL_SIZE, opts->threads, MHD_OPTION_CONNECTION_LIMIT,
+      opts->connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)CONNECTION_MEMORY, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      NULL, MHD_OPTION_END);
+  if (server->daemon == NULL)
+    {
+      free (server);
+      return snipe_status_set (SNIPE_E_INVALID, "cannot listen on %s",
+                               opts->listen);
+    }
+  *out = server;
+  return SNIPE_OK;
+}
+
+uint16_t
+snipe_caller_server_port (const struct snipe_caller_server *server)
+{
+  return MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+uint32_t
+snipe_caller_server_waiting (const struct snipe_caller_server *server)
+{
+  return __atomic_load_n (&server->waiting, __ATOMIC_RELAXED);
+}
+
+void
+snipe_caller_server_free (struct snipe_caller_server *server)
+{
+  if (server == NULL)
+    return;
+  MHD_stop_daemon (server->daemon);
+  free (server);
+}
--- /dev/null
+++ b/src/caller/server.h
@@ -0,0 +1,42 @@
+/**
+ * @file server.h
+ * HTTP interface of an entry daemon: jobs for callers, and whatever the
+ * operator package answers.
+ */
+#ifndef SNIPE_CALLER_SERVER_H
+#define SNIPE_CALLER_SERVER_H
+
+#include <stdint.h>
+#include "engine/engine.h"
+#include "operator/operator.h"
+
+struct snipe_caller_server;
+
+struct snipe_caller_server_options
+{
+  unsigned int version;
+  const char *listen;   /**< "ip:port", port 0: chosen by the system */
+  uint32_t threads;     /**< default 4 */
+  uint32_t connections; /**< limit of open connections, default 4000 */
+  size_t body_bytes;    /**< limit of a request's body */
+  struct snipe_engine *engine;
+  struct snipe_operator *operator_pages;
+};
+#define SNIPE_CALLER_SERVER_OPTIONS_VERSION 1
+#define SNIPE_CALLER_SERVER_OPTIONS_INIT                                      \
+  {                                                                           \
+    .version = SNIPE_CALLER_SERVER_OPTIONS_VERSION, .threads = 4,             \
+    .connections = 4000, .body_bytes = 1048576                                \
+  }
+
+int snipe_caller_server_new (struct snipe_caller_server **out,
+                             const struct snipe_caller_server_options *opts);
+/** @return the port that it listens on. */
+uint16_t snipe_caller_server_port (const struct snipe_caller_server *server);
+/** @return requests that wait for an answer. */
+uint32_t
+snipe_caller_server_waiting (const struct snipe_caller_server *server);
+/** Stops; call when no request waits. */
+void snipe_caller_server_free (struct snipe_caller_server *server);
+
+#endif
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -59,13 +59,16 @@
 {
   struct snipe_endpoint_client *endpoints;
   struct snipe_peer_net *net;
-  struct snipe_platform *platform; /**< may be NULL until the next call */
-  const char *rpc_address;         /**< "ip:port" for peers */
-  const char *const *seeds;        /**< peers' "ip:port", NULL-terminated */
+  const char *rpc_address;  /**< "ip:port" for peers */
+  const char *const *seeds; /**< peers' "ip:port", NULL-terminated */
 };
 /** Connects the engine and starts its threads. */
 int snipe_engine_start (struct snipe_engine *engine,
                         const struct snipe_engine_links *links);
+/** Gives the engine its platform client, once that is up; NULL takes it
+ * away. */
+void snipe_engine_set_platform (struct snipe_engine *engine,
+                                struct snipe_platform *platform);
 /** Stops the threads and frees. Call after drain, with the endpoint client,
  * the net and the platform client already stopped. */
 void snipe_engine_free (struct snipe_engine *engine);
@@ -98,8 +101,8 @@
 };
 /** Handles a caller's request; @p reply is called exactly once. */
 void snipe_engine_request (struct snipe_engine *engine,
-                           const struct snipe_request *request,
-                           snipe_time now, snipe_reply reply, void *ctx);
+                           const struct snipe_request *request, snipe_time now,
+                           snipe_reply reply, void *ctx);
 /** Hands out ids. @p out receives {"ids":[...]}. */
 int snipe_engine_issue (struct snipe_str *out, struct snipe_engine *engine,
                         uint32_t count, snipe_time now);
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -47,6 +47,7 @@
   uint16_t repeats;     /**< starts after the first */
   uint16_t repeats_max; /**< from the retry rule */
   uint32_t rule_line;   /**< allow line that admits it */
+  bool refused;         /**< refused to the peer that passed it */
   uint64_t batch;       /**< batch at a peer, if PASSED */
   struct snipe_str result;
 };
@@ -112,7 +113,7 @@
   bool has_digest; /**< false if only a cancellation was seen */
   bool cancelled;
   uint8_t digest[DIGEST_BYTES];
-  struct snipe_str body; /**< while CLAIMING */
+  struct snipe_str body;   /**< while CLAIMING */
   struct snipe_str answer; /**< while DONE and held */
   int http;
   struct waiter *waiters;
@@ -144,6 +145,8 @@
   uint64_t domains;
   snipe_time heard;   /**< last message from it */
   snipe_time learned; /**< when this host first knew of it */
+  snipe_time offered; /**< last offer sent to it */
+  bool lost;          /**< its batches were given up */
 };
 
 /** A batch passed to a peer, by its number. */
@@ -154,6 +157,13 @@
   uint32_t open;
 };
 
+/** Ids handed out by one request: sequence numbers from @c first on. */
+struct issue_block
+{
+  uint32_t first;
+  snipe_time issued;
+};
+
 struct decision
 {
   int64_t wall_ms;
@@ -174,6 +184,7 @@
   char region[NAME_BYTES];
   char rpc_address[ADDRESS_BYTES];
   struct snipe_engine_links links;
+  struct snipe_platform *platform; /**< atomic, may be NULL */
   int64_t wall_base; /**< wall clock minus monotonic clock at start, ms */
 
   struct shard shards[SHARD_COUNT];
@@ -182,16 +193,20 @@
   struct snipe_sched *sched;
   struct snipe_retry_budget retry_budget;
   struct snipe_rules *rules;
-  GHashTable *peers;   /**< &incarnation -> struct peer */
-  GHashTable *batches; /**< &number -> struct batch */
+  GHashTable *peers;    /**< &incarnation -> struct peer */
+  GHashTable *batches;  /**< &number -> struct batch */
   GPtrArray *endpoints; /**< struct snipe_endpoint_info, the whole list */
   GHashTable *owned;    /**< names of endpoints this host owns */
   GHashTable *shares;   /**< team -> share of its quota */
   snipe_time shares_until;
   bool shares_stopped;
   uint64_t next_batch;
-  uint32_t runs; /**< runs not yet ended */
-  uint32_t notices; /**< results on their way to peers */
+  uint32_t runs;            /**< runs not yet ended */
+  uint32_t notices;         /**< results on their way to peers, atomic */
+  uint32_t waiting_peers;   /**< peers that want an offer, atomic hint */
+  GPtrArray *owned_domains; /**< names of the domains of owned endpoints */
+  snipe_time next_owners;   /**< when to look at ownership again */
+  snipe_time next_hello;
 
   pthread_mutex_t issue_lock;
   uint32_t next_sequence;
@@ -200,6 +215,7 @@
   pthread_mutex_t forward_lock;
   GHashTable *forwards; /**< &token -> struct forward */
   uint64_t next_token;
+  GQueue late_notices; /**< struct notice to be sent again */
 
   pthread_mutex_t archive_lock;
   GQueue unarchived; /**< struct submission, referenced */
@@ -250,6 +266,13 @@
   } u;
 };
 
+/** @return the platform client, or NULL before start and after stop. */
+static inline struct snipe_platform *
+engine_platform (struct snipe_engine *engine)
+{
+  return __atomic_load_n (&engine->platform, __ATOMIC_ACQUIRE);
+}
+
 /* submission.c */
 struct shard *engine_shard (struct snipe_engine *engine, const char *id);
 struct submission *submission_new (const struct snipe_id *id);
@@ -263,8 +286,7 @@
                         struct snipe_str *answer);
 /** Builds a failed answer without tasks. */
 void answer_failed (struct snipe_str *out, const char *id,
-                    enum snipe_outcome outcome, int code,
-                    const char *message);
+                    enum snipe_outcome outcome, int code, const char *message);
 int answer_http (enum snipe_outcome outcome, int code);
 void reply_failed (snipe_reply reply, void *ctx, const char *id,
                    enum snipe_outcome outcome, int code, const char *message);
@@ -276,6 +298,7 @@
                         snipe_time now);
 
 /* request.c */
+void digest_body (uint8_t *digest, const char *body, size_t len);
 /** Handles a request at the home of its id. */
 void home_request (struct snipe_engine *engine, const struct snipe_id *id,
                    const struct snipe_request *request, bool claimed,
@@ -319,15 +342,17 @@
 /** Gives up batches whose deadline is over. */
 void pass_sweep (struct snipe_engine *engine, snipe_time now,
                  GPtrArray *ended);
+/** Sends a guest's results to its home and frees the run. */
 void guest_send_results (struct snipe_engine *engine, struct run *run);
+/** Sends results again whose delivery failed. */
+void guest_resend (struct snipe_engine *engine, snipe_time now);
 int engine_on_run_batch (void *ctx, const peer_batch *args,
                          peer_batch_reply *reply);
 int engine_on_results (void *ctx, const peer_results *args, peer_load *reply);
 
 /* cluster.c */
 /** Fills this host's load, strings from malloc; takes the lock itself. */
-void engine_load (struct snipe_engine *engine, snipe_time now,
-                  peer_load *out);
+void engine_load (struct snipe_engine *engine, snipe_time now, peer_load *out);
 void engine_load_locked (struct snipe_engine *engine, snipe_time now,
                          peer_load *out);
 /** Takes in a peer's report. */
@@ -337,7 +362,17 @@
                 snipe_time now);
 void engine_owners_update (struct snipe_engine *engine, snipe_time now);
 void engine_hello_all (struct snipe_engine *engine, snipe_time now);
+/** Offers free slots to a peer whose tasks were refused here. */
 void engine_offer (struct snipe_engine *engine, snipe_time now);
+/** Notes that a peer has tasks that found no slot here; with the lock. */
+void peer_wants_offer (struct snipe_engine *engine, uint64_t incarnation);
+/** Overrides a peer's known free slots; with the lock. */
+void peer_set_free (struct snipe_engine *engine, uint64_t incarnation,
+                    uint32_t free_slots, snipe_time now);
+struct peer *engine_peer (struct snipe_engine *engine, uint64_t incarnation);
+/** Looks at the liveness of peers: ownership, lost batches. */
+void engine_check_peers (struct snipe_engine *engine, snipe_time now);
+void load_free (peer_load *load);
 int engine_on_hello (void *ctx, const peer_load *args, peer_load *reply);
 int engine_on_offer (void *ctx, const peer_load *args, peer_load *reply);
 int engine_on_get_rules (void *ctx, const peer_load *args, peer_rules *reply);
@@ -385,7 +420,8 @@
   enum lookup_kind kind;
   struct snipe_id id;
   uint64_t home;
-  int why; /**< code if the archive does not know */
+  bool has_digest; /**< of the body, for a submission */
+  uint8_t digest[DIGEST_BYTES];
   snipe_time wait;
   snipe_reply reply;
   void *ctx;
@@ -396,7 +432,10 @@
 /* archive.c */
 void archive_add (struct snipe_engine *engine, struct submission *sub);
 void *archive_thread (void *ctx);
+/** Writes 2 * DIGEST_BYTES hex digits and a NUL. */
 void digest_hex (char *out, const uint8_t *digest);
+/** Name prefix of an incarnation's archive segments, from malloc. */
+char *archive_prefix (uint64_t incarnation);
 
 /* decision_log.c */
 /** Records and logs one decision. */
--- /dev/null
+++ b/src/engine/rules_in_force.c
@@ -0,0 +1,191 @@
+#include "engine/private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "snipe/counter.h"
+#include "snipe/status.h"
+
+/* Rule sets kept so that past decisions can be explained. */
+#define HISTORY_MAX 64
+
+/** Share of a team's quota that this host holds, 0 if it never got one. */
+static uint32_t
+share_of (struct snipe_engine *engine, const struct snipe_str *team)
+{
+  gpointer share;
+
+  if (engine->shares_stopped
+      || !g_hash_table_lookup_extended (engine->shares, snipe_str_c (team),
+                                        NULL, &share))
+    return 0;
+  return GPOINTER_TO_UINT (share);
+}
+
+/** Gives the scheduler weights and limits of the rules; with the lock. */
+static void
+apply (struct snipe_engine *engine, const struct snipe_rules *before)
+{
+  const struct snipe_rule *lines;
+  uint32_t count;
+
+  if (before != NULL)
+    {
+      lines = snipe_rules_lines (before, &count);
+      for (uint32_t i = 0; i < count; i++)
+        {
+          uint32_t team = snipe_sched_team (engine->sched, &lines[i].team);
+
+          snipe_sched_team_weight (engine->sched, team, 1);
+          snipe_sched_team_share (engine->sched, team, UINT32_MAX);
+        }
+    }
+  lines = snipe_rules_lines (engine->rules, &count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t team = snipe_sched_team (engine->sched, &lines[i].team);
+
+      switch (lines[i].kind)
+        {
+        case SNIPE_RULE_WEIGHT:
+          snipe_sched_team_weight (engine->sched, team,
+                                   lines[i].u.weight.value);
+          break;
+        case SNIPE_RULE_LIMIT:
+          snipe_sched_team_share (engine->sched, team,
+                                  share_of (engine, &lines[i].team));
+          break;
+        case SNIPE_RULE_ALLOW:
+        case SNIPE_RULE_QUEUE:
+        case SNIPE_RULE_RETRY:
+          break;
+        }
+    }
+}
+
+static void
+keep_in_history (struct snipe_engine *engine, struct snipe_rules *rules)
+{
+  pthread_mutex_lock (&engine->decision_lock);
+  g_ptr_array_add (engine->rule_history, snipe_rules_ref (rules));
+  if (engine->rule_history->len > HISTORY_MAX)
+    g_ptr_array_remove_index (engine->rule_history, 0);
+  pthread_mutex_unlock (&engine->decision_lock);
+}
+
+void
+engine_on_rules (void *ctx, uint64_t version, const struct snipe_str *text)
+{
+  struct snipe_engine *engine = ctx;
+  struct snipe_rules *rules = NULL;
+  struct snipe_rules *old = NULL;
+  bool newer;
+
+  if (snipe_rules_parse (&rules, snipe_str_c (text), text->len, version) < 0)
+    {
+      g_warning ("rules version %" G_GUINT64_FORMAT " cannot be used: %s",
+                 (guint64)version, snipe_status_last ());
+      return;
+    }
+  pthread_mutex_lock (&engine->sched_lock);
+  newer
+      = engine->rules == NULL || version > snipe_rules_version (engine->rules);
+  if (newer)
+    {
+      old = engine->rules;
+      engine->rules = snipe_rules_ref (rules);
+      apply (engine, old);
+    }
+  pthread_mutex_unlock (&engine->sched_lock);
+  if (newer)
+    {
+      keep_in_history (engine, rules);
+      snipe_counter_set (SNIPE_C_RULES_VERSION, version);
+      __atomic_store_n (&engine->rules_loaded, 1, __ATOMIC_RELEASE);
+      g_message ("rules version %" G_GUINT64_FORMAT " in force",
+                 (guint64)version);
+      engine_pump (engine, snipe_clock_now ());
+    }
+  snipe_rules_unref (old);
+  snipe_rules_unref (rules);
+}
+
+void
+engine_on_demands (void *ctx, struct snipe_team_demand **out, uint32_t *count)
+{
+  struct snipe_engine *engine = ctx;
+  const struct snipe_rule *lines = NULL;
+  struct snipe_team_demand *list;
+  uint32_t line_count = 0;
+  uint32_t n = 0;
+
+  pthread_mutex_lock (&engine->sched_lock);
+  if (engine->rules != NULL)
+    lines = snipe_rules_lines (engine->rules, &line_count);
+  list = calloc (line_count + 1, sizeof *list);
+  for (uint32_t i = 0; list != NULL && i < line_count; i++)
+    {
+      struct snipe_team_demand *demand = &list[n];
+      uint32_t team;
+
+      if (lines[i].kind != SNIPE_RULE_LIMIT)
+        continue;
+      team = snipe_sched_team (engine->sched, &lines[i].team);
+      snipe_str_set (&demand->team, lines[i].team.data, lines[i].team.len);
+      demand->limit = lines[i].u.limit.slots;
+      snipe_sched_team_use (engine->sched, team, &demand->running,
+                            &demand->queued);
+      n++;
+    }
+  pthread_mutex_unlock (&engine->sched_lock);
+  *out = list;
+  *count = n;
+}
+
+/** Sets the share of every team that has a limit; with the lock. */
+static void
+apply_shares (struct snipe_engine *engine)
+{
+  const struct snipe_rule *lines;
+  uint32_t count;
+
+  if (engine->rules == NULL)
+    return;
+  lines = snipe_rules_lines (engine->rules, &count);
+  for (uint32_t i = 0; i < count; i++)
+    if (lines[i].kind == SNIPE_RULE_LIMIT)
+      snipe_sched_team_share (engine->sched,
+                              snipe_sched_team (engine->sched, &lines[i].team),
+                              share_of (engine, &lines[i].team));
+}
+
+void
+engine_on_shares (void *ctx, const struct snipe_team_share *list,
+                  uint32_t count, snipe_time valid_until)
+{
+  struct snipe_engine *engine = ctx;
+
+  pthread_mutex_lock (&engine->sched_lock);
+  g_hash_table_remove_all (engine->shares);
+  for (uint32_t i = 0; i < count; i++)
+    g_hash_table_insert (engine->shares,
+                         g_strdup (snipe_str_c (&list[i].team)),
+                         GUINT_TO_POINTER (list[i].share));
+  engine->shares_until = valid_until;
+  engine->shares_stopped = false;
+  apply_shares (engine);
+  pthread_mutex_unlock (&engine->sched_lock);
+  engine_pump (engine, snipe_clock_now ());
+}
+
+void
+engine_check_shares (struct snipe_engine *engine, snipe_time now)
+{
+  if (engine->shares_stopped || now < engine->shares_until
+      || g_hash_table_size (engine->shares) == 0)
+    return;
+  engine->shares_stopped = true;
+  g_warning ("the lease of this host's quota shares has lapsed; limited teams "
+             "stop until it is renewed");
+  apply_shares (engine);
+}
--- a/src/job/spec.c
+++ b/src/job/spec.c
@@ -80,11 +80,11 @@
                              "%s: \"%s\" must be a string of 1 to %d bytes",
                              where, field, NAME_BYTES_MAX);
   for (size_t i = 0; i < len; i++)
-    if ((unsigned char)text[i] <= ' ' || text[i] == '"' || text[i] == 0x7f)
-      return snipe_status_set (
-          SNIPE_E_INVALID,
-          "%s: \"%s\" has a blank, quote or control character at byte %zu",
-          where, field, i);
+    if ((unsigned char)text[i] <= ' ' || strchr ("\"\\\x7f", text[i]) != NULL)
+      return snipe_status_set (SNIPE_E_INVALID,
+                               "%s: \"%s\" has a blank, quote, backslash or "
+                               "control character at byte %zu",
+                               where, field, i);
   return snipe_str_set (out, text, len);
 }
 
--- /dev/null
+++ b/src/operator/operator.h
@@ -0,0 +1,41 @@
+/**
+ * @file operator.h
+ * Pages for operators: health, readiness, metrics, status, explain, drain.
+ */
+#ifndef SNIPE_OPERATOR_H
+#define SNIPE_OPERATOR_H
+
+#include <stdbool.h>
+#include "engine/engine.h"
+
+struct snipe_operator;
+
+/** A request for an operator page. */
+struct snipe_page_request
+{
+  const char *method;
+  const char *path;
+  const char *job; /**< query argument "job", or NULL */
+  const char *body;
+  size_t body_len;
+};
+
+struct snipe_page
+{
+  int http;
+  const char *type; /**< content type */
+  struct snipe_str body;
+};
+
+/** @param test_hooks also offer PUT /v1/test/refuse */
+int snipe_operator_new (struct snipe_operator **out,
+                        struct snipe_engine *engine, bool test_hooks);
+void snipe_operator_free (struct snipe_operator *pages);
+/** Answers a page; 404 for an unknown one. The caller clears the body. */
+void snipe_operator_page (struct snipe_page *out, struct snipe_operator *pages,
+                          const struct snipe_page_request *request,
+                          snipe_time now);
+/** @return whether an operator asked this host to drain. */
+bool snipe_operator_drain_asked (const struct snipe_operator *pages);
+
+#endif
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -53,7 +53,8 @@
 }
 
 int
-snipe_http_init (struct snipe_http *http, const char *url, const char *host)
+snipe_platform_http_init (struct snipe_http *http, const char *url,
+                          const char *host)
 {
   char *header = g_strdup_printf ("X-Snipe-Host: %s", host);
 
@@ -70,12 +71,12 @@
       if (more != NULL)
         return SNIPE_OK;
     }
-  snipe_http_clear (http);
+  snipe_platform_http_clear (http);
   return snipe_status_set (SNIPE_E_NOMEM, "no memory for a connection");
 }
 
 void
-snipe_http_clear (struct snipe_http *http)
+snipe_platform_http_clear (struct snipe_http *http)
 {
   curl_easy_cleanup (http->easy);
   curl_slist_free_all (http->headers);
@@ -84,8 +85,9 @@
 }
 
 static void
-set_options (struct snipe_http *http, const struct snipe_http_call *call,
-             const char *url, struct sink *sink)
+set_options (struct snipe_http *http,
+             const struct snipe_platform_http_call *call, const char *url,
+             struct sink *sink)
 {
   CURL *easy = http->easy;
   long timeout_ms = (long)(call->timeout / SNIPE_MS);
@@ -113,7 +115,7 @@
 }
 
 static int
-perform (struct snipe_http *http, const struct snipe_http_call *call,
+perform (struct snipe_http *http, const struct snipe_platform_http_call *call,
          struct sink *sink)
 {
   char *url = g_strconcat (http->url, call->path, NULL);
@@ -145,7 +147,8 @@
 }
 
 int
-snipe_http_call (struct snipe_http *http, const struct snipe_http_call *call)
+snipe_platform_http_call (struct snipe_http *http,
+                          const struct snipe_platform_http_call *call)
 {
   struct sink sink = { .bytes = NULL };
   int rc;
@@ -176,11 +179,11 @@
 }
 
 int
-snipe_http_json (json_t **out, struct snipe_http *http,
-                 const struct snipe_http_call *call)
+snipe_platform_http_json (json_t **out, struct snipe_http *http,
+                          const struct snipe_platform_http_call *call)
 {
   json_error_t error;
-  int rc = snipe_http_call (http, call);
+  int rc = snipe_platform_http_call (http, call);
 
   *out = NULL;
   if (rc != SNIPE_OK || http->status == 404)
--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -17,7 +17,7 @@
 #define SNIPE_CLAIM_BATCH 500
 
 /** One HTTP call. */
-struct snipe_http_call
+struct snipe_platform_http_call
 {
   const char *method; /**< "GET", "POST", "PUT" */
   const char *path;   /**< with query, starts with "/" */
@@ -37,21 +37,21 @@
   long status; /**< HTTP status of the last call */
 };
 
-int snipe_http_init (struct snipe_http *http, const char *url,
-                     const char *host);
-void snipe_http_clear (struct snipe_http *http);
+int snipe_platform_http_init (struct snipe_http *http, const char *url,
+                              const char *host);
+void snipe_platform_http_clear (struct snipe_http *http);
 /**
  * Makes one call and counts it. Any HTTP status under 500 is a success.
  * @return 0, SNIPE_E_UNREACHABLE (surely not sent), or SNIPE_E_TIMEOUT or
  * SNIPE_E_PLATFORM (the effect is unknown).
  */
-int snipe_http_call (struct snipe_http *http,
-                     const struct snipe_http_call *call);
+int snipe_platform_http_call (struct snipe_http *http,
+                              const struct snipe_platform_http_call *call);
 /** Calls, and parses a reply of status 200 or 409; others but 404 fail with
  * SNIPE_E_PLATFORM. @return 0 with a new reference in @p out (NULL for
  * 404). */
-int snipe_http_json (json_t **out, struct snipe_http *http,
-                     const struct snipe_http_call *call);
+int snipe_platform_http_json (json_t **out, struct snipe_http *http,
+                              const struct snipe_platform_http_call *call);
 
 /** A transaction under construction. */
 struct snipe_txn
--- a/src/platform/object.c
+++ b/src/platform/object.c
@@ -16,13 +16,13 @@
 /* Makes the call on a connection of the pool, which the caller gives back. */
 static int
 run (struct snipe_http **http, struct snipe_platform *platform,
-     struct snipe_http_call *call)
+     struct snipe_platform_http_call *call)
 {
   *http = snipe_platform_http_get (platform);
   if (*http == NULL)
     return snipe_status_set (SNIPE_E_NOMEM, "no memory for a connection");
   call->timeout = platform->options.timeout;
-  return snipe_platform_code (snipe_http_call (*http, call));
+  return snipe_platform_code (snipe_platform_http_call (*http, call));
 }
 
 static int
@@ -42,10 +42,10 @@
                            const struct snipe_str *data)
 {
   char *path = object_path (name);
-  struct snipe_http_call call = { .method = "PUT",
-                                  .path = path,
-                                  .body = snipe_str_c (data),
-                                  .body_len = data->len };
+  struct snipe_platform_http_call call = { .method = "PUT",
+                                           .path = path,
+                                           .body = snipe_str_c (data),
+                                           .body_len = data->len };
   struct snipe_http *http;
   int rc = run (&http, platform, &call);
 
@@ -61,7 +61,7 @@
                            struct snipe_platform *platform, const char *name)
 {
   char *path = object_path (name);
-  struct snipe_http_call call = { .method = "GET", .path = path };
+  struct snipe_platform_http_call call = { .method = "GET", .path = path };
   struct snipe_http *http;
   int rc = run (&http, platform, &call);
 
@@ -101,9 +101,9 @@
 {
   char *escaped = g_uri_escape_string (prefix, "/", FALSE);
   char *path = g_strconcat ("/objects?prefix=", escaped, NULL);
-  struct snipe_http_call call = { .method = "GET",
-                                  .path = path,
-                                  .timeout = platform->options.timeout };
+  struct snipe_platform_http_call call = {
+    .method = "GET", .path = path, .timeout = platform->options.timeout
+  };
   struct snipe_http *http = snipe_platform_http_get (platform);
   json_t *reply = NULL;
   int rc;
@@ -112,7 +112,7 @@
   if (http == NULL)
     rc = snipe_status_set (SNIPE_E_NOMEM, "no memory for a connection");
   else
-    rc = snipe_platform_code (snipe_http_json (&reply, http, &call));
+    rc = snipe_platform_code (snipe_platform_http_json (&reply, http, &call));
   if (rc == SNIPE_OK)
     rc = parse_names (out, reply);
   json_decref (reply);
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -53,7 +53,8 @@
   if (http != NULL)
     return http;
   http = g_new0 (struct snipe_http, 1);
-  if (snipe_http_init (http, platform->url, platform->host) == SNIPE_OK)
+  if (snipe_platform_http_init (http, platform->url, platform->host)
+      == SNIPE_OK)
     return http;
   g_free (http);
   return NULL;
@@ -64,7 +65,7 @@
 {
   struct snipe_http *http = item;
 
-  snipe_http_clear (http);
+  snipe_platform_http_clear (http);
   g_free (http);
 }
 
@@ -186,9 +187,9 @@
   p->lease_key = g_strconcat ("lease/", p->inc, NULL);
   rc = copy_entry (&p->options.self, &options->self);
   if (rc == SNIPE_OK)
-    rc = snipe_http_init (&p->claim_http, p->url, p->host);
+    rc = snipe_platform_http_init (&p->claim_http, p->url, p->host);
   if (rc == SNIPE_OK)
-    rc = snipe_http_init (&p->watch_http, p->url, p->host);
+    rc = snipe_platform_http_init (&p->watch_http, p->url, p->host);
   return rc;
 }
 
@@ -197,8 +198,8 @@
 {
   struct snipe_entry_info *self = &p->options.self;
 
-  snipe_http_clear (&p->claim_http);
-  snipe_http_clear (&p->watch_http);
+  snipe_platform_http_clear (&p->claim_http);
+  snipe_platform_http_clear (&p->watch_http);
   g_queue_clear_full (&p->pool, http_free);
   json_decref (p->hosts);
   json_decref (p->entries);
--- a/src/platform/row.c
+++ b/src/platform/row.c
@@ -28,9 +28,9 @@
 {
   char *escaped = g_uri_escape_string (key, "/", FALSE);
   char *path = g_strconcat ("/table/row?key=", escaped, NULL);
-  struct snipe_http_call call = { .method = "GET",
-                                  .path = path,
-                                  .timeout = platform->options.timeout };
+  struct snipe_platform_http_call call = {
+    .method = "GET", .path = path, .timeout = platform->options.timeout
+  };
   struct snipe_http *http = snipe_platform_http_get (platform);
   json_t *row = NULL;
   int rc;
@@ -38,7 +38,7 @@
   if (http == NULL)
     rc = snipe_status_set (SNIPE_E_NOMEM, "no memory for a connection");
   else
-    rc = snipe_platform_code (snipe_http_json (&row, http, &call));
+    rc = snipe_platform_code (snipe_platform_http_json (&row, http, &call));
   if (rc == SNIPE_OK && row == NULL)
     rc = snipe_status_set (SNIPE_E_NOT_FOUND, "row '%s' does not exist", key);
   if (rc == SNIPE_OK)
--- a/src/platform/txn.c
+++ b/src/platform/txn.c
@@ -60,7 +60,7 @@
                const struct snipe_txn *txn, struct snipe_http *http,
                snipe_time timeout)
 {
-  struct snipe_http_call call
+  struct snipe_platform_http_call call
       = { .method = "POST", .path = "/table/txn", .timeout = timeout };
   json_t *request = json_pack ("{s:O, s:O, s:O}", "if", txn->conditions, "put",
                                txn->puts, "delete", txn->deletes);
@@ -74,7 +74,7 @@
     return snipe_status_set (SNIPE_E_NOMEM, "no memory for a transaction");
   call.body = body;
   call.body_len = strlen (body);
-  rc = snipe_http_json (&reply, http, &call);
+  rc = snipe_platform_http_json (&reply, http, &call);
   if (rc != SNIPE_OK)
     goto cleanup;
   if (http->status == 409)
@@ -102,7 +102,8 @@
 snipe_range_read (json_t **out, struct snipe_http *http, const char *prefix,
                   uint32_t limit, snipe_time timeout)
 {
-  struct snipe_http_call call = { .method = "GET", .timeout = timeout };
+  struct snipe_platform_http_call call
+      = { .method = "GET", .timeout = timeout };
   char *path = limit == 0 ? g_strdup_printf ("/table/range?prefix=%s", prefix)
                           : g_strdup_printf ("/table/range?prefix=%s&limit=%u",
                                              prefix, limit);
@@ -112,7 +113,7 @@
 
   *out = NULL;
   call.path = path;
-  rc = snipe_http_json (&reply, http, &call);
+  rc = snipe_platform_http_json (&reply, http, &call);
   g_free (path);
   if (rc != SNIPE_OK)
     return rc;
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -90,15 +90,15 @@
 static int
 step_rules (struct snipe_platform *p)
 {
-  struct snipe_http_call call = { .method = "GET",
-                                  .path = "/table/row?key=rules",
-                                  .timeout = p->options.timeout };
+  struct snipe_platform_http_call call = { .method = "GET",
+                                           .path = "/table/row?key=rules",
+                                           .timeout = p->options.timeout };
   struct snipe_str text = SNIPE_STR_INIT;
   const json_t *number;
   const json_t *value;
   json_t *row;
   uint64_t version;
-  int rc = snipe_http_json (&row, &p->watch_http, &call);
+  int rc = snipe_platform_http_json (&row, &p->watch_http, &call);
 
   if (rc != SNIPE_OK || row == NULL)
     return rc;
@@ -182,11 +182,11 @@
 static int
 step_hosts (struct snipe_platform *p, bool *changed)
 {
-  struct snipe_http_call call
+  struct snipe_platform_http_call call
       = { .method = "GET", .path = "/hosts", .timeout = p->options.timeout };
   json_t *reply;
   json_t *hosts;
-  int rc = snipe_http_json (&reply, &p->watch_http, &call);
+  int rc = snipe_platform_http_json (&reply, &p->watch_http, &call);
 
   if (rc != SNIPE_OK)
     return rc;
--- /dev/null
+++ b/src/util/log.c
@@ -0,0 +1,193 @@
+#include "util/log.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "snipe/clock.h"
+#include "snipe/status.h"
+
+#define FLUSH_INTERVAL_US 20000
+/* Past this, lines are dropped and counted rather than memory used up. */
+#define BUFFER_MAX (8U * 1024 * 1024)
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GString *buffer;
+static uint64_t dropped;
+static pthread_t thread;
+static bool running;
+static GLogLevelFlags threshold = G_LOG_LEVEL_MESSAGE;
+
+static const struct
+{
+  const char *name;
+  GLogLevelFlags level;
+} levels[] = {
+  { "error", G_LOG_LEVEL_CRITICAL },  { "warning", G_LOG_LEVEL_WARNING },
+  { "message", G_LOG_LEVEL_MESSAGE }, { "info", G_LOG_LEVEL_INFO },
+  { "debug", G_LOG_LEVEL_DEBUG },
+};
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (levels); i++)
+    if (level <= levels[i].level)
+      return levels[i].name;
+  return "debug";
+}
+
+static void
+append_time (GString *out, int64_t wall_ms)
+{
+  time_t seconds = (time_t)(wall_ms / 1000);
+  struct tm tm;
+  char text[32];
+
+  gmtime_r (&seconds, &tm);
+  strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &tm);
+  g_string_append_printf (out, "%s.%03dZ", text, (int)(wall_ms % 1000));
+}
+
+static const char *
+field_value (const GLogField *fields, gsize count, const char *key)
+{
+  for (gsize i = 0; i < count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return fields[i].value;
+  return NULL;
+}
+
+static void
+write_all (const char *data, size_t len)
+{
+  while (len > 0)
+    {
+      ssize_t n = write (STDERR_FILENO, data, len);
+
+      if (n <= 0)
+        return;
+      data += n;
+      len -= (size_t)n;
+    }
+}
+
+static GLogWriterOutput
+writer (GLogLevelFlags level, const GLogField *fields, gsize count,
+        gpointer ctx)
+{
+  const char *message = field_value (fields, count, "MESSAGE");
+  const char *host = field_value (fields, count, "HOST");
+
+  (void)ctx;
+  level &= G_LOG_LEVEL_MASK;
+  if (level > threshold || message == NULL)
+    return G_LOG_WRITER_HANDLED;
+  pthread_mutex_lock (&lock);
+  if (buffer == NULL || buffer->len > BUFFER_MAX)
+    {
+      dropped++;
+    }
+  else
+    {
+      append_time (buffer, snipe_clock_wall_ms ());
+      g_string_append_printf (buffer, " %s ", level_name (level));
+      if (host != NULL)
+        g_string_append_printf (buffer, "host=%s ", host);
+      g_string_append (buffer, message);
+      g_string_append_c (buffer, '\n');
+    }
+  pthread_mutex_unlock (&lock);
+  /* An error aborts the process, so its line must be out before that. */
+  if (level <= G_LOG_LEVEL_ERROR)
+    snipe_log_stop ();
+  return G_LOG_WRITER_HANDLED;
+}
+
+static void
+flush (void)
+{
+  GString *full = NULL;
+  uint64_t lost;
+
+  pthread_mutex_lock (&lock);
+  if (buffer != NULL && buffer->len > 0)
+    {
+      full = buffer;
+      buffer = g_string_sized_new (4096);
+    }
+  lost = dropped;
+  dropped = 0;
+  pthread_mutex_unlock (&lock);
+  if (full != NULL)
+    {
+      write_all (full->str, full->len);
+      g_string_free (full, TRUE);
+    }
+  if (lost > 0)
+    g_warning ("%" G_GUINT64_FORMAT " log lines were dropped", (guint64)lost);
+}
+
+static void *
+flush_thread (void *ctx)
+{
+  (void)ctx;
+  while (__atomic_load_n (&running, __ATOMIC_ACQUIRE))
+    {
+      flush ();
+      g_usleep (FLUSH_INTERVAL_US);
+    }
+  return NULL;
+}
+
+int
+snipe_log_start (const char *level)
+{
+  size_t i = 0;
+
+  while (i < G_N_ELEMENTS (levels) && strcmp (levels[i].name, level) != 0)
+    i++;
+  if (i == G_N_ELEMENTS (levels))
+    return snipe_status_set (SNIPE_E_INVALID,
+                             "log level \"%s\" is not one of error, warning, "
+                             "message, info, debug",
+                             level);
+  threshold = levels[i].level;
+  buffer = g_string_sized_new (4096);
+  g_log_set_writer_func (writer, NULL, NULL);
+  __atomic_store_n (&running, true, __ATOMIC_RELEASE);
+  if (pthread_create (&thread, NULL, flush_thread, NULL) != 0)
+    return snipe_status_set (SNIPE_E_INTERNAL, "no thread for the log");
+  return SNIPE_OK;
+}
+
+void
+snipe_log_stop (void)
+{
+  if (!__atomic_exchange_n (&running, false, __ATOMIC_ACQ_REL))
+    return;
+  if (!pthread_equal (thread, pthread_self ()))
+    pthread_join (thread, NULL);
+  flush ();
+}
+
+bool
+snipe_log_decisions_enabled (void)
+{
+  return threshold >= G_LOG_LEVEL_INFO;
+}
+
+void
+snipe_log_decision (const char *host, int64_t wall_ms, const char *line)
+{
+  const GLogField fields[] = {
+    { "MESSAGE", line, -1 },
+    { "HOST", host, -1 },
+    { "GLIB_DOMAIN", G_LOG_DOMAIN, -1 },
+  };
+
+  (void)wall_ms;
+  g_log_structured_array (G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS (fields));
+}
