--- a/src/engine/status.c
+++ b/src/engine/status.c
@@ -130,15 +130,16 @@
   snipe_sched_endpoint_each (engine->sched, add_endpoint, &visit);
   json_array_foreach (visit.list, i, endpoint) running
       += (uint32_t)json_integer_value (json_object_get (endpoint, "running"));
-  root = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:o, s:i, s:i, s:i, s:o, s:o, "
-                    "s:o}",
-                    "host", engine->host, "incarnation", incarnation, "domain",
-                    engine->domain, "region", engine->region, "state",
-                    snipe_engine_draining (engine) ? "draining" : "live",
-                    "rules", rules_json (engine), "queued", (int)load.queued,
-                    "running", (int)running, "free_slots",
-                    (int)load.free_slots, "endpoints", visit.list, "peers",
-                    peers_json (engine, now), "teams", teams_json (engine));
+  root = json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:o, s:i, s:i, s:i, s:i, s:o, s:o, "
+      "s:o}",
+      "host", engine->host, "incarnation", incarnation, "domain",
+      engine->domain, "region", engine->region, "state",
+      snipe_engine_draining (engine) ? "draining" : "live", "rules",
+      rules_json (engine), "queued", (int)load.queued, "running", (int)running,
+      "free_slots", (int)load.free_slots, "endpoints_listed",
+      (int)engine->endpoints->len, "endpoints", visit.list, "peers",
+      peers_json (engine, now), "teams", teams_json (engine));
   pthread_mutex_unlock (&engine->sched_lock);
   if (root == NULL)
     return snipe_status_set (SNIPE_E_INTERNAL, "status cannot be encoded");
--- /dev/null
+++ b/tests/faults/cluster.c
@@ -0,0 +1,376 @@
+#include "faults/cluster.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+
+#include "snipe/clock.h"
+#include "util/http.h"
+
+#define POLL_MS 10
+#define REQUEST_TIMEOUT_MS 60000
+#define CONTROL_TIMEOUT_MS 20000
+
+static const char *
+need_env (const char *name)
+{
+  const char *value = getenv (name);
+
+  if (value == NULL)
+    g_error ("%s is not set: start this test by its run-*.sh script", name);
+  return value;
+}
+
+void
+cluster_load (struct cluster *out)
+{
+  gchar **hosts = g_strsplit (need_env ("SNIPE_TEST_HOSTS"), ";", -1);
+
+  memset (out, 0, sizeof *out);
+  g_strlcpy (out->platform, need_env ("SNIPE_TEST_PLATFORM"),
+             sizeof out->platform);
+  g_strlcpy (out->endpoints, need_env ("SNIPE_TEST_ENDPOINTS"),
+             sizeof out->endpoints);
+  for (int i = 0; hosts[i] != NULL && i < CLUSTER_HOSTS_MAX; i++)
+    {
+      struct cluster_host *host = &out->hosts[out->host_count++];
+      gchar **parts = g_strsplit (hosts[i], ",", 5);
+
+      g_strlcpy (host->name, parts[0], sizeof host->name);
+      g_strlcpy (host->domain, parts[1], sizeof host->domain);
+      g_strlcpy (host->http, parts[2], sizeof host->http);
+      g_strlcpy (host->rpc, parts[3], sizeof host->rpc);
+      host->pid = (pid_t)g_ascii_strtoll (parts[4], NULL, 10);
+      g_strfreev (parts);
+    }
+  g_strfreev (hosts);
+}
+
+void
+cluster_sleep_ms (int64_t ms)
+{
+  g_usleep ((gulong)ms * 1000);
+}
+
+static void
+call (struct snipe_http_response *out, int *status, const char *address,
+      const char *method, const char *path, const char *body,
+      int64_t timeout_ms)
+{
+  struct snipe_http_request request = SNIPE_HTTP_REQUEST_INIT;
+  char *url = g_strdup_printf ("http://%s%s", address, path);
+
+  request.method = method;
+  request.url = url;
+  request.body = body;
+  request.body_len = body == NULL ? 0 : strlen (body);
+  request.timeout_ms = timeout_ms;
+  *status = snipe_http_call (out, &request);
+  g_free (url);
+}
+
+json_t *
+cluster_get (const char *address, const char *path)
+{
+  struct snipe_http_response response = { 0 };
+  json_t *root = NULL;
+  int status;
+
+  call (&response, &status, address, "GET", path, NULL, CONTROL_TIMEOUT_MS);
+  if (status == 0)
+    root = json_loadb (response.body.data, response.body.len, 0, NULL);
+  if (root == NULL)
+    g_error ("GET %s%s failed", address, path);
+  snipe_http_response_clear (&response);
+  return root;
+}
+
+static void
+post (const char *address, const char *method, const char *path,
+      const char *json)
+{
+  struct snipe_http_response response = { 0 };
+  int status;
+
+  call (&response, &status, address, method, path, json, CONTROL_TIMEOUT_MS);
+  if (status != 0 || response.status != 200)
+    g_error ("%s %s%s failed: %d, HTTP %d", method, address, path, status,
+             response.status);
+  snipe_http_response_clear (&response);
+}
+
+void
+cluster_platform (const struct cluster *cluster, const char *json)
+{
+  post (cluster->platform, "POST", "/control", json);
+}
+
+void
+cluster_endpoints (const struct cluster *cluster, const char *json)
+{
+  post (cluster->endpoints, "POST", "/control", json);
+}
+
+void
+cluster_issue (char *id, const struct cluster *cluster, int host)
+{
+  struct snipe_http_response response = { 0 };
+  json_t *root = NULL;
+  const char *text;
+  int status;
+
+  call (&response, &status, cluster->hosts[host].http, "POST", "/v1/ids", "",
+        CONTROL_TIMEOUT_MS);
+  if (status == 0)
+    root = json_loadb (response.body.data, response.body.len, 0, NULL);
+  text = json_string_value (json_array_get (json_object_get (root, "ids"), 0));
+  if (text == NULL)
+    g_error ("host %s issued no id", cluster->hosts[host].name);
+  g_strlcpy (id, text, CLUSTER_TEXT);
+  json_decref (root);
+  snipe_http_response_clear (&response);
+}
+
+void
+cluster_own_id (char *id, int64_t age_ms)
+{
+  uint64_t random[2];
+  uint64_t ms = (uint64_t)(snipe_clock_wall_ms () - age_ms);
+
+  if (getrandom (random, sizeof random, 0) != (ssize_t)sizeof random)
+    g_error ("no random numbers");
+  snprintf (id, CLUSTER_TEXT, "%08x-%04x-7%03x-8%03x-%012llx",
+            (unsigned int)(ms >> 16), (unsigned int)(ms & 0xffff),
+            (unsigned int)(random[0] & 0xfff),
+            (unsigned int)(random[0] >> 12 & 0xfff),
+            (unsigned long long)(random[1] & 0xffffffffffffULL));
+}
+
+char *
+cluster_job (const char *team, int tasks, int ms, bool idempotent)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text, "{\"team\":\"%s\",\"tasks\":[", team);
+  for (int i = 0; i < tasks; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"kind\":\"price-strip\",\"run_ms\":%d,\"idempotent\":%s,"
+        "\"payload\":{\"ms\":%d,\"n\":%d}}",
+        i == 0 ? "" : ",", ms, idempotent ? "true" : "false", ms, i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+void
+cluster_send (struct cluster_answer *out, const struct cluster *cluster,
+              int host, const char *method, const char *path, const char *body,
+              int64_t timeout_ms)
+{
+  struct snipe_http_response response = { 0 };
+  const char *outcome;
+
+  memset (out, 0, sizeof *out);
+  call (&response, &out->status, cluster->hosts[host].http, method, path, body,
+        timeout_ms);
+  if (out->status == 0)
+    {
+      out->http = response.status;
+      out->root = json_loadb (response.body.data, response.body.len, 0, NULL);
+      outcome = json_string_value (json_object_get (out->root, "outcome"));
+      g_strlcpy (out->outcome, outcome == NULL ? "" : outcome,
+                 sizeof out->outcome);
+      out->code
+          = (int)json_integer_value (json_object_get (out->root, "code"));
+    }
+  snipe_http_response_clear (&response);
+}
+
+void
+cluster_submit (struct cluster_answer *out, const struct cluster *cluster,
+                int host, const char *id, const char *body)
+{
+  char path[CLUSTER_TEXT];
+
+  snprintf (path, sizeof path, "/v1/jobs/%s", id);
+  cluster_send (out, cluster, host, "PUT", path, body, REQUEST_TIMEOUT_MS);
+}
+
+void
+cluster_answer_clear (struct cluster_answer *answer)
+{
+  json_decref (answer->root);
+  answer->root = NULL;
+}
+
+static void *
+request_thread (void *arg)
+{
+  struct cluster_request *request = arg;
+
+  cluster_send (&request->answer, request->cluster, request->host,
+                request->method, request->path, request->body,
+                request->timeout_ms);
+  return NULL;
+}
+
+void
+cluster_submit_async (struct cluster_request *out,
+                      const struct cluster *cluster, int host, const char *id,
+                      const char *body)
+{
+  memset (out, 0, sizeof *out);
+  out->cluster = cluster;
+  out->host = host;
+  out->method = "PUT";
+  snprintf (out->path, sizeof out->path, "/v1/jobs/%s", id);
+  out->body = g_strdup (body);
+  out->timeout_ms = REQUEST_TIMEOUT_MS;
+  if (pthread_create (&out->thread, NULL, request_thread, out) != 0)
+    g_error ("no thread for a request");
+}
+
+void
+cluster_join (struct cluster_request *request)
+{
+  pthread_join (request->thread, NULL);
+  g_free (request->body);
+  request->body = NULL;
+}
+
+static int
+count (const char *address, const char *path, const char *field)
+{
+  json_t *root = cluster_get (address, path);
+  int value = (int)json_integer_value (json_object_get (root, field));
+
+  json_decref (root);
+  return value;
+}
+
+int
+cluster_job_starts (const struct cluster *cluster, const char *id)
+{
+  char path[CLUSTER_TEXT];
+
+  snprintf (path, sizeof path, "/control/job?id=%s", id);
+  return count (cluster->endpoints, path, "starts");
+}
+
+int
+cluster_duplicate_starts (const struct cluster *cluster)
+{
+  return count (cluster->endpoints, "/control/counts", "duplicate_starts");
+}
+
+bool
+cluster_wait_starts (const struct cluster *cluster, const char *id, int starts,
+                     int64_t limit_ms)
+{
+  for (int64_t waited = 0; waited < limit_ms; waited += POLL_MS)
+    {
+      if (cluster_job_starts (cluster, id) >= starts)
+        return true;
+      cluster_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+void
+cluster_signal (const struct cluster *cluster, int host, int signal)
+{
+  if (kill (cluster->hosts[host].pid, signal) != 0)
+    g_error ("host %s has no process %d", cluster->hosts[host].name,
+             (int)cluster->hosts[host].pid);
+}
+
+/** A process that ended stays a zombie until the script reaps it. */
+static bool
+process_ended (pid_t pid)
+{
+  char *path = g_strdup_printf ("/proc/%d/stat", (int)pid);
+  gchar *stat = NULL;
+  const char *state;
+  bool ended = true;
+
+  if (g_file_get_contents (path, &stat, NULL, NULL))
+    {
+      state = strrchr (stat, ')');
+      ended = state == NULL || state[2] == 'Z' || state[2] == 'X';
+    }
+  g_free (stat);
+  g_free (path);
+  return ended;
+}
+
+bool
+cluster_wait_exit (const struct cluster *cluster, int host, int64_t limit_ms)
+{
+  for (int64_t waited = 0; waited < limit_ms; waited += POLL_MS)
+    {
+      if (process_ended (cluster->hosts[host].pid))
+        return true;
+      cluster_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+void
+cluster_refuse (const struct cluster *cluster, int host,
+                const char *const *names)
+{
+  json_t *list = json_array ();
+  char *text;
+
+  for (; *names != NULL; names++)
+    json_array_append_new (list, json_string (*names));
+  text = json_dumps (list, JSON_COMPACT);
+  post (cluster->hosts[host].http, "PUT", "/v1/test/refuse", text);
+  free (text);
+  json_decref (list);
+}
+
+/** Names of hosts and addresses outside a domain that a host must refuse. */
+static void
+refuse_outside (const struct cluster *cluster, int host, const char *domain,
+                bool platform)
+{
+  const char *names[2 * CLUSTER_HOSTS_MAX + 2];
+  const struct cluster_host *self = &cluster->hosts[host];
+  int n = 0;
+
+  for (int i = 0; domain != NULL && i < cluster->host_count; i++)
+    {
+      const struct cluster_host *other = &cluster->hosts[i];
+      bool inside = strcmp (other->domain, domain) == 0;
+
+      if (inside == (strcmp (self->domain, domain) == 0))
+        continue;
+      names[n++] = other->name;
+      names[n++] = other->rpc;
+    }
+  if (domain != NULL && platform && strcmp (self->domain, domain) == 0)
+    names[n++] = "platform";
+  names[n] = NULL;
+  cluster_refuse (cluster, host, names);
+}
+
+void
+cluster_cut (const struct cluster *cluster, const char *domain, bool platform)
+{
+  for (int i = 0; i < cluster->host_count; i++)
+    refuse_outside (cluster, i, domain, platform);
+}
+
+int
+cluster_host_of (const struct cluster *cluster, const char *domain, int nth)
+{
+  for (int i = 0; i < cluster->host_count; i++)
+    if (strcmp (cluster->hosts[i].domain, domain) == 0 && nth-- == 0)
+      return i;
+  return -1;
+}
--- /dev/null
+++ b/tests/faults/cluster.sh
@@ -0,0 +1,136 @@
+# Starts and stops a cluster of separate processes on loopback: the platform
+# and endpoint stand-ins and entry daemons. To be sourced.
+#
+# Settings (environment): SNIPE_HOSTS, SNIPE_DOMAINS, SNIPE_ENDPOINTS,
+# SNIPE_RACK, SNIPE_CORES, SNIPE_MEM_MB, SNIPE_SPEED_MIN, SNIPE_SPEED_MAX,
+# SNIPE_REGION, SNIPE_RULES (text), SNIPE_DAEMON_FLAGS, SNIPE_FAKE_FLAGS,
+# SNIPE_PLATFORM_FLAGS, SNIPE_SEED.
+
+cluster_pids=()
+
+# Waits until a file has content.
+cluster_wait_file() {
+  local i
+  for ((i = 0; i < 600; i++)); do
+    [ -s "$1" ] && return 0
+    sleep 0.05
+  done
+  echo "cluster: $1 was not written" >&2
+  return 1
+}
+
+# Registers the entry hosts in the platform's list of hosts.
+cluster_list_hosts() {
+  local list="" i name domain size
+  for ((i = 0; i < ${#cluster_names[@]}; i++)); do
+    name=${cluster_names[i]} domain=${cluster_domains[i]}
+    size=${cluster_sizes[i]}
+    list+="${list:+,}{\"name\":\"$name\",\"role\":\"entry\",\"address\":\"127.0.0.1:0\",\"domain\":\"$domain\",\"region\":\"$SNIPE_REGION\",\"rack\":\"r0\",\"state\":\"live\",\"slots\":0,\"connections\":0,\"cores\":4,\"mem_mb\":8192,\"accel\":0,\"size\":$size}"
+  done
+  curl -sf -XPOST "http://$SNIPE_TEST_PLATFORM/control" \
+    -d "{\"hosts\":[$list]}" >/dev/null
+}
+
+# Publishes rules by a plain table write, as snipectl does.
+cluster_publish() {
+  jq -n --arg text "$1" '{if:[{key:"rules",version:0}],
+    put:[{key:"rules",value:{text:$text,who:"cluster.sh",when:"",op:"0"}}]}' \
+    | curl -sf -XPOST "http://$SNIPE_TEST_PLATFORM/table/txn" -d @- >/dev/null
+}
+
+# cluster_daemon NAME DOMAIN SIZE [FLAGS...]: starts one entry daemon.
+cluster_daemon() {
+  local name=$1 domain=$2 size=$3
+  shift 3
+  "$cluster_build/snipelbd" --listen 127.0.0.1:0 --rpc 127.0.0.1:0 \
+    --host "$name" --domain "$domain" --region "$SNIPE_REGION" \
+    --size "$size" --platform "http://$SNIPE_TEST_PLATFORM" \
+    --port-file "$cluster_dir/$name.port" --test-hooks --log-level info \
+    ${SNIPE_DAEMON_FLAGS:-} "$@" 2>"$cluster_dir/$name.log" &
+  cluster_pids+=($!)
+  cluster_last_pid=$!
+  # Without this the shell reports each daemon that a test kills.
+  disown "$cluster_last_pid"
+}
+
+# cluster_start BUILD DIR
+cluster_start() {
+  cluster_build=$1 cluster_dir=$2
+  : "${SNIPE_HOSTS:=7}" "${SNIPE_DOMAINS:=perth-east,perth-north,bunbury}"
+  : "${SNIPE_ENDPOINTS:=48}" "${SNIPE_RACK:=8}" "${SNIPE_CORES:=64}"
+  : "${SNIPE_MEM_MB:=131072}" "${SNIPE_SPEED_MIN:=0.5}"
+  : "${SNIPE_SPEED_MAX:=2}" "${SNIPE_REGION:=wa-south}" "${SNIPE_SEED:=1}"
+  local sizes=(1 2 1 1 0.5 1 1) domains i pids=()
+  mkdir -p "$cluster_dir"
+  cluster_names=() cluster_domains=() cluster_sizes=()
+  IFS=, read -ra domains <<<"$SNIPE_DOMAINS"
+
+  "$cluster_build/fake-platform" --listen 127.0.0.1:0 \
+    --port-file "$cluster_dir/platform.port" ${SNIPE_PLATFORM_FLAGS:-} \
+    >"$cluster_dir/platform.log" 2>&1 &
+  cluster_pids+=($!)
+  disown $!
+  cluster_wait_file "$cluster_dir/platform.port"
+  SNIPE_TEST_PLATFORM=$(tr -d '\n' <"$cluster_dir/platform.port")
+  "$cluster_build/fake-endpoints" --count "$SNIPE_ENDPOINTS" --slots 8 \
+    --connections 64 --domains "$SNIPE_DOMAINS" --region "$SNIPE_REGION" \
+    --rack-size "$SNIPE_RACK" --cores "$SNIPE_CORES" \
+    --mem-mb "$SNIPE_MEM_MB" --speed-min "$SNIPE_SPEED_MIN" \
+    --speed-max "$SNIPE_SPEED_MAX" --seed "$SNIPE_SEED" \
+    --platform "http://$SNIPE_TEST_PLATFORM" --control 127.0.0.1:0 \
+    --port-file "$cluster_dir/endpoints.port" ${SNIPE_FAKE_FLAGS:-} \
+    >"$cluster_dir/endpoints.log" 2>&1 &
+  cluster_pids+=($!)
+  disown $!
+  cluster_wait_file "$cluster_dir/endpoints.port"
+  SNIPE_TEST_ENDPOINTS=$(tr -d '\n' <"$cluster_dir/endpoints.port")
+
+  for ((i = 0; i < SNIPE_HOSTS; i++)); do
+    cluster_names+=("entry-$((i + 1))")
+    cluster_domains+=("${domains[i % ${#domains[@]}]}")
+    cluster_sizes+=("${sizes[i % ${#sizes[@]}]}")
+  done
+  cluster_list_hosts
+  [ -z "${SNIPE_RULES:-}" ] || cluster_publish "$SNIPE_RULES"
+  for ((i = 0; i < SNIPE_HOSTS; i++)); do
+    cluster_daemon "${cluster_names[i]}" "${cluster_domains[i]}" \
+      "${cluster_sizes[i]}"
+    pids+=("$cluster_last_pid")
+  done
+  SNIPE_TEST_HOSTS="" SNIPE_TEST_HTTP=""
+  for ((i = 0; i < SNIPE_HOSTS; i++)); do
+    local http rpc name=${cluster_names[i]}
+    cluster_wait_file "$cluster_dir/$name.port"
+    read -r http rpc <"$cluster_dir/$name.port"
+    # name,domain,http,rpc,pid of each host
+    SNIPE_TEST_HOSTS+="${SNIPE_TEST_HOSTS:+;}$name,${cluster_domains[i]},$http,$rpc,${pids[i]}"
+    SNIPE_TEST_HTTP+="${SNIPE_TEST_HTTP:+,}$http"
+  done
+  export SNIPE_TEST_PLATFORM SNIPE_TEST_ENDPOINTS SNIPE_TEST_HOSTS
+  export SNIPE_TEST_HTTP
+  [ -z "${SNIPE_RULES:-}" ] || cluster_wait_ready
+}
+
+# Waits until every daemon has rules, peers and endpoints.
+cluster_wait_ready() {
+  local http i want=$((SNIPE_HOSTS - 1))
+  for http in ${SNIPE_TEST_HTTP//,/ }; do
+    for ((i = 0; i < 600; i++)); do
+      curl -sf "http://$http/v1/status" 2>/dev/null | jq -e \
+        "([.peers[]|select(.live)]|length) >= $want and .rules.version > 0 and
+         (.endpoints_listed > 0)" >/dev/null 2>&1 && continue 2
+      sleep 0.05
+    done
+    echo "cluster: $http is not ready" >&2
+    return 1
+  done
+}
+
+cluster_stop() {
+  local pid
+  for pid in "${cluster_pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  cluster_pids=()
+}
