Add the operator's command snipectl

Operators need to check, compare and publish rules, to see on which hosts a version is in force, and to look at hosts.

--- /dev/null
+++ b/src/ctl/ctl.c
@@ -0,0 +1,137 @@
+#include "ctl/ctl.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "snipe/status.h"
+
+/* One byte over the parser's limit, so that the parser reports the size. */
+#define FILE_MAX (1024 * 1024 + 1)
+
+struct snipe_table
+snipe_ctl_table (const struct snipe_ctl *ctl)
+{
+  return (struct snipe_table){
+    .url = ctl->platform,
+    .timeout_ms = ctl->timeout_ms,
+  };
+}
+
+int
+snipe_ctl_fail (const struct snipe_ctl *ctl, const char *what)
+{
+  fprintf (ctl->err, "snipectl: %s: %s\n", what, snipe_status_last ());
+  return SNIPE_CTL_FAILED;
+}
+
+void
+snipe_ctl_print_json (const struct snipe_ctl *ctl, const json_t *json)
+{
+  json_dumpf (json, ctl->out, JSON_COMPACT);
+  fputc ('\n', ctl->out);
+}
+
+int
+snipe_ctl_load (struct snipe_rules **out, const char *file)
+{
+  FILE *in = strcmp (file, "-") == 0 ? stdin : fopen (file, "re");
+  char *text;
+  size_t len;
+  int status;
+
+  if (in == NULL)
+    return snipe_status_set (SNIPE_E_NOT_FOUND, "cannot open: %s",
+                             g_strerror (errno));
+  text = g_malloc (FILE_MAX);
+  len = fread (text, 1, FILE_MAX, in);
+  if (ferror (in))
+    status = snipe_status_set (SNIPE_E_INVALID, "cannot read: %s",
+                               g_strerror (errno));
+  else
+    status = snipe_rules_parse (out, text, len, 0);
+  if (in != stdin)
+    fclose (in);
+  g_free (text);
+  return status;
+}
+
+static void
+take_field (struct snipe_str *out, const json_t *value, const char *name)
+{
+  const json_t *field = json_object_get (value, name);
+
+  if (json_is_string (field))
+    snipe_str_set (out, json_string_value (field), json_string_length (field));
+  else if (json_is_integer (field))
+    {
+      char *text = g_strdup_printf ("%" JSON_INTEGER_FORMAT,
+                                    json_integer_value (field));
+
+      snipe_str_set_c (out, text);
+      g_free (text);
+    }
+}
+
+int
+snipe_ctl_published_get (struct snipe_ctl_published *out,
+                         const struct snipe_ctl *ctl)
+{
+  struct snipe_table table = snipe_ctl_table (ctl);
+  json_t *value = NULL;
+  int status;
+
+  *out = (struct snipe_ctl_published){ 0 };
+  status = snipe_table_get (&value, &out->version, &table, "rules");
+  if (status == SNIPE_E_NOT_FOUND)
+    return SNIPE_OK;
+  if (status != SNIPE_OK)
+    return status;
+  take_field (&out->text, value, "text");
+  take_field (&out->who, value, "who");
+  take_field (&out->when, value, "when");
+  take_field (&out->op, value, "op");
+  json_decref (value);
+  return SNIPE_OK;
+}
+
+void
+snipe_ctl_published_clear (struct snipe_ctl_published *row)
+{
+  snipe_str_clear (&row->text);
+  snipe_str_clear (&row->who);
+  snipe_str_clear (&row->when);
+  snipe_str_clear (&row->op);
+}
+
+int
+snipe_ctl_fleet (struct snipe_fleet *out, const struct snipe_ctl *ctl)
+{
+  struct snipe_table table = snipe_ctl_table (ctl);
+
+  if (ctl->hosts == NULL)
+    return snipe_fleet_find (out, &table);
+  snipe_fleet_list (out, ctl->hosts);
+  return SNIPE_OK;
+}
+
+const char *
+snipe_ctl_text (const json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text == NULL ? "-" : text;
+}
+
+long long
+snipe_ctl_number (const json_t *object, const char *name)
+{
+  return (long long)json_number_value (json_object_get (object, name));
+}
+
+bool
+snipe_ctl_flag (const json_t *object, const char *name)
+{
+  return json_is_true (json_object_get (object, name));
+}
--- /dev/null
+++ b/src/ctl/hosts.c
@@ -0,0 +1,125 @@
+#include "ctl/ctl.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "ctl/settings.h"
+#include "snipe/status.h"
+#include "util/http.h"
+
+/* Finds the address of a host given by name or address; free with
+ * g_free (). @return NULL with a message. */
+static char *
+find_address (const struct snipe_ctl *ctl, const char *name)
+{
+  struct snipe_fleet fleet = { 0 };
+  char *address = NULL;
+
+  if (snipe_setting_is_address (name))
+    return g_strdup (name);
+  if (ctl->platform == NULL)
+    {
+      snipe_status_set (SNIPE_E_INVALID,
+                        "a name needs --platform, else give ip:port");
+      return NULL;
+    }
+  if (snipe_ctl_fleet (&fleet, ctl) != SNIPE_OK)
+    return NULL;
+  for (uint32_t i = 0; i < fleet.count && address == NULL; i++)
+    if (strcmp (fleet.hosts[i].name, name) == 0)
+      address = g_strdup (fleet.hosts[i].address);
+  snipe_fleet_clear (&fleet);
+  if (address == NULL)
+    snipe_status_set (SNIPE_E_NOT_FOUND, "no entry host has this name");
+  return address;
+}
+
+/* Makes one request to a host and takes its answer if that is 2xx. */
+static int
+call_host (struct snipe_http_response *out, const struct snipe_ctl *ctl,
+           const char *name, const char *method, const char *path)
+{
+  struct snipe_http_request request = SNIPE_HTTP_REQUEST_INIT;
+  char *address = find_address (ctl, name);
+  char *url;
+  int status;
+
+  if (address == NULL)
+    return SNIPE_E_NOT_FOUND;
+  url = g_strconcat ("http://", address, path, NULL);
+  request.method = method;
+  request.url = url;
+  request.timeout_ms = ctl->timeout_ms;
+  if (strcmp (method, "POST") == 0)
+    request.body = "";
+  status = snipe_http_call (out, &request);
+  if (status == SNIPE_OK && out->status / 100 != 2)
+    status = snipe_status_set (SNIPE_E_REFUSED, "HTTP %d: %s", out->status,
+                               snipe_str_c (&out->body));
+  g_free (url);
+  g_free (address);
+  return status;
+}
+
+int
+snipe_ctl_drain (const struct snipe_ctl *ctl, const char *host)
+{
+  struct snipe_http_response response = { 0 };
+  int result = SNIPE_CTL_OK;
+
+  if (call_host (&response, ctl, host, "POST", "/v1/drain") != SNIPE_OK)
+    result = snipe_ctl_fail (ctl, host);
+  else if (ctl->json)
+    {
+      json_t *json = json_pack ("{s:s, s:b}", "host", host, "draining", 1);
+
+      snipe_ctl_print_json (ctl, json);
+      json_decref (json);
+    }
+  else
+    fprintf (ctl->out, "%s: draining\n", host);
+  snipe_http_response_clear (&response);
+  return result;
+}
+
+/* Turns lines "name value" of the Prometheus text format into an object. */
+static json_t *
+metrics_json (const char *text)
+{
+  json_t *json = json_object ();
+  gchar **lines = g_strsplit (text, "\n", -1);
+
+  for (gchar **line = lines; *line != NULL; line++)
+    {
+      char *blank = strrchr (*line, ' ');
+
+      if (**line == '#' || blank == NULL)
+        continue;
+      *blank = '\0';
+      json_object_set_new (json, *line,
+                           json_real (g_ascii_strtod (blank + 1, NULL)));
+    }
+  g_strfreev (lines);
+  return json;
+}
+
+int
+snipe_ctl_metrics (const struct snipe_ctl *ctl, const char *host)
+{
+  struct snipe_http_response response = { 0 };
+  int result = SNIPE_CTL_OK;
+
+  if (call_host (&response, ctl, host, "GET", "/metrics") != SNIPE_OK)
+    result = snipe_ctl_fail (ctl, host);
+  else if (ctl->json)
+    {
+      json_t *json = metrics_json (snipe_str_c (&response.body));
+
+      snipe_ctl_print_json (ctl, json);
+      json_decref (json);
+    }
+  else
+    fwrite (snipe_str_c (&response.body), 1, response.body.len, ctl->out);
+  snipe_http_response_clear (&response);
+  return result;
+}
