Leave fast endpoints to the tasks that a job waits for

Cause: a job waits for its last task, but each of its tasks took the fastest free endpoint, so its short tasks used up what the next job needed. Change: a task takes the slowest free endpoint on which it still ends before the tasks of its job that were started, with a margin of 2 mean errors of its kind's durations; if there is none, the fastest.

--- a/src/decide/sched_endpoint.c
+++ b/src/decide/sched_endpoint.c
@@ -4,11 +4,10 @@
 #include "sched_private.h"
 #include "snipe/status.h"
 
-static int
-speed_class (const struct snipe_sched_endpoint *endpoint)
+int
+sched_speed_class (double log_speed)
 {
-  int class = (int)floor (endpoint->log_speed / SCHED_CLASS_STEP)
-              + SCHED_CLASSES / 2;
+  int class = (int)floor (log_speed / SCHED_CLASS_STEP) + SCHED_CLASSES / 2;
 
   return CLAMP (class, 0, SCHED_CLASSES - 1);
 }
@@ -118,7 +117,7 @@
   if (usable && !full && endpoint->reserved_for == NULL)
     {
       counted = endpoint->slots - endpoint->running;
-      class = speed_class (endpoint);
+      class = sched_speed_class (endpoint->log_speed);
     }
   sched->free_slots += counted - endpoint->counted;
   endpoint->counted = counted;
--- a/src/decide/sched_learn.c
+++ b/src/decide/sched_learn.c
@@ -8,6 +8,8 @@
 #define KIND_GAIN 0.02
 /* Residuals beyond a factor of 6 are treated as outliers. */
 #define RESIDUAL_MAX 1.8
+/* 2 mean distances cover about nine tenths of log-uniform errors. */
+#define MARGIN_SPREADS 2.0
 #define LOG_SPEED_MAX 2.5
 #define LOG_FACTOR_MAX 2.0
 
@@ -31,6 +33,15 @@
   return (float)((double)MAX (declared, 1) * exp (log_factor));
 }
 
+double
+sched_learn_margin (const struct snipe_sched *sched, uint32_t kind)
+{
+  if (kind >= sched->kinds->len)
+    return 1;
+  return exp (MARGIN_SPREADS
+              * g_array_index (sched->kinds, struct sched_kind, kind).spread);
+}
+
 double
 sched_learn_initial (const struct snipe_sched *sched)
 {
@@ -77,6 +88,8 @@
   change = CLAMP (learnt->log_factor + change, -LOG_FACTOR_MAX, LOG_FACTOR_MAX)
            - learnt->log_factor;
   learnt->log_factor += change;
+  learnt->spread += gain (learnt->samples, KIND_GAIN)
+                    * (fabs (residual) - learnt->spread);
   learnt->samples++;
   sched->kinds_log_mean += change / sched->kinds->len;
 }
--- a/src/decide/sched_place.c
+++ b/src/decide/sched_place.c
@@ -1,4 +1,4 @@
-#include <string.h>
+#include <math.h>
 
 #include "sched_private.h"
 
@@ -49,6 +49,18 @@
                                - offsetof (struct sched_part, node));
 }
 
+/* @return the first endpoint of a speed class that holds the shape. */
+static struct snipe_sched_endpoint *
+first_in (const struct sched_domain *domain, int class,
+          const struct sched_shape_key *key)
+{
+  struct snipe_sched_endpoint *endpoint = domain->head[class];
+
+  while (endpoint != NULL && !sched_endpoint_can_hold (endpoint, key))
+    endpoint = endpoint->next;
+  return endpoint;
+}
+
 /* @return the fastest free endpoint of a domain that holds the shape and is
  * faster than class @p above. */
 static struct snipe_sched_endpoint *
@@ -66,16 +78,42 @@
 
           if (word * 64 + bit <= above)
             return NULL;
-          for (endpoint = domain->head[word * 64 + bit]; endpoint != NULL;
-               endpoint = endpoint->next)
-            if (sched_endpoint_can_hold (endpoint, key))
-              return endpoint;
+          endpoint = first_in (domain, word * 64 + bit, key);
+          if (endpoint != NULL)
+            return endpoint;
           bits &= ~(UINT64_C (1) << bit);
         }
     }
   return NULL;
 }
 
+/* @return the slowest free endpoint of a domain that holds the shape, from
+ * class @p least on and slower than class @p below. */
+static struct snipe_sched_endpoint *
+slowest_in (const struct sched_domain *domain, int least, int below,
+            const struct sched_shape_key *key)
+{
+  for (int word = least / 64; word < SCHED_CLASS_WORDS; word++)
+    {
+      uint64_t bits = domain->bits[word];
+
+      if (word == least / 64)
+        bits &= UINT64_MAX << (least % 64);
+      for (; bits != 0; bits &= bits - 1)
+        {
+          int class = word * 64 + __builtin_ctzll (bits);
+          struct snipe_sched_endpoint *endpoint;
+
+          if (class >= below)
+            return NULL;
+          endpoint = first_in (domain, class, key);
+          if (endpoint != NULL)
+            return endpoint;
+        }
+    }
+  return NULL;
+}
+
 static struct snipe_sched_endpoint *
 fastest_free (const struct snipe_sched *sched, const struct sched_shape *shape)
 {
@@ -97,6 +135,37 @@
   return best;
 }
 
+/* @return the slowest free endpoint on which the part's next task ends before
+ * the tasks of its work that were started; NULL if there is none. */
+static struct snipe_sched_endpoint *
+slowest_enough (const struct snipe_sched *sched, const struct sched_part *part,
+                snipe_time now)
+{
+  const struct snipe_work *work = part->work;
+  const struct sched_shape_key *key = &part->lane->shape->key;
+  struct snipe_sched_endpoint *best = NULL;
+  uint64_t domains = key->domains & sched->domains_free;
+  const struct sched_task *task = &work->tasks[part->order[part->head]];
+  double expected
+      = (double)task->expected * sched_learn_margin (sched, task->kind);
+  double left = work->finish - (double)now;
+  int least;
+
+  if (left <= expected * 0.1)
+    return NULL;
+  least = sched_speed_class (log (expected / left)) + 1;
+  for (; domains != 0 && least < SCHED_CLASSES; domains &= domains - 1)
+    {
+      struct snipe_sched_endpoint *endpoint
+          = slowest_in (sched->domains[__builtin_ctzll (domains)], least,
+                        best == NULL ? SCHED_CLASSES : best->free_class, key);
+
+      if (endpoint != NULL)
+        best = endpoint;
+    }
+  return best;
+}
+
 static bool
 any_healthy (const struct snipe_sched *sched, const struct sched_shape *shape)
 {
@@ -201,6 +270,9 @@
   entry->state = SNIPE_TASK_RUNNING;
   entry->endpoint = endpoint;
   entry->probe = reason == SNIPE_REASON_PROBE;
+  work->finish
+      = MAX (work->finish,
+             (double)now + (double)entry->expected / (double)endpoint->speed);
   shape->passed_over = 0;
   if (shape->reserved != NULL && shape->reserved != endpoint)
     sched_endpoint_release (sched, shape->reserved, now);
@@ -218,7 +290,7 @@
 
 static bool
 pass (struct snipe_sched *sched, struct sched_part *part,
-      struct sched_peer *peer, enum snipe_reason reason,
+      struct sched_peer *peer, enum snipe_reason reason, snipe_time now,
       struct snipe_decision *out)
 {
   struct snipe_work *work = part->work;
@@ -233,6 +305,10 @@
       uint32_t task = sched_part_take (sched, part, 0);
 
       work->tasks[task].state = SNIPE_TASK_PASSED;
+      work->finish = MAX (
+          work->finish, (double)now
+                            + (double)work->tasks[task].expected
+                                  / MAX ((double)peer->load.best_speed, 0.1));
       out->u.pass.tasks[count++] = task;
       count_active (sched, work);
     }
@@ -259,6 +335,9 @@
       if (endpoint != NULL)
         return start (sched, part, endpoint, SNIPE_REASON_PROBE, now, out);
     }
+  endpoint = slowest_enough (sched, part, now);
+  if (endpoint != NULL)
+    return start (sched, part, endpoint, SNIPE_REASON_FASTEST_FREE, now, out);
   endpoint = fastest_free (sched, shape);
   if (shape->key.passable && sched->peer_best_speed > 0
       && (endpoint == NULL
@@ -266,11 +345,11 @@
                  >= sched->options.pass_gain * (double)endpoint->speed))
     peer = sched_peer_find (sched, &shape->key);
   if (peer != NULL && endpoint == NULL)
-    return pass (sched, part, peer, SNIPE_REASON_HOME_FULL, out);
+    return pass (sched, part, peer, SNIPE_REASON_HOME_FULL, now, out);
   if (peer != NULL
       && (double)peer->load.best_speed
              >= sched->options.pass_gain * (double)endpoint->speed)
-    return pass (sched, part, peer, SNIPE_REASON_PEER_FASTER, out);
+    return pass (sched, part, peer, SNIPE_REASON_PEER_FASTER, now, out);
   if (endpoint != NULL)
     return start (sched, part, endpoint, SNIPE_REASON_FASTEST_FREE, now, out);
   if (sched->probes->len > 0 && !any_healthy (sched, shape))
--- a/src/decide/sched_private.h
+++ b/src/decide/sched_private.h
@@ -85,6 +85,7 @@
 struct sched_kind
 {
   double log_factor; /**< actual / declared duration at speed 1 */
+  double spread;     /**< mean distance of the log of actual / expected */
   uint32_t samples;
 };
 
@@ -117,6 +118,7 @@
   void *ctx;
   snipe_time wait_max;
   double remaining; /**< expected work of tasks that have not ended */
+  double finish;    /**< expected end of the started tasks, 0 if none */
   struct sched_part *parts;
   struct sched_task *tasks;
   uint32_t task_count;
@@ -241,6 +243,7 @@
 void sched_work_shrink (struct snipe_work *work, double by);
 
 /* sched_endpoint.c */
+int sched_speed_class (double log_speed);
 /** Puts the endpoint into or out of the order of free ones. */
 void sched_endpoint_refresh (struct snipe_sched *sched,
                              struct snipe_sched_endpoint *endpoint,
@@ -288,6 +291,9 @@
 void sched_learn_ended (struct snipe_sched *sched,
                         struct snipe_sched_endpoint *endpoint, uint32_t kind,
                         double declared, snipe_time duration);
+/** @return a factor that few tasks of the kind exceed their expected
+ * duration by. */
+double sched_learn_margin (const struct snipe_sched *sched, uint32_t kind);
 /** @return the log speed to assume of a new endpoint. */
 double sched_learn_initial (const struct snipe_sched *sched);
 
--- a/tests/decide/test_sched.c
+++ b/tests/decide/test_sched.c
@@ -350,6 +350,10 @@
       "ep a d1 1 9\nep b d2 1 9\nwork t d2 1 - 0 100\nrun\nend 0.0 ok 50\n"
       "work t * 1 - 0 100\nrun\n= 0.0>b 1.0>b\n"
       "work t * 1 - 0 100\nrun\n= 2.0>a" },
+    { "a fast endpoint spent on a task that the job does not wait for",
+      "ep a d1 9 99\nep b d2 9 99\nwork t d2 1 - 0 100\nrun\n"
+      "end 0.0 ok 50\n= 0.0>b\nwork t * 1 - 0 100,10,90\nrun\n"
+      "= 1.0>b 1.2>b 1.1>a" },
     { "cores of an endpoint shared out twice",
       "ep a d 9 4\nwork t * 3 - 0 1\nwork t * 2 - 0 2\nrun\n= 0.0>a\n"
       "end 0.0 ok 1\nrun\n= 1.0>a" },
