Read records of peers without libtirpc's server transport

The tests of the peer net showed that libtirpc's server side does not fit. In blocking mode one byte of a record header holds up the server thread for 35 s. In non-blocking mode (SVCSET_CONNMAXREC) a record of two fragments is decoded wrongly, a call of 300 kB is lost, and a fragment over 64 KiB makes it loop for ever; each was shown in a trial with a plain socket as client.

The server now takes the records apart itself and uses libtirpc for the coding of messages (xdr_callmsg (), xdr_replymsg () and the generated codecs). Buffers grow with what arrives, not with what a header announces. Replies that a client does not read hold up only that client. The client side stays on clnt_vc_create ().

A record that just fills libtirpc's buffer of 64 KiB ends with an empty last fragment; with those refused in a trial, test_fragment_ends () fails. test_net passes with presets default and tsan.

--- a/src/peer/server.c
+++ b/src/peer/server.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
@@ -12,34 +13,29 @@
 #include <unistd.h>
 
 #include "peer/address.h"
+#include "peer/connection.h"
 #include "peer/proc.h"
 #include "snipe/status.h"
 #include "util/refuse.h"
 
+/* Far above the number of entry hosts; bounds what a broken client takes. */
+#define CONNECTIONS_MAX 1024
+/* Pause of accepting when descriptors have run out. */
+#define ACCEPT_PAUSE_MS 100
+
 struct snipe_peer_server
 {
   const struct snipe_peer_handlers *handlers;
   void *ctx;
   pthread_t thread;
-  SVCXPRT *listener;
   int listen_fd;
   int wake_fd;
   uint16_t port;
-  struct pollfd *polls; /* wake_fd, the connections, listen_fd */
-  size_t poll_count;
-  size_t poll_room;
+  bool accept_paused;
+  struct snipe_peer_connection *connections[CONNECTIONS_MAX];
+  size_t count;
 };
 
-/* libtirpc keeps the transports and svc_pollfd once per process. The lock is
- * held across each call into it, so that several nets can share a process. */
-static pthread_mutex_t svc_lock = PTHREAD_MUTEX_INITIALIZER;
-/* The server that each registered descriptor belongs to. */
-static struct snipe_peer_server **owners;
-static size_t owner_count;
-
-/* The server whose thread this is; NULL while it closes its connections. */
-static _Thread_local struct snipe_peer_server *serving;
-
 union reply
 {
   peer_load load;
@@ -78,170 +74,195 @@
     }
 }
 
-static void
-dispatch (struct svc_req *request, SVCXPRT *transport)
+/* Encodes @p msg as one record. */
+static int
+send_reply (struct snipe_peer_connection *connection, struct rpc_msg *msg)
+{
+  unsigned long len = xdr_sizeof ((xdrproc_t)xdr_replymsg, msg);
+  char *data;
+  XDR xdrs;
+  bool encoded;
+
+  if (len == 0 || len > SNIPE_PEER_RECORD_MAX)
+    return SNIPE_E_INTERNAL;
+  data = snipe_peer_connection_reserve (connection, (uint32_t)len);
+  if (data == NULL)
+    return SNIPE_E_NOMEM;
+  xdrmem_create (&xdrs, data, (u_int)len, XDR_ENCODE);
+  encoded = xdr_replymsg (&xdrs, msg);
+  xdr_destroy (&xdrs);
+  return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
+}
+
+/* Runs the handler of a call whose arguments are next in @p xdrs. */
+static int
+run_call (struct snipe_peer_server *server, XDR *xdrs, uint32_t procedure,
+          struct snipe_peer_connection *connection, struct rpc_msg *answer)
 {
-  const struct snipe_peer_proc *proc = snipe_peer_proc_find (request->rq_proc);
+  const struct snipe_peer_proc *proc = snipe_peer_proc_find (procedure);
+  struct accepted_reply *accepted = &answer->acpted_rply;
   union snipe_peer_args args;
   union reply reply;
+  int status = SNIPE_OK;
 
-  if (serving == NULL)
-    return;
   if (proc == NULL)
     {
-      svcerr_noproc (transport);
-      return;
+      accepted->ar_stat = PROC_UNAVAIL;
+      return send_reply (connection, answer);
     }
   memset (&args, 0, sizeof args);
   memset (&reply, 0, sizeof reply);
-  if (!svc_getargs (transport, proc->args, &args))
-    svcerr_decode (transport);
-  else if (!snipe_refuse_match (snipe_peer_proc_from (request->rq_proc, &args))
-           && handle (serving, request->rq_proc, &args, &reply) >= 0)
-    (void)svc_sendreply (transport, proc->reply, &reply);
+  if (!proc->args (xdrs, &args))
+    {
+      accepted->ar_stat = GARBAGE_ARGS;
+      status = send_reply (connection, answer);
+    }
+  else if (!snipe_refuse_match (snipe_peer_proc_from (procedure, &args))
+           && handle (server, procedure, &args, &reply) >= 0)
+    {
+      accepted->ar_stat = SUCCESS;
+      accepted->ar_results.where = (char *)&reply;
+      accepted->ar_results.proc = proc->reply;
+      status = send_reply (connection, answer);
+    }
   xdr_free (proc->reply, (char *)&reply);
-  (void)svc_freeargs (transport, proc->args, &args);
-}
-
-static bool
-is_registered (int fd)
-{
-  for (int i = 0; i < svc_max_pollfd; i++)
-    if (svc_pollfd[i].fd == fd)
-      return true;
-  return false;
+  xdr_free (proc->args, (char *)&args);
+  return status;
 }
 
 static int
-set_owner (int fd, struct snipe_peer_server *server)
+on_record (void *ctx, struct snipe_peer_connection *connection)
 {
-  if ((size_t)fd >= owner_count)
+  struct snipe_peer_server *server = ctx;
+  char cred[MAX_AUTH_BYTES];
+  char verf[MAX_AUTH_BYTES];
+  struct rpc_msg call;
+  struct rpc_msg answer;
+  XDR xdrs;
+  int status = SNIPE_E_INVALID;
+
+  memset (&call, 0, sizeof call);
+  memset (&answer, 0, sizeof answer);
+  call.rm_call.cb_cred.oa_base = cred;
+  call.rm_call.cb_verf.oa_base = verf;
+  xdrmem_create (&xdrs, connection->record, (u_int)connection->record_len,
+                 XDR_DECODE);
+  if (!xdr_callmsg (&xdrs, &call)
+      || call.rm_call.cb_rpcvers != RPC_MSG_VERSION)
+    goto cleanup;
+  answer.rm_xid = call.rm_xid;
+  answer.rm_direction = REPLY;
+  answer.rm_reply.rp_stat = MSG_ACCEPTED;
+  if (call.rm_call.cb_prog != SNIPE_PEER_PROGRAM)
     {
-      size_t count = 2 * (size_t)fd + 64;
-      struct snipe_peer_server **grown
-          = realloc (owners, count * sizeof *owners);
-
-      if (grown == NULL)
-        return -1;
-      memset (grown + owner_count, 0,
-              (count - owner_count) * sizeof (struct snipe_peer_server *));
-      owners = grown;
-      owner_count = count;
+      answer.acpted_rply.ar_stat = PROG_UNAVAIL;
+      status = send_reply (connection, &answer);
     }
-  owners[fd] = server;
-  return 0;
-}
+  else if (call.rm_call.cb_vers != SNIPE_PEER_V1)
+    {
+      answer.acpted_rply.ar_stat = PROG_MISMATCH;
+      answer.acpted_rply.ar_vers.low = SNIPE_PEER_V1;
+      answer.acpted_rply.ar_vers.high = SNIPE_PEER_V1;
+      status = send_reply (connection, &answer);
+    }
+  else
+    status
+        = run_call (server, &xdrs, call.rm_call.cb_proc, connection, &answer);
 
-static void
-forget_closed (void)
-{
-  for (size_t fd = 0; fd < owner_count; fd++)
-    if (owners[fd] != NULL && !is_registered ((int)fd))
-      owners[fd] = NULL;
+cleanup:
+  xdr_destroy (&xdrs);
+  return status;
 }
 
-/* Reads from one descriptor with the lock held: accepts a connection, or
- * answers the requests that have arrived in full. */
 static void
-serve (struct snipe_peer_server *server, int fd)
+accept_connection (struct snipe_peer_server *server)
 {
-  svc_getreq_common (fd);
-  forget_closed ();
-  if (fd != server->listen_fd)
-    return;
-  for (int i = 0; i < svc_max_pollfd; i++)
-    {
-      int new_fd = svc_pollfd[i].fd;
-
-      if (new_fd >= 0
-          && ((size_t)new_fd >= owner_count || owners[new_fd] == NULL))
-        (void)set_owner (new_fd, server);
-    }
-}
+  struct snipe_peer_connection *connection;
+  int yes = 1;
+  int fd
+      = accept4 (server->listen_fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
 
-static int
-add_poll (struct snipe_peer_server *server, int fd)
-{
-  if (server->poll_count == server->poll_room)
+  if (fd < 0)
     {
-      size_t room = 2 * server->poll_room + 16;
-      struct pollfd *grown
-          = realloc (server->polls, room * sizeof *server->polls);
-
-      if (grown == NULL)
-        return -1;
-      server->polls = grown;
-      server->poll_room = room;
+      server->accept_paused
+          = errno != EAGAIN && errno != EINTR && errno != ECONNABORTED;
+      return;
     }
-  server->polls[server->poll_count++]
-      = (struct pollfd){ .fd = fd, .events = POLLIN };
-  return 0;
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+  connection = server->count < CONNECTIONS_MAX ? snipe_peer_connection_new (fd)
+                                               : NULL;
+  if (connection == NULL)
+    close (fd);
+  else
+    server->connections[server->count++] = connection;
 }
 
-/* The listening descriptor comes last: a connection accepted in this round
- * must not meet an event of a closed one with the same descriptor. */
+/* @return negative to close the connection. */
 static int
-list_polls (struct snipe_peer_server *server)
+serve (struct snipe_peer_server *server,
+       struct snipe_peer_connection *connection, short events)
 {
-  int bad = 0;
-
-  server->poll_count = 0;
-  bad |= add_poll (server, server->wake_fd);
-  pthread_mutex_lock (&svc_lock);
-  for (size_t fd = 0; fd < owner_count; fd++)
-    if (owners[fd] == server && (int)fd != server->listen_fd)
-      bad |= add_poll (server, (int)fd);
-  pthread_mutex_unlock (&svc_lock);
-  bad |= add_poll (server, server->listen_fd);
-  return bad;
+  int status = SNIPE_OK;
+
+  if (events & (POLLIN | POLLHUP | POLLERR))
+    status = snipe_peer_connection_read (connection, on_record, server);
+  if (status >= 0)
+    status = snipe_peer_connection_flush (connection);
+  return status;
 }
 
-/* libtirpc has no call that destroys a transport by its descriptor: the
- * connection is shut down and read until libtirpc sees its end. */
-static void
-close_connections (struct snipe_peer_server *server)
+/* A connection whose client doesn't read its replies is not read from. */
+static nfds_t
+list_polls (const struct snipe_peer_server *server, struct pollfd *polls)
 {
-  serving = NULL;
-  pthread_mutex_lock (&svc_lock);
-  for (size_t fd = 0; fd < owner_count; fd++)
-    if (owners[fd] == server && (int)fd != server->listen_fd)
-      {
-        (void)shutdown ((int)fd, SHUT_RDWR);
-        while (owners[fd] == server)
-          serve (server, (int)fd);
-      }
-  svc_destroy (server->listener);
-  forget_closed ();
-  pthread_mutex_unlock (&svc_lock);
+  nfds_t count = 0;
+
+  polls[count++] = (struct pollfd){ .fd = server->wake_fd, .events = POLLIN };
+  polls[count++] = (struct pollfd){
+    .fd = server->accept_paused ? -1 : server->listen_fd,
+    .events = POLLIN,
+  };
+  for (size_t i = 0; i < server->count; i++)
+    polls[count++] = (struct pollfd){
+      .fd = server->connections[i]->fd,
+      .events = server->connections[i]->out_len > 0 ? POLLOUT : POLLIN,
+    };
+  return count;
 }
 
 static void *
 run_server (void *ctx)
 {
   struct snipe_peer_server *server = ctx;
+  struct pollfd polls[CONNECTIONS_MAX + 2];
 
-  serving = server;
   for (;;)
     {
-      if (list_polls (server) != 0)
-        {
-          /* Out of memory: try again instead of losing the server. */
-          (void)usleep (10000);
-          continue;
-        }
-      if (poll (server->polls, server->poll_count, -1) < 0)
+      nfds_t count = list_polls (server, polls);
+      size_t kept = 0;
+
+      if (poll (polls, count, server->accept_paused ? ACCEPT_PAUSE_MS : -1)
+          < 0)
         continue;
-      if (server->polls[0].revents != 0)
+      server->accept_paused = false;
+      if (polls[0].revents != 0)
         break;
-      for (size_t i = 1; i < server->poll_count; i++)
-        if (server->polls[i].revents != 0)
-          {
-            pthread_mutex_lock (&svc_lock);
-            serve (server, server->polls[i].fd);
-            pthread_mutex_unlock (&svc_lock);
-          }
+      for (size_t i = 0; i < server->count; i++)
+        {
+          struct snipe_peer_connection *connection = server->connections[i];
+
+          if (polls[i + 2].revents != 0
+              && serve (server, connection, polls[i + 2].revents) < 0)
+            snipe_peer_connection_free (connection);
+          else
+            server->connections[kept++] = connection;
+        }
+      server->count = kept;
+      if (polls[1].revents != 0)
+        accept_connection (server);
     }
-  close_connections (server);
+  for (size_t i = 0; i < server->count; i++)
+    snipe_peer_connection_free (server->connections[i]);
   return NULL;
 }
 
@@ -257,9 +278,7 @@
   } bound = { .in6 = { 0 } };
   socklen_t len = sizeof bound;
   int yes = 1;
-  int record_max = SNIPE_PEER_RECORD_MAX;
   int fd = -1;
-  bool registered;
   int status = snipe_peer_address_parse (&address, listen_on);
 
   if (status < 0)
@@ -276,24 +295,6 @@
     server->port = ntohs (bound.in6.sin6_port);
   else
     server->port = ntohs (bound.in.sin_port);
-  pthread_mutex_lock (&svc_lock);
-  server->listener = svc_vc_create (fd, 0, 0);
-  /* A record limit also makes libtirpc read accepted connections without
-   * blocking: a client that sends half a record holds up nobody. */
-  registered
-      = server->listener != NULL
-        && SVC_CONTROL (server->listener, SVCSET_CONNMAXREC, &record_max)
-        && svc_reg (server->listener, SNIPE_PEER_PROGRAM, SNIPE_PEER_V1,
-                    dispatch, NULL)
-        && set_owner (fd, server) == 0;
-  if (!registered && server->listener != NULL)
-    {
-      svc_destroy (server->listener);
-      fd = -1;
-    }
-  pthread_mutex_unlock (&svc_lock);
-  if (!registered)
-    goto on_error;
   server->listen_fd = fd;
   return SNIPE_OK;
 
@@ -328,7 +329,7 @@
     goto on_error;
   if (pthread_create (&server->thread, NULL, run_server, server) != 0)
     {
-      close_connections (server);
+      close (server->listen_fd);
       status = snipe_status_set (SNIPE_E_INTERNAL,
                                  "cannot start the peer server thread");
       goto on_error;
@@ -350,8 +351,8 @@
     return;
   (void)eventfd_write (server->wake_fd, 1);
   pthread_join (server->thread, NULL);
+  close (server->listen_fd);
   close (server->wake_fd);
-  free (server->polls);
   free (server);
 }
 
--- a/src/peer/server.h
+++ b/src/peer/server.h
@@ -1,6 +1,7 @@
 /**
  * @file server.h
- * The server thread of a peer net, over libtirpc without a port mapper.
+ * The server thread of a peer net. Messages are coded by libtirpc; there is
+ * no port mapper.
  */
 #ifndef SNIPE_PEER_SERVER_H
 #define SNIPE_PEER_SERVER_H
