--- a/src/peer/net.c
+++ b/src/peer/net.c
@@ -207,8 +207,8 @@
   return SNIPE_OK;
 
 on_error:
-  xdr_free (proc->args, (char *)&call->args);
-  memset (&call->args, 0, sizeof call->args);
+  snipe_peer_proc_free_args (call->procedure,
+                             (union snipe_peer_args *)&call->args);
   free (queued);
   return status;
 }
--- a/src/peer/proc.c
+++ b/src/peer/proc.c
@@ -1,6 +1,8 @@
 #include "peer/proc.h"
 
 #include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* xdr_void () is declared without parameters, unlike other codecs. */
 static bool_t
@@ -52,3 +54,70 @@
       return NULL;
     }
 }
+
+static void
+free_load (peer_load *load)
+{
+  for (u_int i = 0;
+       load->domains.domains_val != NULL && i < load->domains.domains_len; i++)
+    free (load->domains.domains_val[i]);
+  free (load->domains.domains_val);
+  free (load->domain);
+  free (load->name);
+}
+
+static void
+free_batch (peer_batch *batch)
+{
+  free_load (&batch->from);
+  free (batch->job);
+  free (batch->team);
+  for (u_int i = 0;
+       batch->tasks.tasks_val != NULL && i < batch->tasks.tasks_len; i++)
+    {
+      free (batch->tasks.tasks_val[i].kind);
+      free (batch->tasks.tasks_val[i].payload.payload_val);
+    }
+  free (batch->tasks.tasks_val);
+}
+
+static void
+free_results (peer_results *results)
+{
+  free_load (&results->from);
+  for (u_int i = 0; results->results.results_val != NULL
+                    && i < results->results.results_len;
+       i++)
+    free (results->results.results_val[i].result.result_val);
+  free (results->results.results_val);
+}
+
+void
+snipe_peer_proc_free_args (uint32_t procedure, union snipe_peer_args *args)
+{
+  switch (procedure)
+    {
+    case PEER_HELLO:
+    case PEER_OFFER:
+    case PEER_GET_RULES:
+      free_load (&args->load);
+      break;
+    case PEER_FORWARD:
+      free_load (&args->forward.from);
+      free (args->forward.id);
+      free (args->forward.body.body_val);
+      break;
+    case PEER_ANSWER:
+      free (args->answer.body.body_val);
+      break;
+    case PEER_RUN_BATCH:
+      free_batch (&args->run_batch);
+      break;
+    case PEER_RESULTS:
+      free_results (&args->results);
+      break;
+    default:
+      break;
+    }
+  memset (args, 0, sizeof *args);
+}
--- a/src/peer/proc.h
+++ b/src/peer/proc.h
@@ -32,5 +32,9 @@
  * whose arguments carry none. */
 const char *snipe_peer_proc_from (uint32_t procedure,
                                   const union snipe_peer_args *args);
+/** Frees @p args member by member. xdr_free () stops at the first member that
+ * exceeds its limit and leaks the rest. */
+void snipe_peer_proc_free_args (uint32_t procedure,
+                                union snipe_peer_args *args);
 
 #endif
