Test the platform client against faults

The fake platform of the test closes connections after the effect, answers 503 or garbage, and lets writes take effect long after the client's timeout; its hooks check at each write and each announcement that no share is in use that the table does not hold. Two failures while writing the tests were in the tests: ids of 2024 were swept, and the own row was deleted just before the outage. The watch thread now logs only the first round that fails.

--- a/src/platform/claim.c
+++ b/src/platform/claim.c
@@ -76,11 +76,11 @@
   return ended;
 }
 
-/* Sends one transaction for the batch. @return whether the platform
- * answered. */
+/* Sends one transaction for the batch and logs the first failure of a row.
+ * @return whether the platform answered. */
 static bool
 run_batch (struct snipe_platform *platform, struct snipe_http *http,
-           GHashTable *batch)
+           GHashTable *batch, bool first)
 {
   struct snipe_txn txn;
   json_t *conflicts = NULL;
@@ -119,7 +119,7 @@
     answered = apply_conflicts (batch, conflicts,
                                 platform->options.self.incarnation)
                > 0;
-  else
+  else if (first)
     g_warning ("claim of %u ids failed: %s", g_hash_table_size (batch),
                snipe_status_last ());
   json_decref (conflicts);
@@ -240,7 +240,9 @@
         }
       take_batch (&platform->claims, batch);
       pthread_mutex_unlock (&platform->lock);
-      failures = run_batch (platform, http, batch) ? 0 : failures + 1;
+      failures = run_batch (platform, http, batch, failures == 0)
+                     ? 0
+                     : failures + 1;
       next_at = now + pause_after (platform, failures);
       settle (batch, &ended, &again);
       report (&ended);
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -129,6 +129,10 @@
   else if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
     rc = snipe_status_set (SNIPE_E_UNREACHABLE, "%s %s: %s", call->method, url,
                            curl_easy_strerror (code));
+  else if (code == CURLE_ABORTED_BY_CALLBACK)
+    rc = snipe_status_set (SNIPE_E_TIMEOUT,
+                           "%s %s: connection closed before the reply",
+                           call->method, url);
   else if (code != CURLE_OK)
     rc = snipe_status_set (SNIPE_E_TIMEOUT, "%s %s: %s", call->method, url,
                            sink->too_large ? "reply too large"
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -383,7 +383,7 @@
   for (int step = 0; step < STEP_COUNT; step++)
     {
       if (is_stopping (p, &leaving) || failures >= ROUND_FAILURES_MAX)
-        return;
+        break;
       if (run_step (p, (enum step)step, snipe_clock_now ()) != SNIPE_OK)
         {
           failures++;
--- /dev/null
+++ b/tests/platform/test_platform.c
@@ -0,0 +1,865 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fake.h"
+#include "platform/internal.h"
+#include "snipe/counter.h"
+#include "snipe/status.h"
+#include "suite.h"
+#include "util/refuse.h"
+
+#define SELF UINT64_C (0xa1)
+#define OTHER UINT64_C (0xb2)
+#define SELF_TEXT "00000000000000a1"
+#define OTHER_TEXT "00000000000000b2"
+#define OLD_ID "0190a6e0-0000-7000-8000-000000000001"
+
+/* Long enough for any busy machine; only the failing run waits so long. */
+#define PATIENCE_S 200
+
+/** Writes a UUID of the present time: rows of old ones are swept. */
+static void
+make_id (char out[40], int number)
+{
+  int64_t now = snipe_clock_wall_ms ();
+
+  snprintf (out, 40, "%08x-%04x-7000-8000-%012d", (unsigned int)(now >> 16),
+            (unsigned int)(now & 0xffff), number);
+}
+
+/** What the callbacks of one client reported. */
+struct recorder
+{
+  pthread_mutex_t lock;
+  uint64_t rules_version;
+  char rules_text[64];
+  uint32_t rules_calls;
+  uint32_t endpoint_calls;
+  uint32_t endpoint_count;
+  uint32_t leaving_count;
+  uint32_t entry_calls;
+  uint32_t entry_count;
+  uint32_t listed_count;
+  bool wants_quota;
+  uint32_t limit;
+  uint32_t running;
+  uint32_t queued;
+  uint32_t share; /**< announced last */
+  uint32_t share_calls;
+  uint32_t broken; /**< times a share was in use that the table did not hold */
+  struct fake *fake;
+};
+
+static void
+on_rules (void *ctx, uint64_t version, const struct snipe_str *text)
+{
+  struct recorder *rec = ctx;
+
+  pthread_mutex_lock (&rec->lock);
+  rec->rules_version = version;
+  g_strlcpy (rec->rules_text, snipe_str_c (text), sizeof rec->rules_text);
+  rec->rules_calls++;
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static void
+on_endpoints (void *ctx, const struct snipe_endpoint_info *list,
+              uint32_t count)
+{
+  struct recorder *rec = ctx;
+
+  pthread_mutex_lock (&rec->lock);
+  rec->endpoint_calls++;
+  rec->endpoint_count = count;
+  rec->leaving_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    rec->leaving_count += list[i].leaving ? 1 : 0;
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static void
+on_entries (void *ctx, const struct snipe_entry_info *list, uint32_t count)
+{
+  struct recorder *rec = ctx;
+
+  pthread_mutex_lock (&rec->lock);
+  rec->entry_calls++;
+  rec->entry_count = count;
+  rec->listed_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    rec->listed_count += list[i].listed ? 1 : 0;
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static void
+on_demands (void *ctx, struct snipe_team_demand **out, uint32_t *count)
+{
+  struct recorder *rec = ctx;
+
+  pthread_mutex_lock (&rec->lock);
+  if (rec->wants_quota)
+    {
+      *out = calloc (1, sizeof **out);
+      CU_ASSERT_EQUAL (snipe_str_set_c (&(*out)->team, "team"), SNIPE_OK);
+      (*out)->limit = rec->limit;
+      (*out)->running = rec->running;
+      (*out)->queued = rec->queued;
+      *count = 1;
+    }
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static uint32_t
+held_of (const json_t *row)
+{
+  return (uint32_t)json_integer_value (
+      json_object_get (json_object_get (row, "held"), SELF_TEXT));
+}
+
+/* A share that comes into use must be in the table already. */
+static void
+on_shares (void *ctx, const struct snipe_team_share *list, uint32_t count,
+           snipe_time valid_until)
+{
+  struct recorder *rec = ctx;
+  const struct fake_row *row;
+
+  (void)valid_until;
+  /* The table's lock first, as in on_put (). */
+  pthread_mutex_lock (&rec->fake->lock);
+  pthread_mutex_lock (&rec->lock);
+  rec->share = count > 0 ? list[0].share : 0;
+  rec->share_calls++;
+  row = g_tree_lookup (rec->fake->rows, "quota/team");
+  if (rec->share > (row == NULL ? 0 : held_of (row->value)))
+    rec->broken++;
+  pthread_mutex_unlock (&rec->lock);
+  pthread_mutex_unlock (&rec->fake->lock);
+}
+
+/* A write that gives slots away must come after they are out of use. */
+static void
+on_put (void *ctx, const char *key, const json_t *old, const json_t *value)
+{
+  struct recorder *rec = ctx;
+
+  (void)old;
+  if (strcmp (key, "quota/team") != 0)
+    return;
+  pthread_mutex_lock (&rec->lock);
+  if (held_of (value) < rec->share || held_of (value) < rec->running)
+    rec->broken++;
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static const struct snipe_platform_events events = { .rules = on_rules,
+                                                     .endpoints = on_endpoints,
+                                                     .entries = on_entries,
+                                                     .demands = on_demands,
+                                                     .shares = on_shares };
+
+static void
+recorder_init (struct recorder *rec, struct fake *fake)
+{
+  memset (rec, 0, sizeof *rec);
+  pthread_mutex_init (&rec->lock, NULL);
+  rec->fake = fake;
+  rec->limit = 20;
+}
+
+static uint64_t
+rec_u32 (struct recorder *rec, const uint32_t *value)
+{
+  uint32_t copy;
+
+  pthread_mutex_lock (&rec->lock);
+  copy = *value;
+  pthread_mutex_unlock (&rec->lock);
+  return copy;
+}
+
+static void
+rec_demand (struct recorder *rec, uint32_t run, uint32_t queued)
+{
+  pthread_mutex_lock (&rec->lock);
+  rec->wants_quota = true;
+  rec->running = run;
+  rec->queued = queued;
+  pthread_mutex_unlock (&rec->lock);
+}
+
+static struct snipe_platform *
+client (struct fake *fake, struct recorder *rec, uint64_t incarnation,
+        snipe_time claim_timeout)
+{
+  struct snipe_platform_options options = SNIPE_PLATFORM_OPTIONS_INIT;
+  struct snipe_platform *platform = NULL;
+  char name[] = "entry-1";
+
+  options.url = fake->url;
+  options.host = incarnation == SELF ? "entry-1" : "entry-2";
+  options.timeout = 300 * SNIPE_MS;
+  options.poll = 20 * SNIPE_MS;
+  options.claim_timeout = claim_timeout;
+  options.self.incarnation = incarnation;
+  options.self.name = (struct snipe_str){ .data = name, .len = 7 };
+  options.self.size = 2;
+  options.events = &events;
+  options.ctx = rec;
+  CU_ASSERT_EQUAL_FATAL (snipe_platform_new (&platform, &options), SNIPE_OK);
+  return platform;
+}
+
+/* Waits until the expression holds; a run that never gets there fails. */
+#define WAIT_FOR(expression)                                                  \
+  do                                                                          \
+    {                                                                         \
+      int left = PATIENCE_S * 1000;                                           \
+      while (!(expression) && left-- > 0)                                     \
+        usleep (1000);                                                        \
+      CU_ASSERT_TRUE (left > 0);                                              \
+    }                                                                         \
+  while (0)
+
+/** End of one claim. */
+struct claim_end
+{
+  pthread_mutex_t lock;
+  int calls;
+  int status;
+  uint64_t owner;
+};
+
+static void
+on_claim (void *ctx, int status, uint64_t owner)
+{
+  struct claim_end *end = ctx;
+
+  pthread_mutex_lock (&end->lock);
+  end->calls++;
+  end->status = status;
+  end->owner = owner;
+  pthread_mutex_unlock (&end->lock);
+}
+
+static bool
+claim_ended (struct claim_end *end)
+{
+  bool ended;
+
+  pthread_mutex_lock (&end->lock);
+  ended = end->calls > 0;
+  pthread_mutex_unlock (&end->lock);
+  return ended;
+}
+
+static void
+cut_off (void *ctx)
+{
+  const char *const names[] = { "platform" };
+
+  (void)ctx;
+  CU_ASSERT_EQUAL (snipe_refuse_set (names, 1), SNIPE_OK);
+}
+
+struct claim_case
+{
+  const char *name;
+  enum fake_fault_kind fault;
+  int times;
+  const char *row; /**< value of the claim row beforehand */
+  bool refused;    /**< the refusal list names the platform */
+  int status;
+  uint64_t owner;
+  bool in_table; /**< a row exists afterwards */
+};
+
+#define MANY 1000000
+#define CLAIM_WAIT (600 * SNIPE_MS)
+
+/* Guards against a submission that starts twice because this host took
+ * itself for the owner, and against ids that stay without an answer. */
+static void
+test_claim_faults (void)
+{
+  const struct claim_case cases[] = {
+    { .name = "normal", .owner = SELF, .in_table = true },
+    { .name = "owned by another host",
+      .row = "{\"inc\":\"" OTHER_TEXT "\"}",
+      .owner = OTHER,
+      .in_table = true },
+    { .name = "owned by this host already",
+      .row = "{\"inc\":\"" SELF_TEXT "\"}",
+      .owner = SELF,
+      .in_table = true },
+    { .name = "row without owner",
+      .row = "{\"who\":1}",
+      .status = SNIPE_E_PLATFORM,
+      .in_table = true },
+    { .name = "reply lost after effect",
+      .fault = FAKE_LOSE,
+      .times = 1,
+      .owner = SELF,
+      .in_table = true },
+    { .name = "reply lost, owned by another host",
+      .fault = FAKE_LOSE,
+      .times = 2,
+      .row = "{\"inc\":\"" OTHER_TEXT "\"}",
+      .owner = OTHER,
+      .in_table = true },
+    { .name = "malformed reply after effect",
+      .fault = FAKE_GARBAGE,
+      .times = 1,
+      .owner = SELF,
+      .in_table = true },
+    { .name = "503 twice",
+      .fault = FAKE_503,
+      .times = 2,
+      .owner = SELF,
+      .in_table = true },
+    { .name = "timeout without effect",
+      .fault = FAKE_STALL,
+      .times = 1,
+      .owner = SELF,
+      .in_table = true },
+    { .name = "503 until the end",
+      .fault = FAKE_503,
+      .times = MANY,
+      .status = SNIPE_E_PLATFORM },
+    { .name = "replies lost until the end",
+      .fault = FAKE_LOSE,
+      .times = MANY,
+      .status = SNIPE_E_PLATFORM,
+      .in_table = true },
+    { .name = "cut off before", .refused = true, .status = SNIPE_E_PLATFORM },
+    { .name = "cut off while the reply comes",
+      .fault = FAKE_REFUSE,
+      .times = 1,
+      .status = SNIPE_E_PLATFORM,
+      .in_table = true },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct claim_case *c = &cases[i];
+      struct claim_end end = { .lock = PTHREAD_MUTEX_INITIALIZER };
+      struct snipe_platform *platform;
+      struct recorder rec;
+      struct fake fake;
+      char id[40];
+      char key[48];
+
+      make_id (id, (int)i);
+      snprintf (key, sizeof key, "claim/%s", id);
+      CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+      recorder_init (&rec, &fake);
+      fake.on_refuse = cut_off;
+      if (c->row != NULL)
+        fake_put (&fake, key, json_loads (c->row, 0, NULL));
+      fake_fault (&fake, c->fault, key, c->times);
+      if (c->refused)
+        cut_off (NULL);
+      platform
+          = client (&fake, &rec, SELF,
+                    c->status == SNIPE_OK ? PATIENCE_S * SNIPE_S : CLAIM_WAIT);
+      CU_ASSERT_EQUAL (snipe_platform_claim (platform, id, on_claim, &end),
+                       SNIPE_OK);
+      WAIT_FOR (claim_ended (&end));
+      if (end.status != c->status
+          || (end.status == SNIPE_OK && end.owner != c->owner))
+        printf ("%s: status %d owner %lx\n", c->name, end.status,
+                (unsigned long)end.owner);
+      CU_ASSERT_EQUAL (end.status, c->status);
+      CU_ASSERT_TRUE (end.status != SNIPE_OK || end.owner == c->owner);
+      CU_ASSERT_EQUAL (fake_has (&fake, key), c->in_table);
+      if (c->refused)
+        CU_ASSERT_EQUAL (fake_count (&fake, &fake.requests), 0);
+      CU_ASSERT_EQUAL (snipe_refuse_set (NULL, 0), SNIPE_OK);
+      fake_release (&fake);
+      snipe_platform_free (platform);
+      CU_ASSERT_EQUAL (end.calls, 1);
+      fake_stop (&fake);
+    }
+}
+
+/* Guards against claims that are dropped without an answer at the end. */
+static void
+test_claim_stop (void)
+{
+  struct claim_end end = { .lock = PTHREAD_MUTEX_INITIALIZER };
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+  char id[40];
+
+  make_id (id, 1);
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake_fault (&fake, FAKE_503, "\"key\":\"claim/", MANY);
+  platform = client (&fake, &rec, SELF, PATIENCE_S * SNIPE_S);
+  CU_ASSERT_EQUAL (snipe_platform_claim (platform, "no-uuid", on_claim, &end),
+                   SNIPE_E_BAD_ID);
+  CU_ASSERT_EQUAL (snipe_platform_claim (platform, id, on_claim, &end),
+                   SNIPE_OK);
+  WAIT_FOR (fake_count (&fake, &fake.faulted) > 0);
+  snipe_platform_free (platform);
+  CU_ASSERT_EQUAL (end.calls, 1);
+  CU_ASSERT_EQUAL (end.status, SNIPE_E_PLATFORM);
+  fake_stop (&fake);
+}
+
+#define RACE_IDS 1200
+
+/* Guards against one id with two owners, or none, when hosts race and
+ * replies get lost, and against more load than one transaction at a time,
+ * one in each interval, 500 ids in each. */
+static void
+test_claim_race (void)
+{
+  static struct claim_end ends[2][RACE_IDS];
+  static char ids[RACE_IDS][40];
+  const uint64_t incs[] = { SELF, OTHER };
+  struct snipe_platform *platforms[2];
+  struct recorder rec;
+  struct fake fake;
+  snipe_time start;
+  snipe_time elapsed;
+  uint32_t wins[2] = { 0, 0 };
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  for (int i = 0; i < RACE_IDS; i++)
+    make_id (ids[i], i);
+  for (int h = 0; h < 2; h++)
+    platforms[h] = client (&fake, &rec, incs[h], PATIENCE_S * SNIPE_S);
+  fake_fault (&fake, FAKE_LOSE, "\"key\":\"claim/", 2);
+  start = snipe_clock_now ();
+  for (int i = 0; i < RACE_IDS; i++)
+    for (int h = 0; h < 2; h++)
+      {
+        /* The hosts go through the ids in opposite order. */
+        int k = h == 0 ? i : RACE_IDS - 1 - i;
+        pthread_mutex_init (&ends[h][k].lock, NULL);
+        CU_ASSERT_EQUAL (
+            snipe_platform_claim (platforms[h], ids[k], on_claim, &ends[h][k]),
+            SNIPE_OK);
+      }
+  for (int h = 0; h < 2; h++)
+    for (int i = 0; i < RACE_IDS; i++)
+      WAIT_FOR (claim_ended (&ends[h][i]));
+  elapsed = snipe_clock_now () - start;
+  for (int i = 0; i < RACE_IDS; i++)
+    {
+      char key[64];
+      char text[SNIPE_INC_TEXT];
+      json_t *row;
+
+      snprintf (key, sizeof key, "claim/%.39s", ids[i]);
+      row = fake_get (&fake, key);
+      CU_ASSERT_EQUAL (ends[0][i].status, SNIPE_OK);
+      CU_ASSERT_EQUAL (ends[1][i].status, SNIPE_OK);
+      CU_ASSERT_EQUAL (ends[0][i].owner, ends[1][i].owner);
+      snipe_inc_format (text, ends[0][i].owner);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (row);
+      CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (row, "inc")),
+                              text);
+      wins[ends[0][i].owner == SELF ? 0 : 1]++;
+      json_decref (row);
+    }
+  printf ("%d ids of two hosts: %u and %u won, %lu transactions, largest %lu "
+          "ids, %ld ms\n",
+          RACE_IDS, wins[0], wins[1], (unsigned long)fake.claim_txns,
+          (unsigned long)fake.claim_max, (long)(elapsed / SNIPE_MS));
+  CU_ASSERT_FALSE (fake.overlapped);
+  CU_ASSERT_TRUE (fake.claim_max <= SNIPE_CLAIM_BATCH);
+  CU_ASSERT_TRUE ((int64_t)fake.claim_txns
+                  <= 2 * (elapsed / (10 * SNIPE_MS) + 1));
+  for (int h = 0; h < 2; h++)
+    {
+      snipe_platform_free (platforms[h]);
+      for (int i = 0; i < RACE_IDS; i++)
+        CU_ASSERT_EQUAL (ends[h][i].calls, 1);
+    }
+  fake_stop (&fake);
+}
+
+static json_t *
+host_json (const char *name, const char *role, const char *state)
+{
+  return json_pack ("{s:s, s:s, s:s, s:s, s:i}", "name", name, "role", role,
+                    "state", state, "address", "127.0.0.1:1", "slots", 8);
+}
+
+/* Guards against rules that are missed, lists that empty themselves while the
+ * platform is away, and a row that stays away after it was deleted. */
+static void
+test_watch (void)
+{
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+  uint64_t version;
+  uint64_t seen;
+  uint32_t calls;
+  json_t *row;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake_set_hosts (&fake, json_pack ("[o, o, o]",
+                                    host_json ("ep-1", "endpoint", "live"),
+                                    host_json ("ep-2", "endpoint", "leaving"),
+                                    host_json ("entry-1", "entry", "live")));
+  version = fake_put (&fake, "rules", json_pack ("{s:s}", "text", "first"));
+  platform = client (&fake, &rec, SELF, SNIPE_S);
+  WAIT_FOR (rec_u32 (&rec, &rec.rules_calls) > 0
+            && rec_u32 (&rec, &rec.endpoint_calls) > 0
+            && rec_u32 (&rec, &rec.entry_count) == 1
+            && rec_u32 (&rec, &rec.listed_count) == 1);
+  CU_ASSERT_EQUAL (rec.rules_version, version);
+  CU_ASSERT_STRING_EQUAL (rec.rules_text, "first");
+  CU_ASSERT_EQUAL (rec.endpoint_count, 2);
+  CU_ASSERT_EQUAL (rec.leaving_count, 1);
+  CU_ASSERT_TRUE (fake_has (&fake, "entry/" SELF_TEXT));
+  WAIT_FOR (fake_has (&fake, "lease/" SELF_TEXT));
+
+  version = fake_put (&fake, "rules", json_pack ("{s:s}", "text", "second"));
+  WAIT_FOR (rec_u32 (&rec, &rec.rules_calls) > 1);
+  CU_ASSERT_EQUAL (rec.rules_version, version);
+  CU_ASSERT_STRING_EQUAL (rec.rules_text, "second");
+
+  /* Reported without the row, then with it again. */
+  calls = (uint32_t)rec_u32 (&rec, &rec.entry_calls);
+  fake_delete (&fake, "entry/" SELF_TEXT);
+  WAIT_FOR (rec_u32 (&rec, &rec.entry_calls) >= calls + 2);
+  CU_ASSERT_TRUE (fake_has (&fake, "entry/" SELF_TEXT));
+
+  /* Outage: the lists change behind it and must not be seen or emptied. */
+  fake_fault (&fake, FAKE_503, "", MANY);
+  seen = fake_count (&fake, &fake.faulted);
+  WAIT_FOR (fake_count (&fake, &fake.faulted) > seen + 8);
+  calls = rec.endpoint_calls;
+  CU_ASSERT_EQUAL (snipe_counter_get (SNIPE_C_PLATFORM_UP), 0);
+  fake_set_hosts (&fake, json_array ());
+  seen = fake_count (&fake, &fake.faulted);
+  WAIT_FOR (fake_count (&fake, &fake.faulted) > seen + 8);
+  CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.endpoint_calls), calls);
+  CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.endpoint_count), 2);
+  CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.listed_count), 1);
+  CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.entry_count), 1);
+  fake_fault (&fake, FAKE_NO_FAULT, "", 0);
+  WAIT_FOR (rec_u32 (&rec, &rec.endpoint_count) == 0
+            && rec_u32 (&rec, &rec.listed_count) == 0);
+
+  CU_ASSERT_EQUAL (snipe_platform_leave (platform, false), SNIPE_OK);
+  row = fake_get (&fake, "entry/" SELF_TEXT);
+  CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (row, "state")),
+                          "leaving");
+  json_decref (row);
+  CU_ASSERT_EQUAL (snipe_platform_leave (platform, true), SNIPE_OK);
+  seen = fake_count (&fake, &fake.requests);
+  snipe_platform_free (platform);
+  CU_ASSERT_FALSE (fake_has (&fake, "entry/" SELF_TEXT));
+  CU_ASSERT_FALSE (fake_has (&fake, "lease/" SELF_TEXT));
+  CU_ASSERT_EQUAL (fake_count (&fake, &fake.requests), seen);
+  fake_stop (&fake);
+}
+
+static uint32_t
+table_held (struct fake *fake)
+{
+  json_t *row = fake_get (fake, "quota/team");
+  uint32_t held = held_of (row);
+
+  json_decref (row);
+  return held;
+}
+
+/* Writes as another host that wants slots and holds @p held. */
+static void
+other_wants (struct fake *fake, uint32_t held, uint32_t want)
+{
+  json_t *row = fake_get (fake, "quota/team");
+
+  if (row == NULL)
+    row = json_pack ("{s:{}, s:{}}", "held", "want");
+  json_object_set_new (json_object_get (row, "held"), OTHER_TEXT,
+                       json_integer (held));
+  json_object_set_new (json_object_get (row, "want"), OTHER_TEXT,
+                       json_integer (want));
+  fake_put (fake, "quota/team", row);
+}
+
+struct quota_case
+{
+  const char *name;
+  enum fake_fault_kind fault;
+  int times;
+};
+
+/* Guards against a share in use that the table does not hold: a grown share
+ * used before its write is confirmed, a reduced one used after the write was
+ * sent, and one whose write takes effect long after its timeout. */
+static void
+test_quota_faults (void)
+{
+  const struct quota_case cases[] = {
+    { "no fault", FAKE_NO_FAULT, 0 },
+    { "reply lost after effect", FAKE_LOSE, 1 },
+    { "503", FAKE_503, 1 },
+    { "malformed reply after effect", FAKE_GARBAGE, 1 },
+    { "effect long after the timeout", FAKE_STALL_LATE, 2 },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const struct quota_case *c = &cases[i];
+      struct snipe_platform *platform;
+      struct recorder rec;
+      struct fake fake;
+
+      CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+      recorder_init (&rec, &fake);
+      fake.on_put = on_put;
+      fake.ctx = &rec;
+      rec_demand (&rec, 0, 10);
+      fake_fault (&fake, c->fault, "\"key\":\"quota/team\"", c->times);
+      platform = client (&fake, &rec, SELF, SNIPE_S);
+      if (c->fault == FAKE_STALL_LATE)
+        {
+          WAIT_FOR (fake_count (&fake, &fake.faulted) >= 2);
+          CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.share), 0);
+          fake_release (&fake);
+        }
+      /* With one live host its slice is the whole limit. */
+      WAIT_FOR (rec_u32 (&rec, &rec.share) == 20);
+      CU_ASSERT_EQUAL (table_held (&fake), 20);
+
+      /* Another host is in need: idle slots go, slots in use stay. */
+      rec_demand (&rec, 3, 0);
+      fake_fault (&fake, c->fault, "\"key\":\"quota/team\"", c->times);
+      other_wants (&fake, 0, 40);
+      if (c->fault == FAKE_STALL_LATE)
+        {
+          uint64_t seen = fake_count (&fake, &fake.faulted);
+
+          WAIT_FOR (fake_count (&fake, &fake.faulted) >= seen + 1);
+          /* Demand is back while the write may still take effect. */
+          rec_demand (&rec, 3, 17);
+          WAIT_FOR (fake_count (&fake, &fake.faulted) >= seen + 2);
+          CU_ASSERT_TRUE (rec_u32 (&rec, &rec.share) <= 3);
+          rec_demand (&rec, 3, 0);
+          fake_release (&fake);
+        }
+      WAIT_FOR (table_held (&fake) == 3 && rec_u32 (&rec, &rec.share) == 3);
+
+      /* The other host is content: demand here is served again. */
+      rec_demand (&rec, 3, 9);
+      other_wants (&fake, 0, 0);
+      WAIT_FOR (rec_u32 (&rec, &rec.share) >= 12);
+      if (rec.broken > 0)
+        printf ("%s: %u times\n", c->name, rec.broken);
+      CU_ASSERT_EQUAL (rec.broken, 0);
+      rec_demand (&rec, 0, 0);
+      CU_ASSERT_EQUAL (snipe_platform_leave (platform, true), SNIPE_OK);
+      CU_ASSERT_EQUAL (table_held (&fake), 0);
+      CU_ASSERT_TRUE (fake_has (&fake, "quota/team"));
+      snipe_platform_free (platform);
+      fake_stop (&fake);
+    }
+}
+
+/** One step of a lease's life: a read sent and ended, with its version. */
+struct lease_step
+{
+  snipe_time sent;
+  snipe_time ended;
+  uint64_t version;
+  bool lapsed; /**< afterwards, for a wait of 100 */
+};
+
+/* Guards against taking back a share before lease and longest task are over
+ * by this host's clock, counted from the end of the first read and to the
+ * sending of the last. */
+static void
+test_lease (void)
+{
+  const struct lease_step cases[][5] = {
+    { { 0, 10, 7, false },
+      { 50, 60, 7, false },
+      { 109, 500, 7, false },
+      { 110, 500, 7, true },
+      { 111, 112, 8, false } },
+    { { 0, 1, 0, false },
+      { 100, 101, 0, false },
+      { 101, 102, 0, true },
+      { 103, 104, 5, false },
+      { 203, 204, 5, false } },
+    { { 0, 1000, 3, false },
+      { 1001, 1002, 3, false },
+      { 1099, 1100, 3, false },
+      { 1100, 1101, 3, true },
+      { 1101, 1102, 0, false } },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      GHashTable *leases = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                                  g_free, g_free);
+
+      CU_ASSERT_FALSE (snipe_lease_lapsed (leases, OTHER, 100));
+      for (int k = 0; k < 5; k++)
+        {
+          const struct lease_step *step = &cases[i][k];
+
+          snipe_lease_note (leases, OTHER, step->version, step->sent,
+                            step->ended);
+          CU_ASSERT_EQUAL (snipe_lease_lapsed (leases, OTHER, 100),
+                           step->lapsed);
+        }
+      g_hash_table_unref (leases);
+    }
+}
+
+/* Guards against the share of a dead host that is never taken back, and one
+ * that is taken while the holder renews. */
+static void
+test_lapse (void)
+{
+  struct snipe_platform_options options = SNIPE_PLATFORM_OPTIONS_INIT;
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake.on_put = on_put;
+  fake.ctx = &rec;
+  other_wants (&fake, 20, 20);
+  fake_put (&fake, "lease/" OTHER_TEXT, json_pack ("{s:i}", "n", 1));
+  rec_demand (&rec, 0, 10);
+  options.url = fake.url;
+  options.host = "entry-1";
+  options.poll = 20 * SNIPE_MS;
+  options.lease = 3 * SNIPE_S;
+  options.task_max = 500 * SNIPE_MS;
+  options.self.incarnation = SELF;
+  options.events = &events;
+  options.ctx = &rec;
+  CU_ASSERT_EQUAL_FATAL (snipe_platform_new (&platform, &options), SNIPE_OK);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) >= 10);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
+/* Guards against old claim rows that pile up, and young ones that go. */
+static void
+test_sweep (void)
+{
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+  char young[48];
+  int64_t now = snipe_clock_wall_ms ();
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  snprintf (young, sizeof young, "claim/%08x-%04x-7000-8000-000000000001",
+            (unsigned int)(now >> 16), (unsigned int)(now & 0xffff));
+  fake_put (&fake, "claim/" OLD_ID, json_pack ("{s:s}", "inc", OTHER_TEXT));
+  fake_put (&fake, young, json_pack ("{s:s}", "inc", OTHER_TEXT));
+  fake_put (&fake, "claim/odd", json_pack ("{s:s}", "inc", OTHER_TEXT));
+  platform = client (&fake, &rec, SELF, SNIPE_S);
+  WAIT_FOR (!fake_has (&fake, "claim/" OLD_ID));
+  CU_ASSERT_TRUE (fake_has (&fake, young));
+  CU_ASSERT_TRUE (fake_has (&fake, "claim/odd"));
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
+/* Guards against objects and rows that change on their way, and conflicts or
+ * lost replies that look like success. */
+static void
+test_objects_rows (void)
+{
+  const struct snipe_str data = { .data = "a\0\"b", .len = 4 };
+  const struct snipe_str value = { .data = "{\"a\":1}", .len = 7 };
+  const struct snipe_str broken = { .data = "{", .len = 1 };
+  struct snipe_platform *platform;
+  struct snipe_str out = SNIPE_STR_INIT;
+  struct recorder rec;
+  struct fake fake;
+  char **names = NULL;
+  uint64_t version = 0;
+  uint64_t first;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  platform = client (&fake, &rec, SELF, SNIPE_S);
+  CU_ASSERT_EQUAL (snipe_platform_object_get (&out, platform, "archive/1/1"),
+                   SNIPE_E_NOT_FOUND);
+  CU_ASSERT_EQUAL (snipe_platform_object_put (platform, "archive/1/1", &data),
+                   SNIPE_OK);
+  CU_ASSERT_EQUAL (snipe_platform_object_put (platform, "archive/2/1", &value),
+                   SNIPE_OK);
+  CU_ASSERT_EQUAL (snipe_platform_object_get (&out, platform, "archive/1/1"),
+                   SNIPE_OK);
+  CU_ASSERT_TRUE (snipe_str_equal (&out, &data));
+  CU_ASSERT_EQUAL (snipe_platform_object_list (&names, platform, "archive/1/"),
+                   SNIPE_OK);
+  CU_ASSERT_EQUAL_FATAL (g_strv_length (names), 1);
+  CU_ASSERT_STRING_EQUAL (names[0], "archive/1/1");
+  g_strfreev (names);
+
+  CU_ASSERT_EQUAL (snipe_platform_row_get (&out, &version, platform, "r"),
+                   SNIPE_E_NOT_FOUND);
+  CU_ASSERT_EQUAL (snipe_platform_row_swap (&first, platform, "r", 0, &value),
+                   SNIPE_OK);
+  CU_ASSERT_EQUAL (
+      snipe_platform_row_swap (&version, platform, "r", first, &broken),
+      SNIPE_E_INVALID);
+  CU_ASSERT_EQUAL (
+      snipe_platform_row_swap (&version, platform, "r", first + 9, &value),
+      SNIPE_E_CONFLICT);
+  CU_ASSERT_EQUAL (version, first);
+  CU_ASSERT_EQUAL (snipe_platform_row_get (&out, &version, platform, "r"),
+                   SNIPE_OK);
+  CU_ASSERT_EQUAL (version, first);
+  CU_ASSERT_TRUE (snipe_str_equal (&out, &value));
+  fake_fault (&fake, FAKE_LOSE, "\"key\":\"r\"", 1);
+  CU_ASSERT_EQUAL (
+      snipe_platform_row_swap (&version, platform, "r", first, &value),
+      SNIPE_E_PLATFORM);
+  CU_ASSERT_EQUAL (snipe_platform_row_get (&out, &version, platform, "r"),
+                   SNIPE_OK);
+  CU_ASSERT_TRUE (version > first);
+  cut_off (NULL);
+  CU_ASSERT_EQUAL (snipe_platform_row_get (&out, &version, platform, "r"),
+                   SNIPE_E_PLATFORM);
+  CU_ASSERT_EQUAL (snipe_refuse_set (NULL, 0), SNIPE_OK);
+  snipe_str_clear (&out);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "claims under faults", test_claim_faults },
+    { "claims at the end", test_claim_stop },
+    { "two hosts claim the same ids", test_claim_race },
+    { "rules, lists and own row", test_watch },
+    { "shares under faults", test_quota_faults },
+    { "leases by table", test_lease },
+    { "share of a dead host", test_lapse },
+    { "old claims are deleted", test_sweep },
+    { "objects and rows", test_objects_rows },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("platform", tests);
+}
