Delete rows of dead hosts; stop sooner when leaving

Rows entry/ and lease/ of hosts that died were never deleted, and every host reads all of them each second. The sweeper deletes those whose lease has not changed for twice the time after which shares are taken back, conditional on the lease's version. A quota round now ends between its calls when the host leaves. The test's other writer changed the quota row in two steps and could undo a write of the client; it is one step now.

--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -162,6 +162,7 @@
   snipe_time quota_next;  /**< earliest next round that may write */
   snipe_time sweep_next;
   GHashTable *leases; /**< incarnation (uint64_t *) -> snipe_lease_seen */
+  GHashTable *swept;  /**< the same as leases, as the sweeper saw them */
   GHashTable *quotas; /**< team (char *) -> struct snipe_quota_team */
 };
 
@@ -197,7 +198,17 @@
 bool snipe_lease_lapsed (GHashTable *leases, uint64_t incarnation,
                          snipe_time wait);
 
-/** Deletes old claim rows, at most each 30 s. */
+/** Parses the key of a row that ends with an incarnation.
+ * @return whether it does. */
+bool snipe_row_incarnation (uint64_t *out, const json_t *row,
+                            const char *prefix);
+/** @return whether the watch thread should make no more calls. */
+bool snipe_platform_stopping (struct snipe_platform *platform);
+
+/** Deletes the entry and lease rows of hosts whose lease has not changed for
+ * @p wait. */
+int snipe_sweep_hosts (struct snipe_platform *platform, snipe_time wait);
+/** Deletes old claims and rows of dead hosts, at most each 30 s. */
 int snipe_sweep (struct snipe_platform *platform, snipe_time now,
                  int64_t wall_ms);
 
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -27,6 +27,26 @@
   return SNIPE_OK;
 }
 
+bool
+snipe_row_incarnation (uint64_t *out, const json_t *row, const char *prefix)
+{
+  const char *key = json_string_value (json_object_get (row, "key"));
+
+  return key != NULL && g_str_has_prefix (key, prefix)
+         && snipe_inc_parse (out, key + strlen (prefix)) == SNIPE_OK;
+}
+
+bool
+snipe_platform_stopping (struct snipe_platform *platform)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&platform->lock);
+  stopping = platform->stop || platform->gone;
+  pthread_mutex_unlock (&platform->lock);
+  return stopping;
+}
+
 void
 snipe_platform_wait (struct snipe_platform *platform, pthread_cond_t *cond,
                      snipe_time wait)
@@ -167,6 +187,8 @@
   g_queue_init (&p->pool);
   p->leases
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  p->swept
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   p->quotas = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                      snipe_quota_team_free);
   p->url = g_strdup (options->url);
@@ -205,6 +227,7 @@
   json_decref (p->hosts);
   json_decref (p->entries);
   g_hash_table_unref (p->leases);
+  g_hash_table_unref (p->swept);
   g_hash_table_unref (p->quotas);
   snipe_str_clear (&self->name);
   snipe_str_clear (&self->rpc);
--- a/src/platform/quota.c
+++ b/src/platform/quota.c
@@ -220,19 +220,14 @@
   now = snipe_clock_now ();
   json_array_foreach (rows, i, row)
   {
-    const char *key = json_string_value (json_object_get (row, "key"));
     json_int_t version = json_integer_value (json_object_get (row, "version"));
     uint64_t incarnation;
-    uint64_t *copy;
 
-    if (key == NULL || !g_str_has_prefix (key, "lease/")
-        || snipe_inc_parse (&incarnation, key + strlen ("lease/")) != SNIPE_OK)
+    if (!snipe_row_incarnation (&incarnation, row, "lease/"))
       continue;
     own = own || incarnation == p->options.self.incarnation;
     snipe_lease_note (p->leases, incarnation, (uint64_t)version, sent, now);
-    copy = g_new (uint64_t, 1);
-    *copy = incarnation;
-    g_hash_table_add (found, copy);
+    g_hash_table_add (found, g_memdup2 (&incarnation, sizeof incarnation));
   }
   json_decref (rows);
   if (!own)
@@ -572,10 +567,10 @@
       found
           = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
       rc = read_leases (platform, found);
-      if (rc == SNIPE_OK)
+      if (rc == SNIPE_OK && !snipe_platform_stopping (platform))
         rc = read_rows (platform, found);
       g_hash_table_unref (found);
-      if (rc == SNIPE_OK)
+      if (rc == SNIPE_OK && !snipe_platform_stopping (platform))
         {
           g_hash_table_foreach_remove (platform->leases, lease_is_stale,
                                        &start);
--- a/src/platform/sweep.c
+++ b/src/platform/sweep.c
@@ -28,8 +28,96 @@
   return ms;
 }
 
+/* Notes the versions of all lease rows; an entry row without a lease counts
+ * as one of version 0. */
+static int
+note_leases (struct snipe_platform *p)
+{
+  GHashTable *found
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  snipe_time sent = snipe_clock_now ();
+  snipe_time now;
+  json_t *rows;
+  json_t *row;
+  size_t i;
+  int rc = snipe_range_read (&rows, &p->watch_http, "lease/", 0,
+                             p->options.timeout);
+
+  now = snipe_clock_now ();
+  json_array_foreach (rows, i, row)
+  {
+    json_int_t version = json_integer_value (json_object_get (row, "version"));
+    uint64_t incarnation;
+
+    if (!snipe_row_incarnation (&incarnation, row, "lease/"))
+      continue;
+    snipe_lease_note (p->swept, incarnation, (uint64_t)version, sent, now);
+    g_hash_table_add (found, g_memdup2 (&incarnation, sizeof incarnation));
+  }
+  json_array_foreach (p->entries, i, row)
+  {
+    uint64_t incarnation;
+
+    if (rc == SNIPE_OK && snipe_row_incarnation (&incarnation, row, "entry/")
+        && !g_hash_table_contains (found, &incarnation))
+      snipe_lease_note (p->swept, incarnation, 0, sent, now);
+  }
+  json_decref (rows);
+  g_hash_table_unref (found);
+  return rc;
+}
+
+static int
+delete_host (struct snipe_platform *p, uint64_t incarnation, uint64_t version)
+{
+  struct snipe_txn txn;
+  char inc[SNIPE_INC_TEXT];
+  char entry[32];
+  char lease[32];
+  int rc = snipe_txn_init (&txn);
+
+  snipe_inc_format (inc, incarnation);
+  g_snprintf (entry, sizeof entry, "entry/%s", inc);
+  g_snprintf (lease, sizeof lease, "lease/%s", inc);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_if (&txn, lease, version);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_delete (&txn, entry);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_delete (&txn, lease);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_run (NULL, NULL, &txn, &p->watch_http, p->options.timeout);
+  snipe_txn_clear (&txn);
+  /* It renewed its lease meanwhile. */
+  return rc == SNIPE_E_CONFLICT ? SNIPE_OK : rc;
+}
+
 int
-snipe_sweep (struct snipe_platform *platform, snipe_time now, int64_t wall_ms)
+snipe_sweep_hosts (struct snipe_platform *platform, snipe_time wait)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer item;
+  int rc = note_leases (platform);
+
+  g_hash_table_iter_init (&iter, platform->swept);
+  while (rc == SNIPE_OK && g_hash_table_iter_next (&iter, &key, &item))
+    {
+      uint64_t incarnation = *(const uint64_t *)key;
+      const struct snipe_lease_seen *seen = item;
+
+      if (incarnation == platform->options.self.incarnation
+          || !snipe_lease_lapsed (platform->swept, incarnation, wait))
+        continue;
+      rc = delete_host (platform, incarnation, seen->version);
+      if (rc == SNIPE_OK)
+        g_hash_table_iter_remove (&iter);
+    }
+  return rc;
+}
+
+static int
+sweep_claims (struct snipe_platform *platform, int64_t wall_ms)
 {
   int64_t oldest = wall_ms - platform->options.claim_keep / SNIPE_MS;
   struct snipe_txn txn;
@@ -38,9 +126,8 @@
   size_t i;
   int rc;
 
-  if (now < platform->sweep_next || platform->options.claim_keep <= 0)
+  if (platform->options.claim_keep <= 0)
     return SNIPE_OK;
-  platform->sweep_next = now + SWEEP_INTERVAL;
   rc = snipe_txn_init (&txn);
   if (rc == SNIPE_OK)
     rc = snipe_range_read (&rows, &platform->watch_http, "claim/", SWEEP_ROWS,
@@ -63,3 +150,21 @@
   snipe_txn_clear (&txn);
   return rc;
 }
+
+int
+snipe_sweep (struct snipe_platform *platform, snipe_time now, int64_t wall_ms)
+{
+  const struct snipe_platform_options *options = &platform->options;
+  int rc;
+
+  if (now < platform->sweep_next)
+    return SNIPE_OK;
+  platform->sweep_next = now + SWEEP_INTERVAL;
+  rc = sweep_claims (platform, wall_ms);
+  /* Twice the time after which a share is taken back: without the row others
+   * would have to count that time anew. */
+  if (rc == SNIPE_OK)
+    rc = snipe_sweep_hosts (platform,
+                            2 * (options->lease + options->task_max));
+  return rc;
+}
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -34,18 +34,6 @@
   return snipe_str_set (out, field (object, name), json_string_length (value));
 }
 
-static bool
-is_stopping (struct snipe_platform *p, bool *leaving)
-{
-  bool stopping;
-
-  pthread_mutex_lock (&p->lock);
-  stopping = p->stop || p->gone;
-  *leaving = p->leaving;
-  pthread_mutex_unlock (&p->lock);
-  return stopping;
-}
-
 int
 snipe_watch_register (struct snipe_platform *platform, struct snipe_http *http,
                       bool leaving, snipe_time timeout)
@@ -75,8 +63,10 @@
   bool leaving;
   int rc;
 
-  if (is_stopping (p, &leaving)
-      || (p->registered && p->registered_leaving == leaving))
+  pthread_mutex_lock (&p->lock);
+  leaving = p->leaving;
+  pthread_mutex_unlock (&p->lock);
+  if (p->registered && p->registered_leaving == leaving)
     return SNIPE_OK;
   rc = snipe_watch_register (p, &p->watch_http, leaving, p->options.timeout);
   if (rc == SNIPE_OK)
@@ -267,11 +257,9 @@
     return snipe_status_set (SNIPE_E_NOMEM, "no memory for entry hosts");
   json_array_foreach (p->entries, i, row)
   {
-    const char *key = field (row, "key");
     uint64_t incarnation;
 
-    if (rc != SNIPE_OK || !g_str_has_prefix (key, "entry/")
-        || snipe_inc_parse (&incarnation, key + strlen ("entry/")) != SNIPE_OK)
+    if (rc != SNIPE_OK || !snipe_row_incarnation (&incarnation, row, "entry/"))
       continue;
     rc = parse_entry (&list[count], p->hosts, incarnation,
                       json_object_get (row, "value"));
@@ -378,11 +366,10 @@
 run_round (struct snipe_platform *p)
 {
   uint32_t failures = 0;
-  bool leaving;
 
   for (int step = 0; step < STEP_COUNT; step++)
     {
-      if (is_stopping (p, &leaving) || failures >= ROUND_FAILURES_MAX)
+      if (snipe_platform_stopping (p) || failures >= ROUND_FAILURES_MAX)
         break;
       if (run_step (p, (enum step)step, snipe_clock_now ()) != SNIPE_OK)
         {
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -577,19 +577,25 @@
   return held;
 }
 
-/* Writes as another host that wants slots and holds @p held. */
+/* Writes as another host that wants slots and holds @p held; in one step, or
+ * it would undo what the client writes meanwhile. */
 static void
 other_wants (struct fake *fake, uint32_t held, uint32_t want)
 {
-  json_t *row = fake_get (fake, "quota/team");
+  const struct fake_row *row;
+  json_t *value;
 
-  if (row == NULL)
-    row = json_pack ("{s:{}, s:{}}", "held", "want");
-  json_object_set_new (json_object_get (row, "held"), OTHER_TEXT,
+  pthread_mutex_lock (&fake->lock);
+  row = g_tree_lookup (fake->rows, "quota/team");
+  value = row == NULL ? json_pack ("{s:{}, s:{}}", "held", "want")
+                      : json_deep_copy (row->value);
+  json_object_set_new (json_object_get (value, "held"), OTHER_TEXT,
                        json_integer (held));
-  json_object_set_new (json_object_get (row, "want"), OTHER_TEXT,
+  json_object_set_new (json_object_get (value, "want"), OTHER_TEXT,
                        json_integer (want));
-  fake_put (fake, "quota/team", row);
+  fake->version++;
+  fake_put_locked (fake, "quota/team", value);
+  pthread_mutex_unlock (&fake->lock);
 }
 
 struct quota_case
@@ -780,6 +786,52 @@
   fake_stop (&fake);
 }
 
+/* Guards against rows of dead hosts that pile up, and against deleting those
+ * of a host that renews its lease, or of this one. */
+static void
+test_sweep_hosts (void)
+{
+  const char *const keys[]
+      = { "entry/" OTHER_TEXT, "lease/" OTHER_TEXT, "entry/00000000000000c3" };
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    fake_put (&fake, keys[i], json_pack ("{s:i}", "n", 1));
+  platform = client (&fake, &rec, SELF, SNIPE_S);
+  WAIT_FOR (fake_has (&fake, "lease/" SELF_TEXT));
+  WAIT_FOR (fake_has (&fake, "entry/" SELF_TEXT));
+  /* The client's list of entries must hold all three. */
+  for (bool ready = false; !ready; usleep (1000))
+    {
+      pthread_mutex_lock (&platform->round_lock);
+      ready = json_array_size (platform->entries) == 3;
+      pthread_mutex_unlock (&platform->round_lock);
+    }
+  pthread_mutex_lock (&platform->round_lock);
+  g_hash_table_remove_all (platform->swept);
+  CU_ASSERT_EQUAL (snipe_sweep_hosts (platform, 1), SNIPE_OK);
+  usleep (1000);
+  /* Renewed between the two looks: all of it stays. */
+  fake_put (&fake, "lease/" OTHER_TEXT, json_pack ("{s:i}", "n", 2));
+  CU_ASSERT_EQUAL (snipe_sweep_hosts (platform, 1), SNIPE_OK);
+  CU_ASSERT_TRUE (fake_has (&fake, "lease/" OTHER_TEXT));
+  CU_ASSERT_TRUE (fake_has (&fake, "entry/" OTHER_TEXT));
+  CU_ASSERT_FALSE (fake_has (&fake, "entry/00000000000000c3"));
+  usleep (1000);
+  CU_ASSERT_EQUAL (snipe_sweep_hosts (platform, 1), SNIPE_OK);
+  CU_ASSERT_FALSE (fake_has (&fake, "lease/" OTHER_TEXT));
+  CU_ASSERT_FALSE (fake_has (&fake, "entry/" OTHER_TEXT));
+  CU_ASSERT_TRUE (fake_has (&fake, "lease/" SELF_TEXT));
+  CU_ASSERT_TRUE (fake_has (&fake, "entry/" SELF_TEXT));
+  pthread_mutex_unlock (&platform->round_lock);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
 /* Guards against objects and rows that change on their way, and conflicts or
  * lost replies that look like success. */
 static void
@@ -871,6 +923,7 @@
     { "leases by table", test_lease },
     { "share of a dead host", test_lapse },
     { "old claims are deleted", test_sweep },
+    { "rows of dead hosts are deleted", test_sweep_hosts },
     { "objects and rows", test_objects_rows },
     CU_TEST_INFO_NULL,
   };
