--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -8,6 +8,8 @@
 
 /* Idle connections kept for blocking calls of other threads. */
 #define POOL_MAX 4
+/* Between two looks at a lock that another thread holds. */
+#define LOCK_PAUSE (2 * SNIPE_MS)
 
 void
 snipe_inc_format (char out[SNIPE_INC_TEXT], uint64_t incarnation)
@@ -25,6 +27,26 @@
   return SNIPE_OK;
 }
 
+bool
+snipe_row_incarnation (uint64_t *out, const json_t *row, const char *prefix)
+{
+  const char *key = json_string_value (json_object_get (row, "key"));
+
+  return key != NULL && g_str_has_prefix (key, prefix)
+         && snipe_inc_parse (out, key + strlen (prefix)) == SNIPE_OK;
+}
+
+bool
+snipe_platform_stopping (struct snipe_platform *platform)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&platform->lock);
+  stopping = platform->stop || platform->gone;
+  pthread_mutex_unlock (&platform->lock);
+  return stopping;
+}
+
 void
 snipe_platform_wait (struct snipe_platform *platform, pthread_cond_t *cond,
                      snipe_time wait)
@@ -166,6 +188,8 @@
   g_queue_init (&p->pool);
   p->leases
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  p->swept
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   p->quotas = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                      snipe_quota_team_free);
   p->url = g_strdup (options->url);
@@ -204,6 +228,7 @@
   json_decref (p->hosts);
   json_decref (p->entries);
   g_hash_table_unref (p->leases);
+  g_hash_table_unref (p->swept);
   g_hash_table_unref (p->quotas);
   snipe_str_clear (&self->name);
   snipe_str_clear (&self->rpc);
@@ -280,12 +305,26 @@
   destroy (platform);
 }
 
+/* Waits for the end of the watch thread's call. Neither a clock of
+ * pthread_mutex_timedlock () that may jump, nor pthread_mutex_clocklock (),
+ * which ThreadSanitizer of GCC 12 does not know. */
+static bool
+lock_round (struct snipe_platform *platform, snipe_time deadline)
+{
+  while (pthread_mutex_trylock (&platform->round_lock) != 0)
+    {
+      if (snipe_clock_now () >= deadline)
+        return false;
+      g_usleep (LOCK_PAUSE);
+    }
+  return true;
+}
+
 int
 snipe_platform_leave (struct snipe_platform *platform, bool gone)
 {
   snipe_time deadline = snipe_clock_now () + 2 * platform->options.timeout;
   struct snipe_http *http;
-  struct timespec until;
   int rc;
 
   pthread_mutex_lock (&platform->lock);
@@ -303,10 +342,7 @@
     }
   /* The watch thread sees "gone" before its next call, so that after this
    * lock nothing else of this host changes its rows. */
-  clock_gettime (CLOCK_MONOTONIC, &until);
-  until.tv_sec += (platform->options.timeout + SNIPE_S - 1) / SNIPE_S;
-  if (pthread_mutex_clocklock (&platform->round_lock, CLOCK_MONOTONIC, &until)
-      != 0)
+  if (!lock_round (platform, deadline))
     {
       rc = snipe_status_set (SNIPE_E_TIMEOUT, "platform call still pending");
       goto cleanup;
