--- a/tests/ctl/test_snipe.c
+++ b/tests/ctl/test_snipe.c
@@ -268,14 +268,14 @@
       if (code != cases[i].exit_code)
         g_printerr ("case %zu: exit code %d\n%s%s", i, code, out, err);
       CU_ASSERT_EQUAL (code, cases[i].exit_code);
-      CU_ASSERT_PTR_NULL (script.steps[script.next].method);
-      CU_ASSERT_EQUAL (script.at_host[1], cases[i].at_second);
       expect (out, cases[i].out);
       expect (err, cases[i].err);
       free (out);
       free (err);
       fake_stop (&servers[0]);
       fake_stop (&servers[1]);
+      CU_ASSERT_PTR_NULL (script.steps[script.next].method);
+      CU_ASSERT_EQUAL (script.at_host[1], cases[i].at_second);
     }
 }
 
--- a/tests/ctl/test_snipectl.c
+++ b/tests/ctl/test_snipectl.c
@@ -305,6 +305,9 @@
       run_flush (&run);
       expect (run.out, fate->out);
       expect (run.err, fate->err);
+      run_close (&run);
+      fake_stop (&entry);
+      fake_stop (&platform);
       CU_ASSERT_EQUAL (table.effects, fate->effects);
       if (fate->exit_code == 0)
         {
@@ -316,9 +319,6 @@
           CU_ASSERT_EQUAL (json_string_length (json_object_get (row, "op")),
                            32);
         }
-      run_close (&run);
-      fake_stop (&entry);
-      fake_stop (&platform);
       json_decref (table.row);
     }
 }
@@ -386,7 +386,9 @@
   expect (run.err, "in force on 1 of 3 hosts\n");
   run_close (&run);
 
+  pthread_mutex_lock (&fake_lock);
   table.entry_count = 1;
+  pthread_mutex_unlock (&fake_lock);
   run_open (&run, &platform, NEW_TEXT);
   run.ctl.json = true;
   CU_ASSERT_EQUAL (snipe_ctl_rules_publish (&run.ctl, run.file), 0);
@@ -394,10 +396,14 @@
   CU_ASSERT_STRING_EQUAL (run.out,
                           "{\"accepted\":true,\"unchanged\":true,\"version\":"
                           "5,\"in_force\":[\"late\"],\"not_yet\":[]}\n");
+  pthread_mutex_lock (&fake_lock);
   CU_ASSERT_EQUAL (table.txns, 1);
+  pthread_mutex_unlock (&fake_lock);
   run_close (&run);
 
+  pthread_mutex_lock (&fake_lock);
   table.entry_count = 0;
+  pthread_mutex_unlock (&fake_lock);
   run_open (&run, &platform, NEW_TEXT);
   CU_ASSERT_EQUAL (snipe_ctl_rules_publish (&run.ctl, run.file), 4);
   run_flush (&run);
@@ -423,7 +429,9 @@
   CU_ASSERT_EQUAL (snipe_ctl_rules_check (&run.ctl, run.file), 1);
   run_flush (&run);
   expect (run.err, "line 1, column 20: slots=0 is outside the range");
+  pthread_mutex_lock (&fake_lock);
   CU_ASSERT_EQUAL (table.txns, 0);
+  pthread_mutex_unlock (&fake_lock);
   run_close (&run);
   fake_stop (&platform);
 }
@@ -442,11 +450,13 @@
             "\nweight  team=b value=3 # asked by Ops\n");
   CU_ASSERT_EQUAL (snipe_ctl_rules_show (&run.ctl), 0);
   CU_ASSERT_EQUAL (snipe_ctl_rules_diff (&run.ctl, run.file), 0);
+  pthread_mutex_lock (&fake_lock);
   write_row (&table, json_pack ("{s:s, s:s, s:i, s:s}", "text",
                                 "weight team=b value=3  # asked by Ops\n"
                                 "limit team=a slots=1 # asked by Lee Park\n"
                                 "queue team=c max=1 wait_ms=1 # asked by Ops",
                                 "who", "Dana", "when", 17, "op", "x"));
+  pthread_mutex_unlock (&fake_lock);
   CU_ASSERT_EQUAL (snipe_ctl_rules_show (&run.ctl), 0);
   CU_ASSERT_EQUAL (snipe_ctl_rules_diff (&run.ctl, run.file), 0);
   run_flush (&run);
@@ -508,7 +518,9 @@
   expect (run.out, "\"snipe_x\":3.0");
   run_close (&run);
 
+  pthread_mutex_lock (&fake_lock);
   table.entries[1][1] = gone.address;
+  pthread_mutex_unlock (&fake_lock);
   run_open (&run, &platform, "");
   CU_ASSERT_EQUAL (snipe_ctl_status (&run.ctl), 1);
   run.ctl.json = true;
