Let no slot idle in the reference that may wait

With more than 64 waiting tasks a pass ended and left slow slots idle, which made the reference worse than the greedy one under load. Past a limit per slot tasks now take the fastest free slot; above 1,024 slots this schedule is left out, as it takes minutes.

--- a/tools/clairvoyant.c
+++ b/tools/clairvoyant.c
@@ -5,9 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Tasks that choose to wait, looked at in one pass; bounds the time of a
- * simulation under overload, where nearly all of them wait. */
-#define WAITING_MAX 64
+/* Tasks that may choose to wait in one pass, per slot; the others take the
+ * fastest free slot, so that under overload no slot idles. 1 and 4 gave the
+ * same responses within 0.2 % at loads of 0.8 to 1.2 of 384 slots. */
+#define WAITING_PER_SLOT 4
 
 struct job
 {
@@ -54,6 +55,7 @@
   struct slot *slots;
   uint32_t slot_count;
   uint32_t free;
+  uint32_t waiting; /**< tasks that chose to wait in this pass */
 };
 
 static int
@@ -115,13 +117,15 @@
 {
   struct endpoint *best = NULL;
   double best_end = 0;
+  bool greedy = sim->policy == CLAIRVOYANT_GREEDY
+                || sim->waiting >= WAITING_PER_SLOT * sim->slot_count;
   for (size_t i = 0; i < sim->endpoint_count; i++)
     {
       struct endpoint *endpoint = &sim->endpoints[i];
       double end = sim->slots[endpoint->next].planned + work / endpoint->speed;
-      if (sim->policy == CLAIRVOYANT_GREEDY && endpoint->free > 0)
+      if (greedy && endpoint->free > 0)
         return endpoint;
-      if (sim->policy == CLAIRVOYANT_WAIT && (!best || end < best_end))
+      if (!greedy && (!best || end < best_end))
         {
           best = endpoint;
           best_end = end;
@@ -161,23 +165,19 @@
 static void
 pass (struct simulation *sim)
 {
-  uint32_t waiting = 0;
   GSequenceIter *iter = g_sequence_get_begin_iter (sim->queue);
   if (sim->free == 0 || g_sequence_iter_is_end (iter))
     return;
+  sim->waiting = 0;
   plan_reset (sim);
-  while (sim->free > 0 && waiting < WAITING_MAX
-         && !g_sequence_iter_is_end (iter))
+  while (sim->free > 0 && !g_sequence_iter_is_end (iter))
     {
       struct job *job = g_sequence_get (iter);
       GSequenceIter *next = g_sequence_iter_next (iter);
-      for (uint32_t i = job->first; i < job->out->task_count; i++)
-        {
-          if (sim->free == 0 || waiting >= WAITING_MAX)
-            break;
-          if (job->work[i] > 0 && !place (sim, job, i))
-            waiting++;
-        }
+      for (uint32_t i = job->first; i < job->out->task_count && sim->free > 0;
+           i++)
+        if (job->work[i] > 0 && !place (sim, job, i))
+          sim->waiting++;
       if (job->unstarted == 0)
         g_sequence_remove (iter);
       else
--- a/tools/summary.c
+++ b/tools/summary.c
@@ -9,6 +9,10 @@
 /* Complete jobs looked up at the stand-in, which scans its tasks for each. */
 #define COMPLETE_LOOKED_UP 1000
 
+/* The schedule that may wait took 237 s of CPU time for 20,000 jobs on 9,600
+ * slots; it is left out above this number. */
+#define WAITING_SLOTS_MAX 1024
+
 /* Messages beyond one start and one answer, in the order of the columns. */
 static const struct
 {
@@ -131,9 +135,13 @@
   double *bounds = g_new (double, count + 1);
   double *values = g_new (double, input->job_count + 1);
   double speed_max = 0;
+  uint64_t slots = 0;
   size_t at = 0;
   for (size_t i = 0; i < input->endpoint_count; i++)
-    speed_max = fmax (speed_max, input->endpoints[i].speed);
+    {
+      speed_max = fmax (speed_max, input->endpoints[i].speed);
+      slots += input->endpoints[i].slots;
+    }
   for (uint32_t i = 0; i < input->job_count; i++)
     {
       values[i] = input->jobs[i].lag * 1000;
@@ -156,8 +164,9 @@
                            spread (values, count));
       add_schedule (report, input, jobs, response, bounds, count,
                     CLAIRVOYANT_GREEDY);
-      add_schedule (report, input, jobs, response, bounds, count,
-                    CLAIRVOYANT_WAIT);
+      if (slots <= WAITING_SLOTS_MAX)
+        add_schedule (report, input, jobs, response, bounds, count,
+                      CLAIRVOYANT_WAIT);
     }
   for (size_t i = 0; i < count; i++)
     g_free ((double *)jobs[i].work);
