Test late starts, long outages and late effects of the platform client

New cases: a task that starts while its share shrinks, a host that returns after its lease, and a claim that takes effect long after its timeout.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -47,8 +47,10 @@
   uint32_t limit;
   uint32_t running;
   uint32_t queued;
+  uint32_t late;  /**< starts right after the next look at the demands */
   uint32_t share; /**< announced last */
   uint32_t share_calls;
+  snipe_time valid_until;
   uint32_t broken; /**< times a share was in use that the table did not hold */
   struct fake *fake;
 };
@@ -108,6 +110,8 @@
       (*out)->running = rec->running;
       (*out)->queued = rec->queued;
       *count = 1;
+      rec->running += rec->late;
+      rec->late = 0;
     }
   pthread_mutex_unlock (&rec->lock);
 }
@@ -127,12 +131,12 @@
   struct recorder *rec = ctx;
   const struct fake_row *row;
 
-  (void)valid_until;
   /* The table's lock first, as in on_put (). */
   pthread_mutex_lock (&rec->fake->lock);
   pthread_mutex_lock (&rec->lock);
   rec->share = count > 0 ? list[0].share : 0;
   rec->share_calls++;
+  rec->valid_until = valid_until;
   row = g_tree_lookup (rec->fake->rows, "quota/team");
   if (rec->share > (row == NULL ? 0 : held_of (row->value)))
     rec->broken++;
@@ -325,6 +329,11 @@
       .times = 1,
       .owner = SELF,
       .in_table = true },
+    { .name = "effect long after the timeout",
+      .fault = FAKE_STALL_LATE,
+      .times = 1,
+      .owner = SELF,
+      .in_table = true },
     { .name = "503 until the end",
       .fault = FAKE_503,
       .times = MANY,
@@ -677,6 +686,38 @@
     }
 }
 
+/* Guards against giving away slots of tasks that started between the look at
+ * the demands and the announcement of the lower share. */
+static void
+test_late_start (void)
+{
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake.on_put = on_put;
+  fake.ctx = &rec;
+  rec_demand (&rec, 0, 10);
+  platform = client (&fake, &rec, SELF, SNIPE_S);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) == 20);
+  /* The limit shrinks, and all but 3 slots are idle at the first look. */
+  pthread_mutex_lock (&rec.lock);
+  rec.limit = 5;
+  rec.running = 3;
+  rec.queued = 0;
+  rec.late = 4;
+  pthread_mutex_unlock (&rec.lock);
+  WAIT_FOR (table_held (&fake) < 20);
+  CU_ASSERT_EQUAL (table_held (&fake), 7);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  rec_demand (&rec, 0, 0);
+  WAIT_FOR (table_held (&fake) < 7);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
 /** One step of a lease's life: a read sent and ended, with its version. */
 struct lease_step
 {
@@ -761,6 +802,55 @@
   fake_stop (&fake);
 }
 
+static bool
+lease_is_over (struct recorder *rec)
+{
+  bool over;
+
+  pthread_mutex_lock (&rec->lock);
+  over = snipe_clock_now () > rec->valid_until;
+  pthread_mutex_unlock (&rec->lock);
+  return over;
+}
+
+/* Guards against a host that takes up its old share again after an outage
+ * longer than its lease, while another host has taken that share back. */
+static void
+test_return (void)
+{
+  struct snipe_platform_options options = SNIPE_PLATFORM_OPTIONS_INIT;
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+  uint64_t calls;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  rec_demand (&rec, 0, 10);
+  options.url = fake.url;
+  options.host = "entry-1";
+  options.poll = 20 * SNIPE_MS;
+  options.lease = 2 * SNIPE_S;
+  options.self.incarnation = SELF;
+  options.events = &events;
+  options.ctx = &rec;
+  CU_ASSERT_EQUAL_FATAL (snipe_platform_new (&platform, &options), SNIPE_OK);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) == 20);
+  fake_fault (&fake, FAKE_503, "", MANY);
+  WAIT_FOR (lease_is_over (&rec));
+  CU_ASSERT_EQUAL (rec_u32 (&rec, &rec.share), 20);
+  calls = rec_u32 (&rec, &rec.share_calls);
+  fake_put (&fake, "quota/team",
+            json_pack ("{s:{s:i}, s:{s:i}}", "held", OTHER_TEXT, 20, "want",
+                       OTHER_TEXT, 20));
+  fake_fault (&fake, FAKE_NO_FAULT, "", 0);
+  WAIT_FOR (rec_u32 (&rec, &rec.share_calls) > calls
+            && rec_u32 (&rec, &rec.share) == 0);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
 /* Guards against old claim rows that pile up, and young ones that go. */
 static void
 test_sweep (void)
@@ -920,8 +1010,10 @@
     { "two hosts claim the same ids", test_claim_race },
     { "rules, lists and own row", test_watch },
     { "shares under faults", test_quota_faults },
+    { "starts while a share shrinks", test_late_start },
     { "leases by table", test_lease },
     { "share of a dead host", test_lapse },
+    { "return after the lease", test_return },
     { "old claims are deleted", test_sweep },
     { "rows of dead hosts are deleted", test_sweep_hosts },
     { "objects and rows", test_objects_rows },
