--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -186,6 +186,11 @@
 int snipe_quota_renew (struct snipe_platform *platform, snipe_time now);
 /** Reads the quota rows and moves this host's shares. */
 int snipe_quota_round (struct snipe_platform *platform);
+/** Parses the value of row quota/<team>, replacing the entries.
+ * @return 0, SNIPE_E_INVALID or SNIPE_E_NOMEM. */
+int snipe_quota_row_parse (struct snipe_share_row *row, const json_t *value);
+/** @return a new reference, NULL without memory. */
+json_t *snipe_quota_row_format (const struct snipe_share_row *row);
 /** Deletes own shares, row and lease in one transaction. */
 int snipe_quota_release (struct snipe_platform *platform,
                          struct snipe_http *http, snipe_time deadline);
--- a/src/platform/quota.c
+++ b/src/platform/quota.c
@@ -6,8 +6,6 @@
 
 /* Between two transactions of this host that move shares. */
 #define WRITE_INTERVAL SNIPE_S
-/* Between two attempts to release everything. */
-#define RELEASE_PAUSE (20 * SNIPE_MS)
 
 /** A team's next row, while one round plans its transaction. */
 struct change
@@ -29,78 +27,6 @@
   g_free (team);
 }
 
-/* Adds the numbers of one object of a row, "held" or "want". */
-static int
-parse_part (struct snipe_share_row *row, const json_t *part, bool held)
-{
-  const char *key;
-  json_t *number;
-  int rc = SNIPE_OK;
-
-  json_object_foreach ((json_t *)part, key, number)
-  {
-    json_int_t value = json_integer_value (number);
-    struct snipe_share_entry entry = { .held = 0 };
-
-    if (rc != SNIPE_OK)
-      continue;
-    rc = snipe_inc_parse (&entry.incarnation, key);
-    if (rc == SNIPE_OK
-        && (!json_is_integer (number) || value < 0 || value > UINT32_MAX))
-      rc = snipe_status_set (SNIPE_E_INVALID, "quota row holds no number");
-    for (uint32_t i = 0; i < row->count; i++)
-      if (row->entries[i].incarnation == entry.incarnation)
-        entry = row->entries[i];
-    if (held)
-      entry.held = (uint32_t)value;
-    else
-      entry.want = (uint32_t)value;
-    if (rc == SNIPE_OK)
-      rc = snipe_share_row_set (row, &entry);
-  }
-  return rc;
-}
-
-static int
-parse_row (struct snipe_share_row *row, const json_t *value)
-{
-  int rc;
-
-  row->count = 0;
-  if (!json_is_object (value))
-    return snipe_status_set (SNIPE_E_INVALID, "quota row is no object");
-  rc = parse_part (row, json_object_get (value, "held"), true);
-  if (rc == SNIPE_OK)
-    rc = parse_part (row, json_object_get (value, "want"), false);
-  return rc;
-}
-
-static json_t *
-format_row (const struct snipe_share_row *row)
-{
-  json_t *held = json_object ();
-  json_t *want = json_object ();
-
-  for (uint32_t i = 0; i < row->count; i++)
-    {
-      const struct snipe_share_entry *entry = &row->entries[i];
-      char inc[SNIPE_INC_TEXT];
-
-      snipe_inc_format (inc, entry->incarnation);
-      if (entry->held > 0
-          && json_object_set_new (held, inc, json_integer (entry->held)) != 0)
-        goto on_error;
-      if (entry->want > 0
-          && json_object_set_new (want, inc, json_integer (entry->want)) != 0)
-        goto on_error;
-    }
-  return json_pack ("{s:o, s:o}", "held", held, "want", want);
-on_error:
-  json_decref (held);
-  json_decref (want);
-  return NULL;
-}
-
 static void
 free_demands (struct snipe_team_demand *list, uint32_t count)
 {
@@ -342,7 +268,8 @@
     if (team == NULL)
       continue;
     team->valid
-        = parse_row (&team->row, json_object_get (row, "value")) == SNIPE_OK;
+        = snipe_quota_row_parse (&team->row, json_object_get (row, "value"))
+          == SNIPE_OK;
     if (!team->valid)
       g_warning ("row %s is malformed: %s", key, snipe_status_last ());
     confirm_row (team, (uint64_t)version, self);
@@ -469,7 +396,8 @@
       key = g_strconcat ("quota/", changes[i].team->team.data, NULL);
       rc = snipe_txn_if (txn, key, changes[i].team->version);
       if (rc == SNIPE_OK)
-        rc = snipe_txn_put (txn, key, format_row (&changes[i].row));
+        rc = snipe_txn_put (txn, key,
+                            snipe_quota_row_format (&changes[i].row));
       g_free (key);
     }
   return rc;
@@ -585,75 +513,3 @@
   free_demands (demands, count);
   return rc;
 }
-
-/* Adds the removal of this host's shares of all rows to @p txn. */
-static int
-release_rows (struct snipe_platform *p, struct snipe_txn *txn, json_t *rows)
-{
-  int rc = SNIPE_OK;
-  size_t i;
-  json_t *row;
-
-  json_array_foreach (rows, i, row)
-  {
-    const char *key = json_string_value (json_object_get (row, "key"));
-    json_int_t version = json_integer_value (json_object_get (row, "version"));
-    json_t *value = json_object_get (row, "value");
-    /* Rows are never deleted, as version 0 would make a late write of
-     * another host, conditional on absence, take effect. */
-    int held = json_object_del (json_object_get (value, "held"), p->inc);
-    int want = json_object_del (json_object_get (value, "want"), p->inc);
-
-    if (rc != SNIPE_OK || key == NULL || (held != 0 && want != 0))
-      continue;
-    rc = snipe_txn_if (txn, key, (uint64_t)version);
-    if (rc == SNIPE_OK)
-      rc = snipe_txn_put (txn, key, json_incref (value));
-  }
-  return rc;
-}
-
-static int
-release_once (struct snipe_platform *p, struct snipe_http *http,
-              snipe_time deadline)
-{
-  struct snipe_txn txn;
-  json_t *rows = NULL;
-  int rc = snipe_txn_init (&txn);
-
-  if (rc == SNIPE_OK)
-    rc = snipe_range_read (
-        &rows, http, "quota/", 0,
-        MIN (p->options.timeout, deadline - snipe_clock_now ()));
-  if (rc == SNIPE_OK)
-    rc = release_rows (p, &txn, rows);
-  if (rc == SNIPE_OK)
-    rc = snipe_txn_delete (&txn, p->entry_key);
-  if (rc == SNIPE_OK)
-    rc = snipe_txn_delete (&txn, p->lease_key);
-  if (rc == SNIPE_OK)
-    rc = snipe_txn_run (
-        NULL, NULL, &txn, http,
-        MIN (p->options.timeout, deadline - snipe_clock_now ()));
-  json_decref (rows);
-  snipe_txn_clear (&txn);
-  return rc;
-}
-
-int
-snipe_quota_release (struct snipe_platform *platform, struct snipe_http *http,
-                     snipe_time deadline)
-{
-  int rc;
-
-  /* A conflict or a lost reply is settled by reading again: what has been
-   * released already is not there any more. */
-  for (;;)
-    {
-      rc = release_once (platform, http, deadline);
-      if (rc == SNIPE_OK || rc == SNIPE_E_UNREACHABLE || rc == SNIPE_E_NOMEM
-          || snipe_clock_now () >= deadline)
-        return rc;
-      g_usleep (RELEASE_PAUSE);
-    }
-}
--- /dev/null
+++ b/src/platform/quota_row.c
@@ -0,0 +1,74 @@
+#include "platform/internal.h"
+#include "snipe/status.h"
+
+/* Adds the numbers of one object of a row, "held" or "want". */
+static int
+parse_part (struct snipe_share_row *row, const json_t *part, bool held)
+{
+  const char *key;
+  json_t *number;
+  int rc = SNIPE_OK;
+
+  json_object_foreach ((json_t *)part, key, number)
+  {
+    json_int_t value = json_integer_value (number);
+    struct snipe_share_entry entry = { .held = 0 };
+
+    if (rc != SNIPE_OK)
+      continue;
+    rc = snipe_inc_parse (&entry.incarnation, key);
+    if (rc == SNIPE_OK
+        && (!json_is_integer (number) || value < 0 || value > UINT32_MAX))
+      rc = snipe_status_set (SNIPE_E_INVALID, "quota row holds no number");
+    for (uint32_t i = 0; i < row->count; i++)
+      if (row->entries[i].incarnation == entry.incarnation)
+        entry = row->entries[i];
+    if (held)
+      entry.held = (uint32_t)value;
+    else
+      entry.want = (uint32_t)value;
+    if (rc == SNIPE_OK)
+      rc = snipe_share_row_set (row, &entry);
+  }
+  return rc;
+}
+
+int
+snipe_quota_row_parse (struct snipe_share_row *row, const json_t *value)
+{
+  int rc;
+
+  row->count = 0;
+  if (!json_is_object (value))
+    return snipe_status_set (SNIPE_E_INVALID, "quota row is no object");
+  rc = parse_part (row, json_object_get (value, "held"), true);
+  if (rc == SNIPE_OK)
+    rc = parse_part (row, json_object_get (value, "want"), false);
+  return rc;
+}
+
+json_t *
+snipe_quota_row_format (const struct snipe_share_row *row)
+{
+  json_t *held = json_object ();
+  json_t *want = json_object ();
+
+  for (uint32_t i = 0; i < row->count; i++)
+    {
+      const struct snipe_share_entry *entry = &row->entries[i];
+      char inc[SNIPE_INC_TEXT];
+
+      snipe_inc_format (inc, entry->incarnation);
+      if (entry->held > 0
+          && json_object_set_new (held, inc, json_integer (entry->held)) != 0)
+        goto on_error;
+      if (entry->want > 0
+          && json_object_set_new (want, inc, json_integer (entry->want)) != 0)
+        goto on_error;
+    }
+  return json_pack ("{s:o, s:o}", "held", held, "want", want);
+on_error:
+  json_decref (held);
+  json_decref (want);
+  return NULL;
+}
--- /dev/null
+++ b/src/platform/release.c
@@ -0,0 +1,77 @@
+#include "platform/internal.h"
+#include "snipe/status.h"
+
+/* Between two attempts to release everything. */
+#define RELEASE_PAUSE (20 * SNIPE_MS)
+
+/* Adds the removal of this host's shares of all rows to @p txn. */
+static int
+release_rows (struct snipe_platform *p, struct snipe_txn *txn, json_t *rows)
+{
+  int rc = SNIPE_OK;
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (rows, i, row)
+  {
+    const char *key = json_string_value (json_object_get (row, "key"));
+    json_int_t version = json_integer_value (json_object_get (row, "version"));
+    json_t *value = json_object_get (row, "value");
+    /* Rows are never deleted, as version 0 would make a late write of
+     * another host, conditional on absence, take effect. */
+    int held = json_object_del (json_object_get (value, "held"), p->inc);
+    int want = json_object_del (json_object_get (value, "want"), p->inc);
+
+    if (rc != SNIPE_OK || key == NULL || (held != 0 && want != 0))
+      continue;
+    rc = snipe_txn_if (txn, key, (uint64_t)version);
+    if (rc == SNIPE_OK)
+      rc = snipe_txn_put (txn, key, json_incref (value));
+  }
+  return rc;
+}
+
+static int
+release_once (struct snipe_platform *p, struct snipe_http *http,
+              snipe_time deadline)
+{
+  struct snipe_txn txn;
+  json_t *rows = NULL;
+  int rc = snipe_txn_init (&txn);
+
+  if (rc == SNIPE_OK)
+    rc = snipe_range_read (
+        &rows, http, "quota/", 0,
+        MIN (p->options.timeout, deadline - snipe_clock_now ()));
+  if (rc == SNIPE_OK)
+    rc = release_rows (p, &txn, rows);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_delete (&txn, p->entry_key);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_delete (&txn, p->lease_key);
+  if (rc == SNIPE_OK)
+    rc = snipe_txn_run (
+        NULL, NULL, &txn, http,
+        MIN (p->options.timeout, deadline - snipe_clock_now ()));
+  json_decref (rows);
+  snipe_txn_clear (&txn);
+  return rc;
+}
+
+int
+snipe_quota_release (struct snipe_platform *platform, struct snipe_http *http,
+                     snipe_time deadline)
+{
+  int rc;
+
+  /* A conflict or a lost reply is settled by reading again: what has been
+   * released already is not there any more. */
+  for (;;)
+    {
+      rc = release_once (platform, http, deadline);
+      if (rc == SNIPE_OK || rc == SNIPE_E_UNREACHABLE || rc == SNIPE_E_NOMEM
+          || snipe_clock_now () >= deadline)
+        return rc;
+      g_usleep (RELEASE_PAUSE);
+    }
+}
