Give the peer tests the address that a load carries

Cause: test_net hung for 300 s on main: peer_load gained the sender's address there, the test's loads had none, so the calls were refused when encoded and the test waited for ends that a refused call does not have. Ruled out: the transport (every call in the trace was refused before it was queued). Measured: test_net before: time-out after 300 s; after: passes.

--- a/tests/peer/test_net.c
+++ b/tests/peer/test_net.c
@@ -82,6 +82,7 @@
   memset (load, 0, sizeof *load);
   load->incarnation = 0xfedcba9876543210U;
   load->name = copy_text (name);
+  load->address = copy_text ("127.0.0.1:7071");
   load->domain = copy_text ("enna");
   load->state = PEER_LEAVING;
   load->rules_version = 77;
