--- a/tests/run.sh
+++ b/tests/run.sh
@@ -6,7 +6,7 @@
 tools/install-packages.sh
 preset=${SNIPE_PRESET:-default}
 cmake --preset "$preset" >/dev/null
-cmake --build --preset "$preset" -- --no-print-directory -s
+cmake --build --preset "$preset" -- --no-print-directory -s >/dev/null
 red=""
 if [ -f KNOWN-RED.txt ]; then
   red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | sort -u | paste -sd'|' -)
