--- a/tests/peer/test_net.c
+++ b/tests/peer/test_net.c
@@ -69,9 +69,13 @@
 static bool
 is_big (const char *data, uint32_t len)
 {
-  char *expected = big_bytes ();
-  bool same = len == BIG_BODY && memcmp (data, expected, BIG_BODY) == 0;
+  char *expected;
+  bool same;
 
+  if (len != BIG_BODY)
+    return false;
+  expected = big_bytes ();
+  same = memcmp (data, expected, BIG_BODY) == 0;
   free (expected);
   return same;
 }
