Name the rule of refusals and of expired waits

The gauge of running tasks was never set, and a counter of quota waits never counted: the first is set, the second removed.

--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -45,8 +45,6 @@
   X (CLAIMS, "claims_total", "counter", "Ids claimed in the table")           \
   X (CLAIM_TXNS, "claim_transactions_total", "counter",                       \
      "Transactions that carried claims")                                      \
-  X (QUOTA_WAITS, "quota_waits_total", "counter",                             \
-     "Times a task had to wait for a share of its quota")                     \
   X (RULES_VERSION, "rules_version", "gauge", "Version of rules in force")    \
   X (TASKS_QUEUED, "tasks_queued", "gauge", "Tasks waiting")                  \
   X (TASKS_RUNNING, "tasks_running", "gauge", "Tasks running at endpoints")   \
--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -188,6 +188,9 @@
   bool late = now >= run->deadline;
   bool ran = run->tasks[task].repeats > 0;
 
+  decision_record (engine, run->job, task_index (run, task), "expire",
+                   late ? "deadline" : snipe_reason_name (SNIPE_REASON_WAITED),
+                   "", late ? 0 : run->queue_line, run->rules);
   if (run_task_ended (engine, run, task, ran ? TASK_UNKNOWN : TASK_NOT_RUN,
                       late ? SNIPE_E_DEADLINE : SNIPE_E_OVERLOAD,
                       late ? "the job's deadline passed while tasks waited"
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -135,15 +135,24 @@
   return &events;
 }
 
+static void
+add_running (void *ctx, const struct snipe_endpoint_status *status)
+{
+  *(uint32_t *)ctx += status->running;
+}
+
 static void
 update_gauges (struct snipe_engine *engine, snipe_time now)
 {
   struct snipe_peer_load load;
+  uint32_t running = 0;
 
   pthread_mutex_lock (&engine->sched_lock);
   snipe_sched_load (engine->sched, now, &load);
+  snipe_sched_endpoint_each (engine->sched, add_running, &running);
   pthread_mutex_unlock (&engine->sched_lock);
   snipe_counter_set (SNIPE_C_TASKS_QUEUED, load.queued);
+  snipe_counter_set (SNIPE_C_TASKS_RUNNING, running);
 }
 
 static void *
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -82,6 +82,7 @@
   uint32_t open; /**< tasks that have not ended */
   int code;      /**< first failure, or 0 */
   char message[160];
+  uint32_t queue_line; /**< queue rule that bounds its wait, 0 if none */
   snipe_time deadline;
 };
 
--- a/src/engine/run.c
+++ b/src/engine/run.c
@@ -143,7 +143,7 @@
 
 /** Checks the team's queue rule. @return its wait limit in @p wait. */
 static int
-check_queue (struct snipe_engine *engine, const struct run *run, uint32_t team,
+check_queue (struct snipe_engine *engine, struct run *run, uint32_t team,
              snipe_time *wait)
 {
   const struct snipe_rule *queue
@@ -153,6 +153,7 @@
 
   if (queue == NULL)
     return SNIPE_OK;
+  run->queue_line = queue->line;
   snipe_sched_team_use (engine->sched, team, &running, &queued);
   if (queued + run->spec->task_count > queue->u.queue.max)
     return snipe_status_set (
@@ -211,7 +212,8 @@
 
   g_strlcpy (message, snipe_status_last (), sizeof message);
   decision_record (engine, sub->id.text, 0, "refuse", snipe_status_name (code),
-                   "", 0, run == NULL ? NULL : run->rules);
+                   "", code == SNIPE_E_OVERLOAD ? run->queue_line : 0,
+                   run->rules);
   answer_failed (&answer, sub->id.text, SNIPE_OUTCOME_NOT_RUN, code, message);
   submission_finish (engine, sub, SNIPE_OUTCOME_NOT_RUN, code, &answer);
   run_free (engine, run);
