--- /dev/null
+++ b/tools/bench-daemon.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Processor time per no-op task of one entry daemon, beside that of bare
+# libcurl clients posting to the same endpoints in the same run, and the
+# daemon's memory per waiting task. Usage: bench-daemon.sh [TASKS_PER_JOB]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. tests/faults/cluster.sh
+bin=${SNIPE_BUILD:-build}
+tasks=${1:-48}
+export SNIPE_HOSTS=1 SNIPE_DOMAINS=perth-east SNIPE_ENDPOINTS=8
+export SNIPE_SPEED_MIN=1 SNIPE_SPEED_MAX=1
+export SNIPE_RULES='allow team=load kind=* domain=*  # asked by the benchmark'
+export SNIPE_DAEMON_FLAGS=${SNIPE_DAEMON_FLAGS:---log-level warning}
+dir=$(mktemp -d)
+trap 'cluster_stop; rm -rf "$dir"' EXIT
+cluster_start "$bin" "$dir"
+pid=${SNIPE_TEST_HOSTS##*,}
+hz=$(getconf CLK_TCK)
+
+cpu_us() { # processor time of the daemon so far, microseconds
+  awk -v hz="$hz" '{ print int (($14 + $15) * 1000000 / hz) }' "/proc/$pid/stat"
+}
+rss_kb() { awk '/VmRSS/ { print $2 }' "/proc/$pid/status"; }
+metric() {
+  curl -sf "http://$SNIPE_TEST_HTTP/metrics" \
+    | awk -v name="snipelb_$1" '$1 == name { print $2 }'
+}
+
+addresses=$(curl -sf "http://$SNIPE_TEST_ENDPOINTS/control/counts" \
+  | jq -r '[.endpoints[].address] | join(",")')
+echo "== bare libcurl clients and the endpoint client, no daemon"
+"$bin/bench-path" --address "$addresses" --rounds 3 --count 20000
+
+echo "== through one daemon, $tasks tasks a job"
+for rate in 5000 10000 20000 30000; do
+  jobs=$((rate * 4 / tasks))
+  c0=$(cpu_us) s0=$(metric task_starts_total)
+  "$bin/snipe-load" --hosts "$SNIPE_TEST_HTTP" --jobs "$jobs" \
+    --rate $((rate / tasks)) --tasks-min "$tasks" --tasks-max "$tasks" \
+    --ms-min 0.001 --ms-max 0.001 --slots-total 64 >"$dir/load.txt"
+  c1=$(cpu_us) s1=$(metric task_starts_total)
+  awk -v c=$((c1 - c0)) -v n=$((s1 - s0)) -v rate=$rate \
+    'BEGIN { printf "asked %d starts/s: %d starts, %.1f us of processor time each\n", rate, n, c / n }'
+  grep -E '^(response_ms|run|jobs) ' "$dir/load.txt"
+done
+echo "resident memory: $(rss_kb) KB"
