Give idle hosts a slice of each quota, and needs a round soon

A team's first task at a host waited for the next quota round (up to 2 s and a write), as a host asked for a share only on demand.

An idle host now takes an equal slice while it is free and no other host is short of slots. When the list of hosts names no entry host, the entry rows that are not leaving are counted; before, the slice was the whole limit. A job that exceeds its team's share wakes the watch thread, which makes one more quota round, at most one a second and not before the next write is allowed; while tasks wait, each poll has a round, not every other.

Ruled out: a round at once for each need, whose reads would grow with the rate of jobs; and running it before the next write is allowed, which would read and then do nothing (a test caught this: the need was lost).

--- a/include/snipe/share.h
+++ b/include/snipe/share.h
@@ -41,8 +41,9 @@
 };
 
 /**
- * Works out this host's next row: takes free slots it needs, gives back what
- * it does not use when others want it, drops lapsed holders. When the limit
+ * Works out this host's next row: takes free slots it needs, or an equal
+ * slice while nobody is short, gives back what it does not use when others
+ * want it, drops lapsed holders. When the limit
  * shrank, holders give back as their tasks end; nobody takes until the sum
  * is under the new limit.
  * @param use the share this host aims at. It is under the share in the row
--- a/src/decide/share.c
+++ b/src/decide/share.c
@@ -129,6 +129,10 @@
   /* Keeping an equal slice, and a quarter over the need, spares a write for
    * each small change of demand. */
   wish = max_u64 ((uint64_t)need + need / 4, slice);
+  /* An idle host takes its slice while nobody is short, so that the first
+   * task of a team does not wait for a round. */
+  if (missing == 0 && held < slice)
+    return min_u32 (held + available, slice);
   return min_u32 (held, wish);
 }
 
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -388,6 +388,10 @@
                         uint32_t *count);
 void engine_on_shares (void *ctx, const struct snipe_team_share *list,
                        uint32_t count, snipe_time valid_until);
+/** @return the share of a team's quota that this host holds, 0 if it never
+ * got one; with the lock. */
+uint32_t engine_share_of (struct snipe_engine *engine,
+                          const struct snipe_str *team);
 /** Stops limited teams when their shares have lapsed; with the lock. */
 void engine_check_shares (struct snipe_engine *engine, snipe_time now);
 
--- a/src/engine/rules_in_force.c
+++ b/src/engine/rules_in_force.c
@@ -9,9 +9,8 @@
 /* Rule sets kept so that past decisions can be explained. */
 #define HISTORY_MAX 64
 
-/** Share of a team's quota that this host holds, 0 if it never got one. */
-static uint32_t
-share_of (struct snipe_engine *engine, const struct snipe_str *team)
+uint32_t
+engine_share_of (struct snipe_engine *engine, const struct snipe_str *team)
 {
   gpointer share;
 
@@ -53,7 +52,7 @@
           break;
         case SNIPE_RULE_LIMIT:
           snipe_sched_team_share (engine->sched, team,
-                                  share_of (engine, &lines[i].team));
+                                  engine_share_of (engine, &lines[i].team));
           break;
         case SNIPE_RULE_ALLOW:
         case SNIPE_RULE_QUEUE:
@@ -156,7 +155,7 @@
     if (lines[i].kind == SNIPE_RULE_LIMIT)
       snipe_sched_team_share (engine->sched,
                               snipe_sched_team (engine->sched, &lines[i].team),
-                              share_of (engine, &lines[i].team));
+                              engine_share_of (engine, &lines[i].team));
 }
 
 void
--- a/src/engine/run.c
+++ b/src/engine/run.c
@@ -202,6 +202,21 @@
   return status;
 }
 
+/** @return whether a team has more tasks than its share here admits; with the
+ * lock. */
+static bool
+exceeds_share (struct snipe_engine *engine, const struct snipe_str *team)
+{
+  uint32_t running;
+  uint32_t queued;
+
+  if (engine->rules == NULL || snipe_rules_limit (engine->rules, team) == NULL)
+    return false;
+  snipe_sched_team_use (engine->sched, snipe_sched_team (engine->sched, team),
+                        &running, &queued);
+  return running + queued > engine_share_of (engine, team);
+}
+
 static void
 refuse (struct snipe_engine *engine, struct submission *sub, struct run *run,
         int code)
@@ -223,7 +238,9 @@
 {
   struct shard *shard = engine_shard (engine, sub->id.text);
   struct run *run = calloc (1, sizeof *run);
+  struct snipe_platform *platform = engine_platform (engine);
   bool cancelled;
+  bool wants_quota = false;
   int status;
 
   if (run == NULL)
@@ -251,6 +268,7 @@
     {
       sub->state = SUBMISSION_RUNNING;
       sub->run = run;
+      wants_quota = exceeds_share (engine, &run->spec->team);
     }
   pthread_mutex_unlock (&engine->sched_lock);
   pthread_mutex_unlock (&shard->lock);
@@ -260,6 +278,8 @@
       return;
     }
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
+  if (wants_quota && platform != NULL)
+    snipe_platform_quota_wanted (platform);
   if (cancelled)
     run_cancel (engine, sub, now);
   else
--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -132,7 +132,9 @@
   bool stop;
   bool leaving;
   bool gone;
-  GQueue claims; /**< struct snipe_claim */
+  bool quota_wanted;           /**< tasks wait for a share */
+  snipe_time quota_asked_next; /**< earliest next round that they ask for */
+  GQueue claims;               /**< struct snipe_claim */
 
   struct snipe_http claim_http; /**< of the claim thread */
   pthread_t claim_thread;
@@ -161,6 +163,7 @@
   snipe_time valid_until; /**< 0 before the first renewal */
   snipe_time quota_next;  /**< earliest next round that may write */
   snipe_time sweep_next;
+  bool quota_short;   /**< tasks waited for a share in the last round */
   GHashTable *leases; /**< incarnation (uint64_t *) -> snipe_lease_seen */
   GHashTable *swept;  /**< the same as leases, as the sweeper saw them */
   GHashTable *quotas; /**< team (char *) -> struct snipe_quota_team */
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -116,6 +116,10 @@
 int snipe_platform_object_list (char ***out, struct snipe_platform *platform,
                                 const char *prefix);
 
+/** Tells the watch thread that tasks wait for a share of their quota. It
+ * looks at the quotas soon, but at most once a second. Does not block. */
+void snipe_platform_quota_wanted (struct snipe_platform *platform);
+
 /** Marks this host's row as leaving (first call), or gives back its shares
  * and deletes its row and lease (@p gone). Blocking, bounded by two
  * timeouts. */
--- a/src/platform/quota.c
+++ b/src/platform/quota.c
@@ -476,6 +476,23 @@
   return rc;
 }
 
+/* @return whether a team has tasks that wait for more than its share. */
+static bool
+is_short (const struct snipe_platform *p, const struct snipe_team_demand *list,
+          uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct snipe_quota_team *team
+          = g_hash_table_lookup (p->quotas, snipe_str_c (&list[i].team));
+
+      if (team != NULL && list[i].queued > 0
+          && list[i].running >= usable (team))
+        return true;
+    }
+  return false;
+}
+
 int
 snipe_quota_round (struct snipe_platform *platform)
 {
@@ -510,6 +527,7 @@
           announce (platform);
         }
     }
+  platform->quota_short = is_short (platform, demands, count);
   free_demands (demands, count);
   return rc;
 }
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -7,6 +7,9 @@
 /* After this many failures a round ends, so that a slow platform delays the
  * next renewal and the next look at the rules by a bounded time. */
 #define ROUND_FAILURES_MAX 2
+/* Between two rounds of quotas that waiting tasks ask for; also the most that
+ * each adds to the reads of this host. */
+#define ASKED_INTERVAL SNIPE_S
 
 static const char *
 field (const json_t *object, const char *name)
@@ -195,6 +198,20 @@
   return rc;
 }
 
+static bool
+lists_entries (const json_t *hosts)
+{
+  size_t i;
+  json_t *host;
+
+  json_array_foreach (hosts, i, host)
+  {
+    if (strcmp (field (host, "role"), "entry") == 0)
+      return true;
+  }
+  return false;
+}
+
 static bool
 is_listed (const json_t *hosts, const char *name)
 {
@@ -249,6 +266,9 @@
       = calloc (json_array_size (p->entries) + 1, sizeof *list);
   uint32_t count = 0;
   uint32_t live = 0;
+  /* A list that names no entry host says nothing about them; the shares
+   * would otherwise be sized as if this host were alone. */
+  bool by_list = lists_entries (p->hosts);
   int rc = SNIPE_OK;
   size_t i;
   json_t *row;
@@ -263,7 +283,7 @@
       continue;
     rc = parse_entry (&list[count], p->hosts, incarnation,
                       json_object_get (row, "value"));
-    live += list[count].listed && !list[count].leaving ? 1 : 0;
+    live += (list[count].listed || !by_list) && !list[count].leaving ? 1 : 0;
     count++;
   }
   if (rc == SNIPE_OK)
@@ -354,7 +374,8 @@
       p->hosts_changed = p->hosts_changed && rc != SNIPE_OK;
       return rc;
     case STEP_QUOTA:
-      return p->polls % 2 == 0 ? snipe_quota_round (p) : SNIPE_OK;
+      return p->polls % 2 == 0 || p->quota_short ? snipe_quota_round (p)
+                                                 : SNIPE_OK;
     case STEP_SWEEP:
       return snipe_sweep (p, now, snipe_clock_wall_ms ());
     default:
@@ -381,6 +402,48 @@
   p->failing = failures > 0;
 }
 
+void
+snipe_platform_quota_wanted (struct snipe_platform *platform)
+{
+  pthread_mutex_lock (&platform->lock);
+  if (!platform->quota_wanted)
+    {
+      platform->quota_wanted = true;
+      pthread_cond_broadcast (&platform->watch_wake);
+    }
+  pthread_mutex_unlock (&platform->lock);
+}
+
+/* Sleeps until @p next, with the lock; a round of quotas that is asked for
+ * runs in between, as soon as the last one is long enough ago. */
+static void
+wait_for_round (struct snipe_platform *p, snipe_time next)
+{
+  snipe_time now;
+
+  while (!p->stop && (now = snipe_clock_now ()) < next)
+    {
+      snipe_time until = next;
+
+      if (p->quota_wanted)
+        until = MIN (until, MAX (p->quota_asked_next, p->quota_next));
+      if (now < until)
+        {
+          snipe_platform_wait (p, &p->watch_wake, until - now);
+          continue;
+        }
+      p->quota_wanted = false;
+      p->quota_asked_next = now + ASKED_INTERVAL;
+      pthread_mutex_unlock (&p->lock);
+      pthread_mutex_lock (&p->round_lock);
+      /* A failure is reported by the next whole round, if it lasts. */
+      if (!snipe_platform_stopping (p))
+        snipe_quota_round (p);
+      pthread_mutex_unlock (&p->round_lock);
+      pthread_mutex_lock (&p->lock);
+    }
+}
+
 void *
 snipe_watch_main (void *arg)
 {
@@ -390,7 +453,6 @@
   while (!p->stop)
     {
       snipe_time next = snipe_clock_now () + p->options.poll;
-      snipe_time now;
 
       pthread_mutex_unlock (&p->lock);
       pthread_mutex_lock (&p->round_lock);
@@ -398,8 +460,7 @@
       p->polls++;
       pthread_mutex_unlock (&p->round_lock);
       pthread_mutex_lock (&p->lock);
-      while (!p->stop && (now = snipe_clock_now ()) < next)
-        snipe_platform_wait (p, &p->watch_wake, next - now);
+      wait_for_round (p, next);
     }
   pthread_mutex_unlock (&p->lock);
   return NULL;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -686,6 +686,41 @@
     }
 }
 
+/* Guards against a first task that waits for a periodic round, against shares
+ * sized as if this host were alone when the list names no entry host, and
+ * against a need that is looked at only every other poll. */
+static void
+test_wanted (void)
+{
+  struct snipe_platform_options options = SNIPE_PLATFORM_OPTIONS_INIT;
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake.on_put = on_put;
+  fake.ctx = &rec;
+  fake_put (&fake, "entry/" OTHER_TEXT, json_pack ("{s:s}", "name", "other"));
+  rec_demand (&rec, 0, 0);
+  options.url = fake.url;
+  options.host = "entry-1";
+  /* So long that the need below is served by a round of its own. */
+  options.poll = 2 * PATIENCE_S * SNIPE_S;
+  options.self.incarnation = SELF;
+  options.events = &events;
+  options.ctx = &rec;
+  CU_ASSERT_EQUAL_FATAL (snipe_platform_new (&platform, &options), SNIPE_OK);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) == 10);
+  CU_ASSERT_EQUAL (table_held (&fake), 10);
+  rec_demand (&rec, 0, 15);
+  snipe_platform_quota_wanted (platform);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) == 15);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
 /* Guards against giving away slots of tasks that started between the look at
  * the demands and the announcement of the lower share. */
 static void
@@ -1010,6 +1045,7 @@
     { "two hosts claim the same ids", test_claim_race },
     { "rules, lists and own row", test_watch },
     { "shares under faults", test_quota_faults },
+    { "slices and needs between rounds", test_wanted },
     { "starts while a share shrinks", test_late_start },
     { "leases by table", test_lease },
     { "share of a dead host", test_lapse },
