Poll the platform incrementally and count the bytes

At the target in two years this is far over the 5 KB/s of control traffic that a host may cause.

Entry and lease rows, which are deleted, are read whole every 30 polls. All is read whole at start, after a failed read, after a lapsed lease, and quota rows also when a rule names a new team, whose row may not have changed since.

A lease that a read of changes leaves out counts as not renewed. If it was deleted instead, the next whole read shows it; a share is taken back only after lease and longest task, counted as before.

Ruled out: reading one row of rules with a condition, which the table does not offer; and deriving the bytes from curl_easy_getinfo (), which leaves open whether a short body is part of the request.

--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -40,6 +40,8 @@
      "Reads sent to the platform")                                            \
   X (STORE_WRITES, "store_writes_total", "counter",                           \
      "Writes sent to the platform")                                           \
+  X (STORE_BYTES, "store_bytes_total", "counter",                             \
+     "Bytes of HTTP exchanged with the platform, both directions")            \
   X (STORE_FAILURES, "store_failures_total", "counter",                       \
      "Calls to the platform that failed")                                     \
   X (CLAIMS, "claims_total", "counter", "Ids claimed in the table")           \
--- a/src/platform/http.c
+++ b/src/platform/http.c
@@ -33,6 +33,29 @@
   return len;
 }
 
+/* Counts what goes over the connection, headers included; the sizes that
+ * curl_easy_getinfo () gives leave it open whether a short body is part of
+ * the request's size. */
+static int
+on_trace (CURL *easy, curl_infotype type, char *data, size_t size, void *ctx)
+{
+  (void)easy;
+  (void)data;
+  (void)ctx;
+  switch (type)
+    {
+    case CURLINFO_HEADER_IN:
+    case CURLINFO_HEADER_OUT:
+    case CURLINFO_DATA_IN:
+    case CURLINFO_DATA_OUT:
+      snipe_counter_add (SNIPE_C_STORE_BYTES, size);
+      break;
+    default:
+      break;
+    }
+  return 0;
+}
+
 /* libcurl repeats a request on a fresh connection when a kept one closes
  * before the reply; a repeated conditional write would conflict with its own
  * effect, so only one request may be written for each call. */
@@ -87,7 +110,7 @@
 static void
 set_options (struct snipe_http *http,
              const struct snipe_platform_http_call *call, const char *url,
-             struct sink *sink)
+             struct curl_slist *headers, struct sink *sink)
 {
   CURL *easy = http->easy;
   long timeout_ms = (long)(call->timeout / SNIPE_MS);
@@ -99,9 +122,11 @@
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
                     timeout_ms > 0 ? timeout_ms : 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, http->headers);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, sink);
+  curl_easy_setopt (easy, CURLOPT_DEBUGFUNCTION, on_trace);
+  curl_easy_setopt (easy, CURLOPT_VERBOSE, 1L);
   if (strcmp (call->method, "GET") != 0)
     {
       curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_request);
@@ -114,15 +139,50 @@
     }
 }
 
+/* Headers of a conditional request; NULL without memory. */
+static struct curl_slist *
+conditional (const struct snipe_http *http, const char *etag)
+{
+  char *line = g_strdup_printf ("If-None-Match: %s", etag);
+  struct curl_slist *list = curl_slist_append (NULL, line);
+
+  g_free (line);
+  for (const struct curl_slist *item = http->headers;
+       item != NULL && list != NULL; item = item->next)
+    {
+      struct curl_slist *more = curl_slist_append (list, item->data);
+
+      if (more == NULL)
+        curl_slist_free_all (list);
+      list = more;
+    }
+  return list;
+}
+
+static void
+keep_etag (struct snipe_http *http)
+{
+  struct curl_header *header;
+
+  http->etag[0] = '\0';
+  if (curl_easy_header (http->easy, "ETag", 0, CURLH_HEADER, -1, &header)
+          == CURLHE_OK
+      && strlen (header->value) < sizeof http->etag)
+    g_strlcpy (http->etag, header->value, sizeof http->etag);
+}
+
 static int
 perform (struct snipe_http *http, const struct snipe_platform_http_call *call,
          struct sink *sink)
 {
   char *url = g_strconcat (http->url, call->path, NULL);
+  struct curl_slist *extra
+      = call->etag == NULL ? NULL : conditional (http, call->etag);
   CURLcode code;
   int rc = SNIPE_OK;
 
-  set_options (http, call, url, sink);
+  /* Without memory for the condition the whole reply is read. */
+  set_options (http, call, url, extra != NULL ? extra : http->headers, sink);
   code = curl_easy_perform (http->easy);
   /* The partition began while the call was under way. */
   if (snipe_refuse_match (refuse_name))
@@ -145,7 +205,9 @@
       if (http->status < 200 || http->status >= 500)
         rc = snipe_status_set (SNIPE_E_PLATFORM, "%s %s: status %ld",
                                call->method, url, http->status);
+      keep_etag (http);
     }
+  curl_slist_free_all (extra);
   g_free (url);
   return rc;
 }
@@ -190,7 +252,8 @@
   int rc = snipe_platform_http_call (http, call);
 
   *out = NULL;
-  if (rc != SNIPE_OK || http->status == 404)
+  if (rc != SNIPE_OK || http->status == 404
+      || (http->status == 304 && call->etag != NULL))
     return rc;
   if (http->status != 200 && http->status != 409)
     return snipe_status_set (SNIPE_E_PLATFORM, "%s %s: status %ld",
--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -15,6 +15,10 @@
 
 #define SNIPE_INC_TEXT 17 /**< 16 hex digits and NUL */
 #define SNIPE_CLAIM_BATCH 500
+#define SNIPE_ETAG_BYTES 80
+/** Rows of hosts are read whole each so many polls, which shows deleted ones;
+ * between them only what changed. */
+#define SNIPE_WHOLE_POLLS 30
 
 /** One HTTP call. */
 struct snipe_platform_http_call
@@ -22,6 +26,7 @@
   const char *method; /**< "GET", "POST", "PUT" */
   const char *path;   /**< with query, starts with "/" */
   const char *body;   /**< NULL: none */
+  const char *etag;   /**< of the copy at hand, for If-None-Match, or NULL */
   size_t body_len;
   snipe_time timeout;
 };
@@ -34,7 +39,8 @@
   const char *url;
   bool sent; /**< the request of this call was already written once */
   struct snipe_str reply;
-  long status; /**< HTTP status of the last call */
+  long status;                 /**< HTTP status of the last call */
+  char etag[SNIPE_ETAG_BYTES]; /**< of the last reply, "" without one */
 };
 
 int snipe_platform_http_init (struct snipe_http *http, const char *url,
@@ -49,7 +55,7 @@
                               const struct snipe_platform_http_call *call);
 /** Calls, and parses a reply of status 200 or 409; others but 404 fail with
  * SNIPE_E_PLATFORM. @return 0 with a new reference in @p out (NULL for
- * 404). */
+ * 404, and for 304 if the call has an ETag). */
 int snipe_platform_http_json (json_t **out, struct snipe_http *http,
                               const struct snipe_platform_http_call *call);
 
@@ -77,10 +83,24 @@
 int snipe_txn_run (uint64_t *version, json_t **conflicts,
                    const struct snipe_txn *txn, struct snipe_http *http,
                    snipe_time timeout);
-/** Reads all rows of a prefix, or the first @p limit if that is over 0.
+/** Rows to read. */
+struct snipe_range
+{
+  const char *prefix;
+  uint32_t limit; /**< 0: all */
+  uint64_t since; /**< only rows with a higher version */
+};
+
+/** Reads rows of a prefix.
+ * @param version of the whole table at the read; may be NULL
  * @return 0 with the array of rows in @p out (new reference). */
-int snipe_range_read (json_t **out, struct snipe_http *http,
-                      const char *prefix, uint32_t limit, snipe_time timeout);
+int snipe_range_read (json_t **out, uint64_t *version, struct snipe_http *http,
+                      const struct snipe_range *range, snipe_time timeout);
+/** Reads the rows of a prefix that changed since the last read.
+ * @param since version of that read, 0 to read all; moved on, or set to 0 on
+ * failure */
+int snipe_range_follow (json_t **out, uint64_t *since, struct snipe_http *http,
+                        const char *prefix, snipe_time timeout);
 
 /** A claim that waits. */
 struct snipe_claim
@@ -149,8 +169,15 @@
   pthread_mutex_t round_lock;
   struct snipe_http watch_http;
   uint64_t rules_version;
-  json_t *hosts;   /**< last list of hosts, NULL before the first */
-  json_t *entries; /**< last entry rows, NULL before the first */
+  json_t *hosts; /**< last list of hosts, NULL before the first */
+  char hosts_etag[SNIPE_ETAG_BYTES];
+  json_t *entries; /**< last entry rows by key, NULL before the first */
+  /** Versions of the last reads, 0 if the next must read all. */
+  uint64_t entries_since;
+  uint64_t leases_since;
+  uint64_t quotas_since;
+  snipe_time leases_whole; /**< when to read all lease rows again */
+  GHashTable *lease_rows; /**< incarnation (uint64_t *) -> version, the same */
   uint32_t live_hosts;
   bool hosts_changed; /**< the entries must be reported again */
   bool failing;       /**< the last whole round had a failure */
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -188,6 +188,8 @@
   g_queue_init (&p->pool);
   p->leases
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  p->lease_rows
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   p->swept
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   p->quotas = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
@@ -228,6 +230,7 @@
   json_decref (p->hosts);
   json_decref (p->entries);
   g_hash_table_unref (p->leases);
+  g_hash_table_unref (p->lease_rows);
   g_hash_table_unref (p->swept);
   g_hash_table_unref (p->quotas);
   snipe_str_clear (&self->name);
--- a/src/platform/quota.c
+++ b/src/platform/quota.c
@@ -85,6 +85,9 @@
   GHashTableIter iter;
   gpointer item;
 
+  p->entries_since = 0;
+  p->leases_since = 0;
+  p->quotas_since = 0;
   g_hash_table_iter_init (&iter, p->quotas);
   while (g_hash_table_iter_next (&iter, NULL, &item))
     ((struct snipe_quota_team *)item)->confirmed = 0;
@@ -129,46 +132,74 @@
                              p->options.lease + p->options.task_max);
 }
 
+/* Brings lease_rows up to date. */
 static int
-read_leases (struct snipe_platform *p, GHashTable *found)
+follow_leases (struct snipe_platform *p, snipe_time sent)
 {
-  snipe_time sent = snipe_clock_now ();
-  snipe_time now;
-  bool own = false;
   json_t *rows;
   json_t *row;
   size_t i;
-  int rc = snipe_range_read (&rows, &p->watch_http, "lease/", 0,
-                             p->options.timeout);
+  bool whole;
+  int rc;
 
+  if (sent >= p->leases_whole)
+    p->leases_since = 0;
+  whole = p->leases_since == 0;
+  rc = snipe_range_follow (&rows, &p->leases_since, &p->watch_http, "lease/",
+                           p->options.timeout);
   if (rc != SNIPE_OK)
     return rc;
-  now = snipe_clock_now ();
+  if (whole)
+    {
+      g_hash_table_remove_all (p->lease_rows);
+      p->leases_whole = sent + SNIPE_WHOLE_POLLS * p->options.poll;
+    }
   json_array_foreach (rows, i, row)
   {
-    json_int_t version = json_integer_value (json_object_get (row, "version"));
+    uint64_t version
+        = (uint64_t)json_integer_value (json_object_get (row, "version"));
     uint64_t incarnation;
 
-    if (!snipe_row_incarnation (&incarnation, row, "lease/"))
-      continue;
-    own = own || incarnation == p->options.self.incarnation;
-    snipe_lease_note (p->leases, incarnation, (uint64_t)version, sent, now);
-    g_hash_table_add (found, g_memdup2 (&incarnation, sizeof incarnation));
+    if (snipe_row_incarnation (&incarnation, row, "lease/"))
+      g_hash_table_replace (p->lease_rows,
+                            g_memdup2 (&incarnation, sizeof incarnation),
+                            g_memdup2 (&version, sizeof version));
   }
   json_decref (rows);
-  if (!own)
+  return SNIPE_OK;
+}
+
+/* A lease that a read of changes leaves out has not been renewed. It may have
+ * been deleted, which the next whole read shows. */
+static int
+read_leases (struct snipe_platform *p)
+{
+  snipe_time sent = snipe_clock_now ();
+  snipe_time now;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer version;
+  int rc = follow_leases (p, sent);
+
+  if (rc != SNIPE_OK)
+    return rc;
+  now = snipe_clock_now ();
+  g_hash_table_iter_init (&iter, p->lease_rows);
+  while (g_hash_table_iter_next (&iter, &key, &version))
+    snipe_lease_note (p->leases, *(const uint64_t *)key,
+                      *(const uint64_t *)version, sent, now);
+  if (!g_hash_table_contains (p->lease_rows, &p->options.self.incarnation))
     p->lease_ok = false;
   return SNIPE_OK;
 }
 
 /* Holders without a lease row count from their first sight without one. */
 static void
-note_absent (struct snipe_platform *p, GHashTable *found,
-             const struct snipe_share_row *row, snipe_time sent,
-             snipe_time now)
+note_absent (struct snipe_platform *p, const struct snipe_share_row *row,
+             snipe_time sent, snipe_time now)
 {
   for (uint32_t i = 0; i < row->count; i++)
-    if (!g_hash_table_contains (found, &row->entries[i].incarnation))
+    if (!g_hash_table_contains (p->lease_rows, &row->entries[i].incarnation))
       snipe_lease_note (p->leases, row->entries[i].incarnation, 0, sent, now);
 }
 
@@ -219,6 +250,8 @@
           snipe_str_set_c (&team->team, name);
           team->use = list[i].limit;
           g_hash_table_insert (p->quotas, team->team.data, team);
+          /* Its row may not have changed since the last read. */
+          p->quotas_since = 0;
         }
     }
   g_hash_table_iter_init (&iter, p->quotas);
@@ -240,10 +273,32 @@
   team->confirmed = team->valid ? snipe_share_held (&team->row, self) : 0;
 }
 
+/* Takes over one row as read. @return its team, NULL if none has a limit. */
+static struct snipe_quota_team *
+read_row (struct snipe_platform *p, const json_t *row)
+{
+  const char *key = json_string_value (json_object_get (row, "key"));
+  json_int_t version = json_integer_value (json_object_get (row, "version"));
+  struct snipe_quota_team *team = NULL;
+
+  if (key != NULL && g_str_has_prefix (key, "quota/"))
+    team = g_hash_table_lookup (p->quotas, key + strlen ("quota/"));
+  if (team == NULL)
+    return NULL;
+  team->valid
+      = snipe_quota_row_parse (&team->row, json_object_get (row, "value"))
+        == SNIPE_OK;
+  if (!team->valid)
+    g_warning ("row %s is malformed: %s", key, snipe_status_last ());
+  confirm_row (team, (uint64_t)version, p->options.self.incarnation);
+  return team;
+}
+
+/* Rows are never deleted, so that one that a read of changes leaves out is as
+ * it was. */
 static int
-read_rows (struct snipe_platform *p, GHashTable *found)
+read_rows (struct snipe_platform *p)
 {
-  uint64_t self = p->options.self.incarnation;
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   snipe_time sent = snipe_clock_now ();
   snipe_time now;
@@ -252,40 +307,30 @@
   json_t *rows;
   json_t *row;
   size_t i;
-  int rc = snipe_range_read (&rows, &p->watch_http, "quota/", 0,
-                             p->options.timeout);
+  bool whole = p->quotas_since == 0;
+  int rc = snipe_range_follow (&rows, &p->quotas_since, &p->watch_http,
+                               "quota/", p->options.timeout);
 
   now = snipe_clock_now ();
   json_array_foreach (rows, i, row)
   {
-    const char *key = json_string_value (json_object_get (row, "key"));
-    json_int_t version = json_integer_value (json_object_get (row, "version"));
-    struct snipe_quota_team *team;
+    struct snipe_quota_team *team = read_row (p, row);
 
-    if (key == NULL || !g_str_has_prefix (key, "quota/"))
-      continue;
-    team = g_hash_table_lookup (p->quotas, key + strlen ("quota/"));
-    if (team == NULL)
-      continue;
-    team->valid
-        = snipe_quota_row_parse (&team->row, json_object_get (row, "value"))
-          == SNIPE_OK;
-    if (!team->valid)
-      g_warning ("row %s is malformed: %s", key, snipe_status_last ());
-    confirm_row (team, (uint64_t)version, self);
-    note_absent (p, found, &team->row, sent, now);
-    g_hash_table_add (seen, team);
+    if (team != NULL)
+      g_hash_table_add (seen, team->team.data);
   }
   g_hash_table_iter_init (&iter, p->quotas);
   while (rc == SNIPE_OK && g_hash_table_iter_next (&iter, NULL, &item))
     {
       struct snipe_quota_team *team = item;
 
-      if (g_hash_table_contains (seen, team))
-        continue;
-      team->row.count = 0;
-      team->valid = true;
-      confirm_row (team, 0, self);
+      if (whole && !g_hash_table_contains (seen, team->team.data))
+        {
+          team->row.count = 0;
+          team->valid = true;
+          confirm_row (team, 0, p->options.self.incarnation);
+        }
+      note_absent (p, &team->row, sent, now);
     }
   json_decref (rows);
   g_hash_table_unref (seen);
@@ -496,7 +541,6 @@
 int
 snipe_quota_round (struct snipe_platform *platform)
 {
-  GHashTable *found;
   struct snipe_team_demand *demands;
   uint32_t count;
   snipe_time start = snipe_clock_now ();
@@ -509,12 +553,9 @@
   sync_teams (platform, demands, count);
   if (count > 0)
     {
-      found
-          = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-      rc = read_leases (platform, found);
+      rc = read_leases (platform);
       if (rc == SNIPE_OK && !snipe_platform_stopping (platform))
-        rc = read_rows (platform, found);
-      g_hash_table_unref (found);
+        rc = read_rows (platform);
       if (rc == SNIPE_OK && !snipe_platform_stopping (platform))
         {
           g_hash_table_foreach_remove (platform->leases, lease_is_stale,
--- a/src/platform/release.c
+++ b/src/platform/release.c
@@ -41,7 +41,7 @@
 
   if (rc == SNIPE_OK)
     rc = snipe_range_read (
-        &rows, http, "quota/", 0,
+        &rows, NULL, http, &(struct snipe_range){ .prefix = "quota/" },
         MIN (p->options.timeout, deadline - snipe_clock_now ()));
   if (rc == SNIPE_OK)
     rc = release_rows (p, &txn, rows);
--- a/src/platform/sweep.c
+++ b/src/platform/sweep.c
@@ -40,7 +40,8 @@
   json_t *rows;
   json_t *row;
   size_t i;
-  int rc = snipe_range_read (&rows, &p->watch_http, "lease/", 0,
+  int rc = snipe_range_read (&rows, NULL, &p->watch_http,
+                             &(struct snipe_range){ .prefix = "lease/" },
                              p->options.timeout);
 
   now = snipe_clock_now ();
@@ -130,8 +131,10 @@
     return SNIPE_OK;
   rc = snipe_txn_init (&txn);
   if (rc == SNIPE_OK)
-    rc = snipe_range_read (&rows, &platform->watch_http, "claim/", SWEEP_ROWS,
-                           platform->options.timeout);
+    rc = snipe_range_read (
+        &rows, NULL, &platform->watch_http,
+        &(struct snipe_range){ .prefix = "claim/", .limit = SWEEP_ROWS },
+        platform->options.timeout);
   json_array_foreach (rows, i, row)
   {
     const char *key = json_string_value (json_object_get (row, "key"));
--- a/src/platform/txn.c
+++ b/src/platform/txn.c
@@ -99,30 +99,61 @@
 }
 
 int
-snipe_range_read (json_t **out, struct snipe_http *http, const char *prefix,
-                  uint32_t limit, snipe_time timeout)
+snipe_range_read (json_t **out, uint64_t *version, struct snipe_http *http,
+                  const struct snipe_range *range, snipe_time timeout)
 {
   struct snipe_platform_http_call call
       = { .method = "GET", .timeout = timeout };
-  char *path = limit == 0 ? g_strdup_printf ("/table/range?prefix=%s", prefix)
-                          : g_strdup_printf ("/table/range?prefix=%s&limit=%u",
-                                             prefix, limit);
+  GString *path = g_string_new ("/table/range?prefix=");
   json_t *reply = NULL;
+  const json_t *number;
   json_t *rows;
   int rc;
 
   *out = NULL;
-  call.path = path;
+  g_string_append (path, range->prefix);
+  if (range->since > 0)
+    g_string_append_printf (path, "&since=%" G_GUINT64_FORMAT,
+                            (guint64)range->since);
+  if (range->limit > 0)
+    g_string_append_printf (path, "&limit=%u", range->limit);
+  call.path = path->str;
   rc = snipe_platform_http_json (&reply, http, &call);
-  g_free (path);
+  g_string_free (path, TRUE);
   if (rc != SNIPE_OK)
     return rc;
   rows = json_object_get (reply, "rows");
-  if (http->status == 200 && json_is_array (rows))
-    *out = json_incref (rows);
+  number = json_object_get (reply, "version");
+  if (http->status != 200 || !json_is_array (rows)
+      || (version != NULL && !json_is_integer (number)))
+    rc = snipe_status_set (SNIPE_E_PLATFORM,
+                           "range %s: reply without rows or version",
+                           range->prefix);
   else
-    rc = snipe_status_set (SNIPE_E_PLATFORM, "range %s: reply without rows",
-                           prefix);
+    {
+      *out = json_incref (rows);
+      if (version != NULL)
+        *version = (uint64_t)json_integer_value (number);
+    }
   json_decref (reply);
   return rc;
 }
+
+int
+snipe_range_follow (json_t **out, uint64_t *since, struct snipe_http *http,
+                    const char *prefix, snipe_time timeout)
+{
+  const struct snipe_range range = { .prefix = prefix, .since = *since };
+  int rc = snipe_range_read (out, since, http, &range, timeout);
+
+  if (rc == SNIPE_OK && *since < range.since)
+    {
+      json_decref (*out);
+      *out = NULL;
+      rc = snipe_status_set (
+          SNIPE_E_PLATFORM, "range %s: the table's version went back", prefix);
+    }
+  if (rc != SNIPE_OK)
+    *since = 0;
+  return rc;
+}
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -81,36 +81,49 @@
 }
 
 static int
-step_rules (struct snipe_platform *p)
+take_rules (struct snipe_platform *p, const json_t *row)
 {
-  struct snipe_platform_http_call call = { .method = "GET",
-                                           .path = "/table/row?key=rules",
-                                           .timeout = p->options.timeout };
   struct snipe_str text = SNIPE_STR_INIT;
-  const json_t *number;
-  const json_t *value;
-  json_t *row;
-  uint64_t version;
-  int rc = snipe_platform_http_json (&row, &p->watch_http, &call);
+  const json_t *number = json_object_get (row, "version");
+  const json_t *value
+      = json_object_get (json_object_get (row, "value"), "text");
+  uint64_t version = (uint64_t)json_integer_value (number);
+  int rc;
 
-  if (rc != SNIPE_OK || row == NULL)
-    return rc;
-  number = json_object_get (row, "version");
-  value = json_object_get (json_object_get (row, "value"), "text");
-  version = (uint64_t)json_integer_value (number);
   if (!json_is_integer (number) || !json_is_string (value))
-    rc = snipe_status_set (SNIPE_E_PLATFORM, "malformed row of rules");
-  else if (version > p->rules_version)
-    rc = snipe_str_set (&text, json_string_value (value),
-                        json_string_length (value));
-  if (rc == SNIPE_OK && version > p->rules_version)
+    return snipe_status_set (SNIPE_E_PLATFORM, "malformed row of rules");
+  if (version <= p->rules_version)
+    return SNIPE_OK;
+  rc = snipe_str_set (&text, json_string_value (value),
+                      json_string_length (value));
+  if (rc == SNIPE_OK)
     {
       p->rules_version = version;
       if (p->events.rules != NULL)
         p->events.rules (p->options.ctx, version, &text);
     }
   snipe_str_clear (&text);
-  json_decref (row);
+  return rc;
+}
+
+/* Read as a range, which leaves out a text that is known already. */
+static int
+step_rules (struct snipe_platform *p)
+{
+  const struct snipe_range range
+      = { .prefix = "rules", .since = p->rules_version };
+  json_t *rows;
+  json_t *row;
+  size_t i;
+  int rc = snipe_range_read (&rows, NULL, &p->watch_http, &range,
+                             p->options.timeout);
+
+  json_array_foreach (rows, i, row)
+  {
+    if (rc == SNIPE_OK && strcmp (field (row, "key"), "rules") == 0)
+      rc = take_rules (p, row);
+  }
+  json_decref (rows);
   return rc;
 }
 
@@ -179,9 +192,12 @@
       = { .method = "GET", .path = "/hosts", .timeout = p->options.timeout };
   json_t *reply;
   json_t *hosts;
-  int rc = snipe_platform_http_json (&reply, &p->watch_http, &call);
+  int rc;
 
-  if (rc != SNIPE_OK)
+  if (p->hosts != NULL && p->hosts_etag[0] != '\0')
+    call.etag = p->hosts_etag;
+  rc = snipe_platform_http_json (&reply, &p->watch_http, &call);
+  if (rc != SNIPE_OK || p->watch_http.status == 304)
     return rc;
   hosts = json_object_get (reply, "hosts");
   if (!json_is_array (hosts))
@@ -194,6 +210,8 @@
       p->hosts = json_incref (hosts);
       *changed = true;
     }
+  if (rc == SNIPE_OK)
+    g_strlcpy (p->hosts_etag, p->watch_http.etag, sizeof p->hosts_etag);
   json_decref (reply);
   return rc;
 }
@@ -312,24 +330,68 @@
   return false;
 }
 
+/* Puts a row into a list in key order. */
+static void
+merge_row (json_t *rows, json_t *row)
+{
+  const char *key = field (row, "key");
+  size_t i = 0;
+  int order = 1;
+
+  while (i < json_array_size (rows)
+         && (order = strcmp (key, field (json_array_get (rows, i), "key")))
+                > 0)
+    i++;
+  if (order == 0)
+    json_array_set (rows, i, row);
+  else
+    json_array_insert (rows, i, row);
+}
+
+/* Brings the entry rows up to date. @return in @p changed whether they
+ * differ from before. */
+static int
+read_entries (struct snipe_platform *p, bool *changed)
+{
+  json_t *rows;
+  json_t *row;
+  size_t i;
+  bool whole;
+  int rc;
+
+  if (p->entries == NULL || p->polls % SNIPE_WHOLE_POLLS == 0)
+    p->entries_since = 0;
+  whole = p->entries_since == 0;
+  rc = snipe_range_follow (&rows, &p->entries_since, &p->watch_http, "entry/",
+                           p->options.timeout);
+  if (rc != SNIPE_OK)
+    return rc;
+  if (whole)
+    {
+      *changed = !json_equal (p->entries, rows);
+      json_decref (p->entries);
+      p->entries = rows;
+      return SNIPE_OK;
+    }
+  *changed = json_array_size (rows) > 0;
+  json_array_foreach (rows, i, row) { merge_row (p->entries, row); }
+  json_decref (rows);
+  return SNIPE_OK;
+}
+
 /* Entries are reported only together with a list of hosts: without one every
  * peer would look as if the platform had taken it off the list. */
 static int
 step_entries (struct snipe_platform *p, bool hosts_changed)
 {
-  json_t *rows;
-  int rc = snipe_range_read (&rows, &p->watch_http, "entry/", 0,
-                             p->options.timeout);
-  bool changed;
+  bool changed = false;
+  int rc = read_entries (p, &changed);
 
   if (rc != SNIPE_OK)
     return rc;
-  if (!has_key (rows, p->entry_key))
+  if (!has_key (p->entries, p->entry_key))
     p->registered = false;
-  changed = hosts_changed || !json_equal (p->entries, rows);
-  json_decref (p->entries);
-  p->entries = rows;
-  if (changed && p->hosts != NULL)
+  if ((hosts_changed || changed) && p->hosts != NULL)
     rc = report_entries (p);
   if (rc != SNIPE_OK)
     {
--- a/tests/platform/fake.h
+++ b/tests/platform/fake.h
@@ -44,12 +44,16 @@
   GTree *rows;         /**< key -> struct fake_row */
   GHashTable *objects; /**< name -> GBytes */
   json_t *hosts;
+  char hosts_etag[24];
   uint64_t released; /**< counts fake_release () */
   uint64_t requests;
   uint64_t claim_txns;
   uint64_t claim_max; /**< ids in the largest one */
   GHashTable *flying; /**< host -> claim transactions under way */
   bool overlapped;    /**< two of one host were under way at once */
+  uint64_t rows_sent; /**< in replies to ranges */
+  uint64_t lists;     /**< whole lists of hosts sent */
+  uint64_t same;      /**< requests of hosts answered 304 */
   uint64_t faulted;   /**< requests that met a fault */
   /** Fault: applies to the next @c times requests whose path or body
    * contains @c match. */
@@ -147,6 +151,8 @@
   pthread_mutex_lock (&fake->lock);
   json_decref (fake->hosts);
   fake->hosts = hosts;
+  g_snprintf (fake->hosts_etag, sizeof fake->hosts_etag,
+              "\"%" G_GUINT64_FORMAT "\"", (guint64)++fake->version);
   pthread_mutex_unlock (&fake->lock);
 }
 
@@ -250,6 +256,7 @@
 {
   const char *prefix;
   uint64_t limit;
+  uint64_t since;
   json_t *rows;
 };
 
@@ -257,8 +264,9 @@
 fake_range_visit (gpointer key, gpointer value, gpointer ctx)
 {
   struct fake_range *range = ctx;
+  const struct fake_row *row = value;
 
-  if (g_str_has_prefix (key, range->prefix)
+  if (row->version > range->since && g_str_has_prefix (key, range->prefix)
       && (range->limit == 0 || json_array_size (range->rows) < range->limit))
     json_array_append_new (range->rows, fake_row_json (key, value));
   return FALSE;
@@ -335,15 +343,27 @@
           = { .prefix = fake_argument (connection, "prefix"),
               .limit = g_ascii_strtoull (fake_argument (connection, "limit"),
                                          NULL, 10),
+              .since = g_ascii_strtoull (fake_argument (connection, "since"),
+                                         NULL, 10),
               .rows = json_array () };
 
       g_tree_foreach (fake->rows, fake_range_visit, &range);
+      fake->rows_sent += json_array_size (range.rows);
       *reply = json_pack ("{s:o, s:I}", "rows", range.rows, "version",
                           (json_int_t)fake->version);
       return 200;
     }
   if (strcmp (path, "/hosts") == 0)
     {
+      const char *known = MHD_lookup_connection_value (
+          connection, MHD_HEADER_KIND, "If-None-Match");
+
+      if (known != NULL && strcmp (known, fake->hosts_etag) == 0)
+        {
+          fake->same++;
+          return 304;
+        }
+      fake->lists++;
       *reply = json_pack ("{s:O}", "hosts", fake->hosts);
       return 200;
     }
@@ -376,11 +396,15 @@
 
 static inline enum MHD_Result
 fake_send (struct MHD_Connection *connection, unsigned int status,
-           const char *text, size_t len)
+           const char *text, size_t len, const char *etag)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       len, (void *)text, MHD_RESPMEM_MUST_COPY);
-  enum MHD_Result result = MHD_queue_response (connection, status, response);
+  enum MHD_Result result;
+
+  if (etag[0] != '\0')
+    MHD_add_response_header (response, MHD_HTTP_HEADER_ETAG, etag);
+  result = MHD_queue_response (connection, status, response);
 
   MHD_destroy_response (response);
   return result;
@@ -424,6 +448,7 @@
   json_t *reply = NULL;
   GBytes *data = NULL;
   char *text = NULL;
+  char etag[24] = "";
   uint64_t released;
 
   (void)version;
@@ -441,7 +466,7 @@
       return MHD_YES;
     }
   if (host == NULL)
-    return fake_send (connection, 400, "", 0);
+    return fake_send (connection, 400, "", 0, "");
 
   pthread_mutex_lock (&fake->lock);
   fake->requests++;
@@ -462,6 +487,8 @@
   if (fault == FAKE_REFUSE && fake->on_refuse != NULL)
     fake->on_refuse (fake->ctx);
   g_hash_table_remove (fake->flying, host);
+  if (strcmp (path, "/hosts") == 0)
+    g_strlcpy (etag, fake->hosts_etag, sizeof etag);
   /* The reply shares values with the table. */
   if (fault == FAKE_GARBAGE)
     text = g_strdup ("{\"version\":");
@@ -474,10 +501,10 @@
     {
       if (data != NULL)
         result = fake_send (connection, status, g_bytes_get_data (data, NULL),
-                            g_bytes_get_size (data));
+                            g_bytes_get_size (data), "");
       else
         result = fake_send (connection, status, text == NULL ? "" : text,
-                            text == NULL ? 0 : strlen (text));
+                            text == NULL ? 0 : strlen (text), etag);
     }
   if (data != NULL)
     g_bytes_unref (data);
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -721,6 +721,66 @@
   fake_stop (&fake);
 }
 
+/* Guards against polls that read everything again, whose bytes grow with the
+ * fleet, and against a copy that misses what changed, came with a new rule or
+ * was deleted. */
+static void
+test_bytes (void)
+{
+  struct snipe_platform_options options = SNIPE_PLATFORM_OPTIONS_INIT;
+  struct snipe_platform *platform;
+  struct recorder rec;
+  struct fake fake;
+  uint64_t seen;
+  uint64_t lists;
+  uint64_t bytes;
+
+  CU_ASSERT_TRUE_FATAL (fake_start (&fake));
+  recorder_init (&rec, &fake);
+  fake_set_hosts (&fake,
+                  json_pack ("[o]", host_json ("ep-1", "endpoint", "live")));
+  fake_put (&fake, "rules", json_pack ("{s:s}", "text", "first"));
+  fake_put (&fake, "entry/" OTHER_TEXT, json_pack ("{s:s}", "name", "other"));
+  fake_put (&fake, "lease/" OTHER_TEXT, json_pack ("{s:i}", "n", 1));
+  other_wants (&fake, 5, 0);
+  options.url = fake.url;
+  options.host = "entry-1";
+  /* Few enough that no whole read comes between the two counts. */
+  options.poll = 200 * SNIPE_MS;
+  options.self.incarnation = SELF;
+  options.events = &events;
+  options.ctx = &rec;
+  CU_ASSERT_EQUAL_FATAL (snipe_platform_new (&platform, &options), SNIPE_OK);
+  WAIT_FOR (rec_u32 (&rec, &rec.entry_count) == 2);
+  /* The team's rule comes after its row was left out of every read. */
+  rec_demand (&rec, 0, 0);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) == 10);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  seen = fake_count (&fake, &fake.same);
+  WAIT_FOR (fake_count (&fake, &fake.same) >= seen + 4);
+
+  seen = fake_count (&fake, &fake.rows_sent);
+  lists = fake_count (&fake, &fake.lists);
+  bytes = snipe_counter_get (SNIPE_C_STORE_BYTES);
+  WAIT_FOR (fake_count (&fake, &fake.requests) >= 20
+            && fake_count (&fake, &fake.same) >= 10);
+  CU_ASSERT_TRUE (snipe_counter_get (SNIPE_C_STORE_BYTES) > bytes);
+  CU_ASSERT_TRUE (lists <= 1 && fake_count (&fake, &fake.lists) == lists);
+  /* Polls 1 to 29 send no row; a whole read on a slow machine sends 4. */
+  CU_ASSERT_TRUE (fake_count (&fake, &fake.rows_sent) <= seen + 4);
+
+  fake_set_hosts (&fake, json_array ());
+  WAIT_FOR (rec_u32 (&rec, &rec.endpoint_count) == 0);
+  /* The other host takes what it needs: its change is seen. */
+  other_wants (&fake, 5, 15);
+  WAIT_FOR (rec_u32 (&rec, &rec.share) <= 5);
+  fake_delete (&fake, "entry/" OTHER_TEXT);
+  WAIT_FOR (rec_u32 (&rec, &rec.entry_count) == 1);
+  CU_ASSERT_EQUAL (rec.broken, 0);
+  snipe_platform_free (platform);
+  fake_stop (&fake);
+}
+
 /* Guards against giving away slots of tasks that started between the look at
  * the demands and the announcement of the lower share. */
 static void
@@ -1046,6 +1106,7 @@
     { "rules, lists and own row", test_watch },
     { "shares under faults", test_quota_faults },
     { "slices and needs between rounds", test_wanted },
+    { "bytes of polls", test_bytes },
     { "starts while a share shrinks", test_late_start },
     { "leases by table", test_lease },
     { "share of a dead host", test_lapse },
--- a/tests/standins/fake-platform.c
+++ b/tests/standins/fake-platform.c
@@ -23,6 +23,7 @@
 {
   snipe_time since;
   char *text;
+  char *etag; /**< digest of the text, so that a restart keeps its meaning */
 };
 
 struct platform
@@ -78,11 +79,15 @@
   struct snapshot *snapshot = g_new0 (struct snapshot, 1);
   snapshot->since = snipe_clock_now ();
   snapshot->text = json_dumps (list, JSON_COMPACT);
+  char *digest
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, snapshot->text, -1);
+  snapshot->etag = g_strdup_printf ("\"%s\"", digest);
+  g_free (digest);
   json_decref (list);
   g_queue_push_tail (&platform->snapshots, snapshot);
 }
 
-static const char *
+static const struct snapshot *
 snapshot_get (struct platform *platform)
 {
   snipe_time then = snipe_clock_now () - platform->list_lag;
@@ -93,10 +98,10 @@
         break;
       struct snapshot *old = g_queue_pop_head (&platform->snapshots);
       free (old->text);
+      g_free (old->etag);
       g_free (old);
     }
-  struct snapshot *seen = platform->snapshots.head->data;
-  return seen->text;
+  return platform->snapshots.head->data;
 }
 
 static bool
@@ -215,6 +220,20 @@
                           arg_number (request, "limit")));
 }
 
+static void
+host_list (struct platform *platform, struct web_request *request)
+{
+  const struct snapshot *seen = snapshot_get (platform);
+  const char *known = web_header (request, "If-None-Match");
+  platform->host_reads++;
+  g_strlcpy (request->etag, seen->etag, sizeof request->etag);
+  request->status = known && strcmp (known, seen->etag) == 0 ? 304 : 200;
+  if (request->status == 304)
+    return;
+  request->reply = strdup (seen->text);
+  request->reply_len = request->reply ? strlen (request->reply) : 0;
+}
+
 static json_t *
 object_names (const struct platform *platform, const char *prefix)
 {
@@ -320,10 +339,7 @@
     object_call (platform, request);
   else if (get && strcmp (url, "/hosts") == 0)
     {
-      platform->host_reads++;
-      request->status = 200;
-      request->reply = strdup (snapshot_get (platform));
-      request->reply_len = request->reply ? strlen (request->reply) : 0;
+      host_list (platform, request);
       return 0;
     }
   else
--- a/tests/standins/web.c
+++ b/tests/standins/web.c
@@ -98,6 +98,8 @@
   request->reply = NULL;
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                            "application/json");
+  if (request->etag[0])
+    MHD_add_response_header (response, MHD_HTTP_HEADER_ETAG, request->etag);
   if (request->refused)
     MHD_add_response_header (response, "X-Refused", request->refused);
   enum MHD_Result rc
--- a/tests/standins/web.h
+++ b/tests/standins/web.h
@@ -25,6 +25,7 @@
   unsigned int status;
   char *reply; /**< malloc'ed, NULL for an empty body */
   size_t reply_len;
+  char etag[72];       /**< value of ETag, or "" */
   const char *refused; /**< value of X-Refused, static, or NULL */
   bool cut;            /**< close the connection without an answer */
 
