Know the address in peer_load in the peer transport

peer_load has gained the sender's address and size. Without an address the calls of test_net could not be encoded (the sanitizers' xdr_string () crashed on it), and refused arguments leaked it.

A call is now also left unanswered if the refusal list has the sender's address. test_net passes with presets default, asan and tsan.

--- a/src/peer/proc.c
+++ b/src/peer/proc.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "util/refuse.h"
+
 /* xdr_void () is declared without parameters, unlike other codecs. */
 static bool_t
 xdr_nothing (XDR *xdrs, void *value)
@@ -35,26 +37,36 @@
   return &procs[procedure];
 }
 
-const char *
-snipe_peer_proc_from (uint32_t procedure, const union snipe_peer_args *args)
+static const peer_load *
+find_from (uint32_t procedure, const union snipe_peer_args *args)
 {
   switch (procedure)
     {
     case PEER_HELLO:
     case PEER_OFFER:
     case PEER_GET_RULES:
-      return args->load.name;
+      return &args->load;
     case PEER_FORWARD:
-      return args->forward.from.name;
+      return &args->forward.from;
     case PEER_RUN_BATCH:
-      return args->run_batch.from.name;
+      return &args->run_batch.from;
     case PEER_RESULTS:
-      return args->results.from.name;
+      return &args->results.from;
     default:
       return NULL;
     }
 }
 
+bool
+snipe_peer_proc_refused (uint32_t procedure, const union snipe_peer_args *args)
+{
+  const peer_load *from = find_from (procedure, args);
+
+  return from != NULL
+         && (snipe_refuse_match (from->name)
+             || snipe_refuse_match (from->address));
+}
+
 static void
 free_load (peer_load *load)
 {
@@ -62,6 +74,7 @@
        load->domains.domains_val != NULL && i < load->domains.domains_len; i++)
     free (load->domains.domains_val[i]);
   free (load->domains.domains_val);
+  free (load->address);
   free (load->domain);
   free (load->name);
 }
--- a/src/peer/proc.h
+++ b/src/peer/proc.h
@@ -5,6 +5,7 @@
 #ifndef SNIPE_PEER_PROC_H
 #define SNIPE_PEER_PROC_H
 
+#include <stdbool.h>
 #include "peer/net.h"
 
 /** Longest message record; a batch's results may hold 220 answers. */
@@ -28,10 +29,10 @@
 
 /** @return the codecs of @p procedure, NULL if there is no such one. */
 const struct snipe_peer_proc *snipe_peer_proc_find (uint32_t procedure);
-/** @return the name of the host that sent @p args; NULL for PEER_ANSWER,
- * whose arguments carry none. */
-const char *snipe_peer_proc_from (uint32_t procedure,
-                                  const union snipe_peer_args *args);
+/** @return whether the refusal list has the name or the address of the host
+ * that sent @p args; false for PEER_ANSWER, whose arguments carry neither. */
+bool snipe_peer_proc_refused (uint32_t procedure,
+                              const union snipe_peer_args *args);
 /** Frees @p args member by member. xdr_free () stops at the first member that
  * exceeds its limit and leaks the rest. */
 void snipe_peer_proc_free_args (uint32_t procedure,
--- a/src/peer/server.c
+++ b/src/peer/server.c
@@ -16,7 +16,6 @@
 #include "peer/connection.h"
 #include "peer/proc.h"
 #include "snipe/status.h"
-#include "util/refuse.h"
 
 /* Far above the number of entry hosts; bounds what a broken client takes. */
 #define CONNECTIONS_MAX 1024
@@ -117,7 +116,7 @@
       accepted->ar_stat = GARBAGE_ARGS;
       status = send_reply (connection, answer);
     }
-  else if (!snipe_refuse_match (snipe_peer_proc_from (procedure, &args))
+  else if (!snipe_peer_proc_refused (procedure, &args)
            && handle (server, procedure, &args, &reply) >= 0)
     {
       accepted->ar_stat = SUCCESS;
--- a/tests/peer/test_net.c
+++ b/tests/peer/test_net.c
@@ -86,7 +86,9 @@
   memset (load, 0, sizeof *load);
   load->incarnation = 0xfedcba9876543210U;
   load->name = copy_text (name);
+  load->address = copy_text ("10.1.2.3:4567");
   load->domain = copy_text ("enna");
+  load->size_permille = 1500;
   load->state = PEER_LEAVING;
   load->rules_version = 77;
   load->free_slots = 5;
@@ -103,9 +105,10 @@
 {
   return load->incarnation == 0xfedcba9876543210U
          && strcmp (load->name, name) == 0
-         && strcmp (load->domain, "enna") == 0 && load->state == PEER_LEAVING
-         && load->rules_version == 77 && load->free_slots == 5
-         && load->domains.domains_len == 2
+         && strcmp (load->address, "10.1.2.3:4567") == 0
+         && load->size_permille == 1500 && strcmp (load->domain, "enna") == 0
+         && load->state == PEER_LEAVING && load->rules_version == 77
+         && load->free_slots == 5 && load->domains.domains_len == 2
          && strcmp (load->domains.domains_val[1], "catania") == 0;
 }
 
@@ -594,6 +597,10 @@
   static const uint32_t named[]
       = { PEER_HELLO,   PEER_FORWARD, PEER_RUN_BATCH,
           PEER_RESULTS, PEER_OFFER,   PEER_GET_RULES };
+  enum
+  {
+    COUNT = sizeof named / sizeof named[0]
+  };
   struct host *a = host_new (0, 1);
   struct host *b = host_new (0, 1);
   const char *refused = b->address;
@@ -601,14 +608,16 @@
   (void)snipe_refuse_set (&refused, 1);
   CU_ASSERT_EQUAL (call_once (a, b->address, PEER_HELLO, LONG_WAIT),
                    SNIPE_E_UNREACHABLE);
-  refused = "caller";
-  (void)snipe_refuse_set (&refused, 1);
-  for (size_t i = 0; i < sizeof named / sizeof named[0]; i++)
+  for (size_t i = 0; i < 2 * COUNT; i++)
     {
+      uint32_t procedure = named[i % COUNT];
+
+      refused = i < COUNT ? "caller" : "10.1.2.3:4567";
+      (void)snipe_refuse_set (&refused, 1);
       /* On a busy machine the time may end before the call is written. */
-      CU_ASSERT_NOT_EQUAL (call_once (a, b->address, named[i], 50 * SNIPE_MS),
+      CU_ASSERT_NOT_EQUAL (call_once (a, b->address, procedure, 50 * SNIPE_MS),
                            SNIPE_OK);
-      CU_ASSERT_EQUAL (host_calls (b, named[i]), 0);
+      CU_ASSERT_EQUAL (host_calls (b, procedure), 0);
     }
   (void)snipe_refuse_set (NULL, 0);
   CU_ASSERT_EQUAL (call_once (a, b->address, PEER_HELLO, LONG_WAIT), SNIPE_OK);
