--- a/src/peer/net.c
+++ b/src/peer/net.c
@@ -10,6 +10,7 @@
 #include "peer/sender.h"
 #include "peer/server.h"
 #include "snipe/status.h"
+#include "util/address.h"
 
 struct snipe_peer_net
 {
@@ -38,7 +39,8 @@
   int status = SNIPE_OK;
 
   if (options->version != SNIPE_PEER_NET_OPTIONS_VERSION
-      || options->sender_threads == 0 || options->handlers == NULL)
+      || options->sender_threads == 0 || options->handlers == NULL
+      || options->listen == NULL)
     return snipe_status_set (SNIPE_E_INVALID,
                              "options of the peer net are invalid");
   /* libtirpc writes with write (), which raises SIGPIPE when the other side
@@ -110,8 +112,7 @@
     return NULL;
   peer->fd = -1;
   peer->text = strdup (address);
-  if (peer->text == NULL
-      || snipe_peer_address_parse (&peer->address, address) < 0)
+  if (peer->text == NULL || snipe_address_parse (&peer->address, address) < 0)
     {
       free_peer (peer);
       return NULL;
--- a/src/peer/sender.c
+++ b/src/peer/sender.c
@@ -62,8 +62,7 @@
 static int
 open_socket (const struct snipe_peer *peer, snipe_time limit)
 {
-  int fd = socket (peer->address.addr.ss_family,
-                   SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   snipe_time until = snipe_clock_now () + limit;
   int yes = 1;
   int error = 0;
@@ -71,8 +70,8 @@
 
   if (fd < 0)
     return -1;
-  if (connect (fd, (const struct sockaddr *)&peer->address.addr,
-               peer->address.len)
+  if (connect (fd, (const struct sockaddr *)&peer->address,
+               sizeof peer->address)
       != 0)
     {
       struct pollfd poll_fd = { .fd = fd, .events = POLLOUT };
@@ -108,9 +107,9 @@
 open_peer (struct snipe_peer *peer, snipe_time limit)
 {
   struct netbuf address = {
-    .maxlen = sizeof peer->address.addr,
-    .len = peer->address.len,
-    .buf = &peer->address.addr,
+    .maxlen = sizeof peer->address,
+    .len = sizeof peer->address,
+    .buf = &peer->address,
   };
   int fd = open_socket (peer, limit);
 
--- a/src/peer/sender.h
+++ b/src/peer/sender.h
@@ -6,7 +6,7 @@
 #ifndef SNIPE_PEER_SENDER_H
 #define SNIPE_PEER_SENDER_H
 
-#include "peer/address.h"
+#include <netinet/in.h>
 #include "peer/net.h"
 #include "peer/proc.h"
 
@@ -17,7 +17,7 @@
 struct snipe_peer
 {
   char *text;
-  struct snipe_peer_address address;
+  struct sockaddr_in address;
   struct snipe_peer_sender *sender;
   CLIENT *client; /**< NULL while there is no connection */
   int fd;
--- a/src/peer/server.c
+++ b/src/peer/server.c
@@ -12,10 +12,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "peer/address.h"
 #include "peer/connection.h"
 #include "peer/proc.h"
 #include "snipe/status.h"
+#include "util/address.h"
 
 /* Far above the number of entry hosts; bounds what a broken client takes. */
 #define CONNECTIONS_MAX 1024
@@ -268,32 +268,22 @@
 static int
 open_listener (struct snipe_peer_server *server, const char *listen_on)
 {
-  struct snipe_peer_address address;
-  union
-  {
-    struct sockaddr any;
-    struct sockaddr_in in;
-    struct sockaddr_in6 in6;
-  } bound = { .in6 = { 0 } };
-  socklen_t len = sizeof bound;
+  struct sockaddr_in address;
+  socklen_t len = sizeof address;
   int yes = 1;
   int fd = -1;
-  int status = snipe_peer_address_parse (&address, listen_on);
+  int status = snipe_address_parse (&address, listen_on);
 
   if (status < 0)
     return status;
-  fd = socket (address.addr.ss_family,
-               SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd < 0
       || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes) != 0
-      || bind (fd, (struct sockaddr *)&address.addr, address.len) != 0
+      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (fd, SOMAXCONN) != 0
-      || getsockname (fd, &bound.any, &len) != 0)
+      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
     goto on_error;
-  if (bound.any.sa_family == AF_INET6)
-    server->port = ntohs (bound.in6.sin6_port);
-  else
-    server->port = ntohs (bound.in.sin_port);
+  server->port = ntohs (address.sin_port);
   server->listen_fd = fd;
   return SNIPE_OK;
 
