--- a/src/bin/snipelbd.c
+++ b/src/bin/snipelbd.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "caller/server.h"
@@ -25,6 +26,7 @@
    that a peer is about to hand over are then in. */
 #define IDLE_TIME (300 * SNIPE_MS)
 #define WAIT_STEP_NS 20000000
+#define FILES_MAX 65536
 
 /** Everything that can be set, with its default. */
 struct config
@@ -74,7 +76,7 @@
   .log_level = 3,
   .http_threads = 4,
   .endpoint_threads = 2,
-  .rpc_threads = 4,
+  .rpc_threads = 16,
   .connections = 4000,
   .endpoint_connections = 64,
   .body_bytes = 1048576,
@@ -229,6 +231,20 @@
   gchar **seeds;
 };
 
+/** Raises the soft limit of open files: connections to endpoints alone may
+ * pass the usual 1024. libtirpc sizes tables by the limit, so it is bounded
+ * and set before the first RPC call. */
+static void
+raise_file_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = MIN (limit.rlim_max, FILES_MAX);
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 /** Replaces the port of an "ip:port" address. */
 static void
 with_port (char *out, size_t size, const char *address, uint16_t port)
@@ -474,6 +490,7 @@
   sigaddset (&signals, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
+  raise_file_limit ();
   curl_global_init (CURL_GLOBAL_ALL);
   if (snipe_log_start (log_levels[config.log_level]) < 0
       || start (&daemon) < 0)
--- a/src/caller/server.c
+++ b/src/caller/server.c
@@ -361,8 +361,10 @@
   server->engine = opts->engine;
   server->operator_pages = opts->operator_pages;
   server->body_bytes = opts->body_bytes;
+  /* With libmicrohttpd's epoll loop some benchmark runs over 256 connections
+     stalled with requests unread; poll is cheap at a host's connections. */
   server->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      MHD_USE_POLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       on_request, server, MHD_OPTION_SOCK_ADDR, &address,
       MHD_OPTION_THREAD_POOL_SIZE, opts->threads, MHD_OPTION_CONNECTION_LIMIT,
       opts->connections, MHD_OPTION_CONNECTION_TIMEOUT,
--- a/src/engine/cluster.c
+++ b/src/engine/cluster.c
@@ -58,7 +58,10 @@
 {
   struct snipe_peer_load load;
   const GPtrArray *domains = engine->owned_domains;
+  peer_name *names = calloc (domains->len + 1, sizeof *names);
 
+  if (names == NULL)
+    g_error ("no memory for a load report");
   snipe_sched_load (engine->sched, now, &load);
   *out = (peer_load){
     .incarnation = engine->options.incarnation,
@@ -75,10 +78,10 @@
   };
   if (snipe_engine_draining (engine))
     out->free_slots = 0;
-  out->domains.domains_len = domains->len;
-  out->domains.domains_val = calloc (domains->len + 1, sizeof (peer_name));
   for (guint i = 0; i < domains->len; i++)
-    out->domains.domains_val[i] = strdup (domains->pdata[i]);
+    names[i] = g_strdup (domains->pdata[i]);
+  out->domains.domains_len = domains->len;
+  out->domains.domains_val = names;
 }
 
 void
--- a/src/engine/request.c
+++ b/src/engine/request.c
@@ -347,11 +347,9 @@
                 const struct snipe_request *request, snipe_time now,
                 snipe_reply reply, void *ctx)
 {
-  if (known_here (engine, id))
-    {
-      home_request (engine, id, request, false, now, reply, ctx);
-    }
-  else if (request->verb == SNIPE_VERB_QUERY)
+  bool known = known_here (engine, id);
+
+  if (!known && request->verb == SNIPE_VERB_QUERY)
     {
       struct lookup lookup = { .kind = LOOKUP_OWNER,
                                .id = *id,
@@ -360,12 +358,11 @@
                                .ctx = ctx };
 
       lookup_push (engine, &lookup);
+      return;
     }
-  else if (!snipe_engine_draining (engine)
-           || !forward_anywhere (engine, id, request, now, reply, ctx))
-    {
-      home_request (engine, id, request, false, now, reply, ctx);
-    }
+  if (known || !snipe_engine_draining (engine)
+      || !forward_anywhere (engine, id, request, now, reply, ctx))
+    home_request (engine, id, request, false, now, reply, ctx);
 }
 
 void
--- a/src/util/settings.c
+++ b/src/util/settings.c
@@ -119,19 +119,20 @@
 }
 
 static struct argp_option *
-make_options (const struct snipe_setting *table, size_t count, char **docs)
+make_options (const struct snipe_setting *table, size_t count)
 {
   struct argp_option *options = g_new0 (struct argp_option, count + 1);
 
   for (size_t i = 0; i < count; i++)
     {
-      docs[i] = g_strdup_printf ("%s [%s]", table[i].help, table[i].env);
+      char *doc = g_strdup_printf ("%s [%s]", table[i].help, table[i].env);
+
       options[i].name = table[i].flag;
       options[i].key = FIRST_KEY + (int)i;
       options[i].arg = table[i].arg;
       options[i].flags
           = table[i].kind == SNIPE_SETTING_BOOL ? OPTION_ARG_OPTIONAL : 0;
-      options[i].doc = docs[i];
+      options[i].doc = doc;
     }
   return options;
 }
@@ -143,14 +144,12 @@
   struct reading reading = { .table = table };
   struct argp_option *options;
   struct argp argp = { .parser = on_option, .doc = doc };
-  char **docs;
   int status = SNIPE_OK;
 
   while (table[reading.count].flag != NULL)
     reading.count++;
   reading.values = g_new0 (const char *, reading.count);
-  docs = g_new0 (char *, reading.count + 1);
-  options = make_options (table, reading.count, docs);
+  options = make_options (table, reading.count);
   argp.options = options;
   argp_program_version = "snipelb " SNIPE_VERSION;
   if (argp_parse (&argp, argc, argv, 0, NULL, &reading) != 0)
@@ -170,8 +169,9 @@
           status = SNIPE_E_INVALID;
         }
     }
+  for (size_t i = 0; i < reading.count; i++)
+    g_free ((char *)options[i].doc);
   g_free (options);
-  g_strfreev (docs);
   g_free (reading.values);
   return status;
 }
