Send faster peers only what waits for them, and let them decline

Cause: batches to a faster peer took every task of a job although the peer had few fast slots, and reports are tens of ms old, so tasks landed on slots slower than those left free at home. Change: such a batch ends at the first task that a local endpoint serves without delaying the job, or where the peer's assumed speed falls under pass_gain; it carries speed_min, and the peer declines tasks for which only slower slots are free (EXPIRE, reason TOO_SLOW). A full host picks the peer that holds most of the waiting tasks. In the simulation a host offers slots to one waiting host each, once they hold what waits there, or 8, or after 100 ms, and loads are read after the last decision of a round.

--- a/include/snipe/sched.h
+++ b/include/snipe/sched.h
@@ -102,6 +102,8 @@
   uint32_t task_count;
   const struct snipe_work_task *tasks; /**< copied */
   snipe_time wait_max; /**< longest wait of a task in the queue, 0: none */
+  float speed_min;     /**< least speed of an endpoint for a batch from a peer;
+                          its tasks are declined when none is free, 0: any */
   bool counts_quota;   /**< false for a batch from a peer: its home counts */
   void *ctx;           /**< the caller's own, see snipe_work_ctx () */
 };
@@ -118,14 +120,16 @@
   SNIPE_REASON_HOME_FULL,    /**< passed: no free slot here */
   SNIPE_REASON_PEER_FASTER,  /**< passed: peer faster by pass_gain */
   SNIPE_REASON_WAITED,       /**< waited longer than its rule allows */
-  SNIPE_REASON_BASELINE,     /**< chosen by a baseline policy */
+  SNIPE_REASON_TOO_SLOW, /**< no free endpoint of the batch's least speed */
+  SNIPE_REASON_BASELINE, /**< chosen by a baseline policy */
 };
 
 enum snipe_decision_kind
 {
   SNIPE_DECISION_START,  /**< send a start to an endpoint */
   SNIPE_DECISION_PASS,   /**< send a batch of tasks of a work to a peer */
-  SNIPE_DECISION_EXPIRE, /**< the task waited too long and left the queue */
+  SNIPE_DECISION_EXPIRE, /**< the task waited too long, or its batch is
+                            declined (TOO_SLOW), and left the queue */
 };
 
 /** Largest number of tasks in one PASS decision. */
@@ -146,6 +150,7 @@
     struct
     {
       uint64_t incarnation;
+      float speed_min; /**< for the peer's work options, 0: any */
       uint32_t count;
       uint32_t tasks[SNIPE_PASS_MAX];
     } pass;
--- a/src/decide/sched.c
+++ b/src/decide/sched.c
@@ -310,6 +310,8 @@
       return "home-full";
     case SNIPE_REASON_PEER_FASTER:
       return "peer-faster";
+    case SNIPE_REASON_TOO_SLOW:
+      return "too-slow";
     case SNIPE_REASON_WAITED:
       return "waited";
     case SNIPE_REASON_BASELINE:
--- a/src/decide/sched_peer.c
+++ b/src/decide/sched_peer.c
@@ -31,8 +31,23 @@
     }
 }
 
+/* Among peers that hold all wanted tasks the fastest, else the one that holds
+ * most of them, since each batch is a message. */
+static bool
+peer_better (const struct sched_peer *a, const struct sched_peer *b,
+             uint32_t wanted)
+{
+  uint32_t holds_a = MIN (a->load.free_slots, wanted);
+  uint32_t holds_b = MIN (b->load.free_slots, wanted);
+
+  if (holds_a != holds_b)
+    return holds_a > holds_b;
+  return a->load.best_speed > b->load.best_speed;
+}
+
 struct sched_peer *
-sched_peer_find (struct snipe_sched *sched, const struct sched_shape_key *key)
+sched_peer_find (struct snipe_sched *sched, const struct sched_shape_key *key,
+                 uint32_t wanted)
 {
   struct sched_peer *best = NULL;
 
@@ -42,7 +57,7 @@
           = &g_array_index (sched->peers, struct sched_peer, i);
 
       if (peer_usable (peer) && peer_admits (peer, key->domains)
-          && (best == NULL || peer->load.best_speed > best->load.best_speed))
+          && (best == NULL || peer_better (peer, best, wanted)))
         best = peer;
     }
   return best;
--- a/src/decide/sched_place.c
+++ b/src/decide/sched_place.c
@@ -2,6 +2,12 @@
 
 #include "sched_private.h"
 
+/* Batches of one work to faster peers; bounds repeated declines. */
+#define PASSES_FASTER_MAX 8
+/* A peer reports only its fastest free endpoint. Its other free slots are
+ * taken to fall evenly to this part below it. */
+#define PEER_SPEED_FALL 0.5
+
 static struct sched_team *
 pick_team (struct snipe_sched *sched)
 {
@@ -288,36 +294,81 @@
   return true;
 }
 
+static double
+peer_speed (const struct sched_peer *peer, uint32_t taken)
+{
+  double part_taken = (double)taken / MAX (peer->load.free_slots, 1);
+
+  return MAX ((double)peer->load.best_speed, 0.1)
+         * (1 - PEER_SPEED_FALL * part_taken);
+}
+
+static void
+pass_task (struct snipe_sched *sched, struct sched_part *part, uint32_t place,
+           double speed, snipe_time now, struct snipe_decision *out)
+{
+  struct snipe_work *work = part->work;
+  uint32_t task = sched_part_take (sched, part, place);
+  struct sched_task *entry = &work->tasks[task];
+
+  entry->state = SNIPE_TASK_PASSED;
+  work->finish
+      = MAX (work->finish, (double)now + (double)entry->expected / speed);
+  out->u.pass.tasks[out->u.pass.count++] = task;
+  count_active (sched, work);
+}
+
 static bool
 pass (struct snipe_sched *sched, struct sched_part *part,
-      struct sched_peer *peer, enum snipe_reason reason, snipe_time now,
-      struct snipe_decision *out)
+      struct sched_peer *peer, struct snipe_sched_endpoint *local,
+      snipe_time now, struct snipe_decision *out)
 {
   struct snipe_work *work = part->work;
   const struct sched_team *team = sched_team_at (sched, work->team);
   uint32_t limit = MIN (peer->load.free_slots, SNIPE_PASS_MAX);
-  uint32_t count = 0;
 
   if (work->counts_quota)
     limit = MIN (limit, team->share - team->used);
-  while (part->count > 0 && count < limit)
-    {
-      uint32_t task = sched_part_take (sched, part, 0);
-
-      work->tasks[task].state = SNIPE_TASK_PASSED;
-      work->finish = MAX (
-          work->finish, (double)now
-                            + (double)work->tasks[task].expected
-                                  / MAX ((double)peer->load.best_speed, 0.1));
-      out->u.pass.tasks[count++] = task;
-      count_active (sched, work);
-    }
   out->kind = SNIPE_DECISION_PASS;
-  out->reason = reason;
+  out->reason
+      = local == NULL ? SNIPE_REASON_HOME_FULL : SNIPE_REASON_PEER_FASTER;
   out->work = work;
   out->u.pass.incarnation = peer->load.incarnation;
-  out->u.pass.count = count;
-  sched_peer_used (sched, peer, count);
+  out->u.pass.count = 0;
+  while (part->count > 0 && out->u.pass.count < limit)
+    {
+      double speed = peer_speed (peer, out->u.pass.count);
+
+      if (local != NULL && out->u.pass.count > 0
+          && (speed < sched->options.pass_gain * (double)local->speed
+              || slowest_enough (sched, part, now) != NULL))
+        break;
+      pass_task (sched, part, 0, speed, now, out);
+    }
+  if (local != NULL)
+    work->passes_faster++;
+  out->u.pass.speed_min
+      = local == NULL ? 0 : (float)sched->options.pass_gain * local->speed;
+  peer->load.best_speed = (float)peer_speed (peer, out->u.pass.count);
+  sched_peer_used (sched, peer, out->u.pass.count);
+  return true;
+}
+
+/* Gives a task back to the peer that passed it: the peer has an endpoint that
+ * is as fast as what is free here. */
+static bool
+decline (struct snipe_sched *sched, struct sched_part *part,
+         struct snipe_decision *out)
+{
+  struct snipe_work *work = part->work;
+  uint32_t task = sched_part_take (sched, part, 0);
+
+  work->tasks[task].state = SNIPE_TASK_ENDED;
+  sched_work_shrink (work, (double)work->tasks[task].expected);
+  out->kind = SNIPE_DECISION_EXPIRE;
+  out->reason = SNIPE_REASON_TOO_SLOW;
+  out->work = work;
+  out->u.expire.task = task;
   return true;
 }
 
@@ -339,17 +390,20 @@
   if (endpoint != NULL)
     return start (sched, part, endpoint, SNIPE_REASON_FASTEST_FREE, now, out);
   endpoint = fastest_free (sched, shape);
+  if (endpoint != NULL && endpoint->speed < part->work->speed_min)
+    return decline (sched, part, out);
   if (shape->key.passable && sched->peer_best_speed > 0
       && (endpoint == NULL
-          || (double)sched->peer_best_speed
-                 >= sched->options.pass_gain * (double)endpoint->speed))
-    peer = sched_peer_find (sched, &shape->key);
-  if (peer != NULL && endpoint == NULL)
-    return pass (sched, part, peer, SNIPE_REASON_HOME_FULL, now, out);
+          || (part->work->passes_faster < PASSES_FASTER_MAX
+              && (double)sched->peer_best_speed
+                     >= sched->options.pass_gain * (double)endpoint->speed)))
+    peer = sched_peer_find (sched, &shape->key,
+                            endpoint == NULL ? part->count : 0);
   if (peer != NULL
-      && (double)peer->load.best_speed
-             >= sched->options.pass_gain * (double)endpoint->speed)
-    return pass (sched, part, peer, SNIPE_REASON_PEER_FASTER, now, out);
+      && (endpoint == NULL
+          || (double)peer->load.best_speed
+                 >= sched->options.pass_gain * (double)endpoint->speed))
+    return pass (sched, part, peer, endpoint, now, out);
   if (endpoint != NULL)
     return start (sched, part, endpoint, SNIPE_REASON_FASTEST_FREE, now, out);
   if (sched->probes->len > 0 && !any_healthy (sched, shape))
--- a/src/decide/sched_private.h
+++ b/src/decide/sched_private.h
@@ -126,6 +126,8 @@
   uint32_t team;
   uint16_t part_count;
   bool counts_quota;
+  uint8_t passes_faster; /**< batches sent to faster peers */
+  float speed_min;
 };
 
 struct snipe_sched_endpoint
@@ -299,7 +301,8 @@
 
 /* sched_peer.c */
 struct sched_peer *sched_peer_find (struct snipe_sched *sched,
-                                    const struct sched_shape_key *key);
+                                    const struct sched_shape_key *key,
+                                    uint32_t wanted);
 void sched_peer_used (struct snipe_sched *sched, struct sched_peer *peer,
                       uint32_t count);
 
--- a/src/decide/sched_queue.c
+++ b/src/decide/sched_queue.c
@@ -344,6 +344,7 @@
   work->expiry.index = SCHED_NOWHERE;
   work->ctx = options->ctx;
   work->wait_max = options->wait_max;
+  work->speed_min = options->speed_min;
   work->task_count = count;
   work->part_count = (uint16_t)parts;
   work->team = options->team;
--- a/tests/decide/test_sched.c
+++ b/tests/decide/test_sched.c
@@ -14,19 +14,17 @@
  *   team NAME WEIGHT SHARE
  *   peer ID FREE SPEED DOMAIN [dead]  DOMAIN "?" is unknown
  *   work TEAM DOMAIN CORES FLAGS WAIT MS,MS...   DOMAIN "*" is any; FLAGS:
- *       p passable, i idempotent, b batch of a peer, "-" none
- *   next                              takes one decision
- *   run                               takes decisions until there are none
- *   end W.T RESULT MS
- *   back W.T                          a passed task came back
- *   again W.T                         queues it again
- *   cancel W
+ *       p passable, i idempotent, b batch of a peer, s batch that asks for
+ * speed 1.2, "-" none next                              takes one decision run
+ * takes decisions until there are none end W.T RESULT MS back W.T a passed
+ * task came back again W.T                         queues it again cancel W
  *   fits DOMAIN CORES FLAGS
  *   state W.T
  *   wake                              logs the time of the next wake-up
  *   = TEXT                            what was logged since the last "="
  * The log has "W.T>NAME" for a start ("W.T?NAME" a probe), "W.T,T>>ID:r" for
- * a pass (r: h home full, f peer faster), "W.T!" for an expiry. */
+ * a pass (r: h home full, f peer faster), "W.T!" for an expiry, "W.T~" for a
+ * declined task of a batch. */
 #define WORKS_MAX 32
 
 struct run
@@ -62,8 +60,9 @@
           decision->reason == SNIPE_REASON_HOME_FULL ? 'h' : 'f');
       break;
     case SNIPE_DECISION_EXPIRE:
-      g_string_append_printf (run->log, "%d.%u! ", work,
-                              decision->u.expire.task);
+      g_string_append_printf (
+          run->log, "%d.%u%c ", work, decision->u.expire.task,
+          decision->reason == SNIPE_REASON_TOO_SLOW ? '~' : '!');
       break;
     }
 }
@@ -120,6 +119,7 @@
   options.tasks = tasks;
   options.wait_max = g_ascii_strtoll (arg[5], NULL, 10) * SNIPE_MS;
   options.counts_quota = strchr (arg[4], 'b') == NULL;
+  options.speed_min = strchr (arg[4], 's') != NULL ? 1.2F : 0;
   options.ctx = &run->works[run->work_count];
   if (snipe_sched_work_add (&work, run->sched, &options, run->now) != SNIPE_OK)
     g_string_append (run->log, "overload ");
@@ -460,6 +460,20 @@
       "peer 8 9 1 ?\nwork t d2 1 p 0 1\nwork t * 1 p 0 1\nrun\n= 1.0>>8:h" },
     { "the slower of two peers chosen",
       "peer 7 9 1 d\npeer 8 9 2 d\nwork t * 1 p 0 1\nrun\n= 0.0>>8:h" },
+    { "a peer's task run slower than the peer could itself, or declined for "
+      "want of a slot",
+      "ep a d1 1 9\nep b d2 1 9\nwork t d2 1 - 0 100\nrun\nend 0.0 ok 50\n"
+      "= 0.0>b\nwork t * 1 bs 0 30,5\nrun\n= 1.0>b 1.1>a\n"
+      "work t * 1 bs 0 50\nrun\nstate 2.0\n= Q\nend 1.1 ok 5\nrun\n"
+      "state 2.0\n= 2.0~ E" },
+    { "a task sent back and forth for ever between two hosts",
+      "ep a d 9 9\nwork t * 1 p 0 9\npeer 7 1 2 d\nrun\nback 0.0\nagain 0.0\n"
+      "peer 7 1 2 d\nrun\nback 0.0\nagain 0.0\npeer 7 1 2 d\nrun\nback 0.0\n"
+      "again 0.0\npeer 7 1 2 d\nrun\nback 0.0\nagain 0.0\npeer 7 1 2 d\nrun\n"
+      "back 0.0\nagain 0.0\npeer 7 1 2 d\nrun\nback 0.0\nagain 0.0\n"
+      "peer 7 1 2 d\nrun\nback 0.0\nagain 0.0\npeer 7 1 2 d\nrun\nback 0.0\n"
+      "again 0.0\n= 0.0>>7:f 0.0>>7:f 0.0>>7:f 0.0>>7:f 0.0>>7:f 0.0>>7:f "
+      "0.0>>7:f 0.0>>7:f\npeer 7 1 2 d\nrun\n= 0.0>a" },
     { "a dead peer used",
       "peer 7 9 1 d dead\nwork t * 1 p 0 1\nfits * 1 p\nrun\nstate 0.0\n"
       "= no Q\npeer 7 9 1 d\nrun\nstate 0.0\n= 0.0>>7:h P" },
--- a/tools/bench-decide.c
+++ b/tools/bench-decide.c
@@ -14,6 +14,10 @@
 
 #define SLOTS 8
 #define JOB_TASKS_MAX 32
+/* A host offers its free slots when they hold all tasks that wait at the other
+ * host, when there are this many, or after this time. */
+#define OFFER_SLOTS 8
+#define OFFER_WAIT (100 * SNIPE_MS)
 
 struct params
 {
@@ -383,6 +387,7 @@
   EVENT_REPLY,   /**< the reply to RUN_BATCH reaches the home host */
   EVENT_RESULTS, /**< RESULTS reach the home host */
   EVENT_REPORT,  /**< OFFER or HELLO reaches a host */
+  EVENT_LOAD,    /**< the load in a reply reaches a host */
   EVENT_HELLO,   /**< time to send HELLO */
   EVENT_WAKE,
 };
@@ -468,6 +473,7 @@
   uint32_t count;
   uint32_t left;
   uint32_t refused_count;
+  float speed_min;
   uint32_t tasks[JOB_TASKS_MAX];   /**< numbers in the job */
   uint32_t refused[JOB_TASKS_MAX]; /**< places in tasks */
   struct sim_work *parent;         /**< the home host's, of a batch */
@@ -477,6 +483,11 @@
 {
   struct snipe_sched *sched;
   bool *waiting; /**< hosts that have work for this one */
+  uint32_t *wanted;
+  uint32_t *offered;
+  snipe_time *offered_until;
+  snipe_time free_since;
+  uint32_t next;
   snipe_time wake;
 };
 
@@ -490,6 +501,7 @@
   uint32_t *running; /**< of each endpoint */
   snipe_time now;
   uint32_t jobs_left;
+  GArray *passes; /**< batches of the decisions being taken */
   uint64_t tasks;
   uint64_t batches;
   uint64_t passed;
@@ -510,25 +522,33 @@
 }
 
 static void
-sim_report (struct sim *sim, uint32_t from, uint32_t to)
+sim_report_free (struct sim *sim, uint32_t from, uint32_t to,
+                 enum event_kind kind, uint32_t most)
 {
   struct event event = {
     .at = sim->now + sim->params->latency,
-    .kind = EVENT_REPORT,
+    .kind = kind,
     .host = to,
   };
 
   sim_load (sim, from, &event.load);
+  event.load.free_slots = MIN (event.load.free_slots, most);
   event_push (&sim->queue, &event);
 }
 
+static void
+sim_report (struct sim *sim, uint32_t from, uint32_t to, enum event_kind kind)
+{
+  sim_report_free (sim, from, to, kind, UINT32_MAX);
+}
+
 static void
 sim_load_received (struct sim *sim, uint32_t host,
                    const struct snipe_peer_load *load)
 {
   snipe_sched_peer_set (sim->hosts[host].sched, load, sim->now);
-  if (load->queued > 0)
-    sim->hosts[host].waiting[load->incarnation - 1] = true;
+  sim->hosts[host].waiting[load->incarnation - 1] = load->queued > 0;
+  sim->hosts[host].wanted[load->incarnation - 1] = load->queued;
 }
 
 static void
@@ -581,8 +601,8 @@
   batch->count = decision->u.pass.count;
   memcpy (batch->tasks, decision->u.pass.tasks,
           batch->count * sizeof batch->tasks[0]);
-  sim_load (sim, host, &event.load);
-  event_push (&sim->queue, &event);
+  batch->speed_min = decision->u.pass.speed_min;
+  g_array_append_val (sim->passes, event);
   sim->batches++;
   sim->passed += batch->count;
 }
@@ -592,17 +612,53 @@
 {
   struct sim_host *self = &sim->hosts[host];
   struct snipe_peer_load load;
+  uint32_t offered = 0;
 
   sim_load (sim, host, &load);
   if (load.free_slots == 0 || load.queued > 0)
-    return;
+    {
+      self->free_since = 0;
+      return;
+    }
   for (uint32_t i = 0; i < sim->input->hosts; i++)
-    if (self->waiting[i])
-      {
-        self->waiting[i] = false;
-        sim->offers++;
-        sim_report (sim, host, i);
-      }
+    {
+      if (self->offered_until[i] <= sim->now)
+        self->offered[i] = 0;
+      offered += self->offered[i];
+    }
+  for (uint32_t i = 0; i < sim->input->hosts && load.free_slots > offered; i++)
+    {
+      uint32_t to = (self->next + i) % sim->input->hosts;
+      uint32_t count = MIN (self->wanted[to], load.free_slots - offered);
+
+      if (!self->waiting[to] || count == 0)
+        continue;
+      if (count < OFFER_SLOTS && count < self->wanted[to]
+          && (self->free_since == 0
+              || sim->now - self->free_since < OFFER_WAIT))
+        {
+          if (self->free_since == 0)
+            {
+              struct event event = {
+                .at = sim->now + OFFER_WAIT,
+                .kind = EVENT_WAKE,
+                .host = host,
+              };
+
+              self->free_since = sim->now;
+              event_push (&sim->queue, &event);
+            }
+          return;
+        }
+      self->waiting[to] = false;
+      self->offered[to] = count;
+      self->offered_until[to] = sim->now + 4 * sim->params->latency + 1000;
+      offered += count;
+      sim->offers++;
+      sim_report_free (sim, host, to, EVENT_REPORT, count);
+      self->free_since = 0;
+    }
+  self->next++;
 }
 
 static void
@@ -622,9 +678,24 @@
         sim_pass (sim, host, &decision);
         break;
       case SNIPE_DECISION_EXPIRE:
+        {
+          struct sim_work *work = snipe_work_ctx (decision.work);
+          work->refused[work->refused_count++] = decision.u.expire.task;
+        }
+        break;
       default:
         break;
       }
+  /* Loads are read after the last decision; in between they would show tasks
+   * as waiting, and slots as free, that the next decision takes. */
+  for (guint i = 0; i < sim->passes->len; i++)
+    {
+      struct event *event = &g_array_index (sim->passes, struct event, i);
+
+      sim_load (sim, host, &event->load);
+      event_push (&sim->queue, event);
+    }
+  g_array_set_size (sim->passes, 0);
   if (sim->policy == SNIPE_POLICY_POOLED)
     sim_offer (sim, host);
   wake = snipe_sched_wakeup (self->sched, sim->now);
@@ -649,6 +720,7 @@
   options.task_count = work->count;
   options.tasks = tasks;
   options.counts_quota = passable;
+  options.speed_min = work->speed_min;
   options.ctx = work;
   for (uint32_t i = 0; i < work->count; i++)
     {
@@ -735,13 +807,18 @@
   };
 
   sim_load_received (sim, event->host, &event->load);
+  sim->hosts[event->host].offered[batch->home] = 0;
   sim_work_add (sim, event->host, batch, false);
   sim_pump (sim, event->host);
-  batch->refused_count = snipe_sched_work_cancel (
-      sim->hosts[event->host].sched, batch->work, batch->refused);
+  batch->refused_count
+      += snipe_sched_work_cancel (sim->hosts[event->host].sched, batch->work,
+                                  batch->refused + batch->refused_count);
   batch->left = batch->count - batch->refused_count;
   if (batch->refused_count > 0)
-    sim->hosts[event->host].waiting[batch->home] = true;
+    {
+      sim->hosts[event->host].waiting[batch->home] = true;
+      sim->hosts[event->host].wanted[batch->home] += batch->refused_count;
+    }
   if (batch->left == 0)
     {
       snipe_sched_work_free (sim->hosts[event->host].sched, batch->work);
@@ -785,8 +862,9 @@
       snipe_sched_pass_end (sim->hosts[event->host].sched, batch->parent->work,
                             batch->tasks[i], sim->now);
   sim_job_progress (sim, batch->parent, batch->count - batch->refused_count);
-  g_free (batch);
   sim_pump (sim, event->host);
+  sim_report (sim, event->host, batch->host, EVENT_LOAD);
+  g_free (batch);
 }
 
 static void
@@ -812,15 +890,19 @@
       sim_results (sim, event);
       break;
     case EVENT_REPORT:
+    case EVENT_LOAD:
       sim_load_received (sim, event->host, &event->load);
       sim_pump (sim, event->host);
+      if (event->kind == EVENT_REPORT)
+        sim_report (sim, event->host, (uint32_t)event->load.incarnation - 1,
+                    EVENT_LOAD);
       break;
     case EVENT_HELLO:
       for (uint32_t i = 0; i < sim->input->hosts; i++)
         if (i != event->host)
           {
             sim->hellos++;
-            sim_report (sim, event->host, i);
+            sim_report (sim, event->host, i, EVENT_REPORT);
           }
       hello.at += SNIPE_S;
       event_push (&sim->queue, &hello);
@@ -842,6 +924,7 @@
   sim->hosts = g_new0 (struct sim_host, input->hosts);
   sim->running = g_new0 (uint32_t, input->endpoints);
   sim->jobs_left = input->job_count;
+  sim->passes = g_array_new (FALSE, FALSE, sizeof (struct event));
   for (uint32_t i = 0; i < input->hosts; i++)
     {
       struct event hello = {
@@ -853,6 +936,9 @@
       sim->hosts[i].sched
           = sched_new (sim->params, sim->policy, sim->params->seed + i);
       sim->hosts[i].waiting = g_new0 (bool, input->hosts);
+      sim->hosts[i].wanted = g_new0 (uint32_t, input->hosts);
+      sim->hosts[i].offered = g_new0 (uint32_t, input->hosts);
+      sim->hosts[i].offered_until = g_new0 (snipe_time, input->hosts);
       snipe_sched_team (sim->hosts[i].sched, &text);
       snipe_sched_kind (sim->hosts[i].sched, &text, &text);
       /* The baselines know no owners: each host uses every endpoint. */
@@ -954,6 +1040,7 @@
       g_free (sim.hosts[i].waiting);
     }
   g_free (sim.hosts);
+  g_array_free (sim.passes, TRUE);
   g_free (sim.running);
   g_free (sim.queue.events);
 }
