Bring a queued task under 200 bytes

Change: tasks and parts follow the work without pointers, counts of a work have 16 bits. Also frees what the simulation left allocated.

--- a/src/decide/sched.c
+++ b/src/decide/sched.c
@@ -247,7 +247,7 @@
 
   if (entry->state != SNIPE_TASK_RUNNING)
     return;
-  shape = work->parts[entry->part].lane->shape;
+  shape = sched_parts (work)[entry->part].lane->shape;
   task_done (sched, work, entry);
   if (entry->probe)
     endpoint->probing = false;
--- a/src/decide/sched_private.h
+++ b/src/decide/sched_private.h
@@ -95,9 +95,9 @@
   struct snipe_work *work;
   struct sched_lane *lane;
   uint32_t *order; /**< tasks of the shape, longest first */
-  uint32_t room;
-  uint32_t head;  /**< first waiting one in order */
-  uint32_t count; /**< waiting ones */
+  uint16_t room;
+  uint16_t head;  /**< first waiting one in order */
+  uint16_t count; /**< waiting ones */
 };
 
 struct sched_task
@@ -119,17 +119,22 @@
   snipe_time wait_max;
   double remaining; /**< expected work of tasks that have not ended */
   double finish;    /**< expected end of the started tasks, 0 if none */
-  struct sched_part *parts;
-  struct sched_task *tasks;
-  uint32_t task_count;
-  uint32_t queued;
   uint32_t team;
+  float speed_min;
+  uint16_t task_count;
+  uint16_t queued;
   uint16_t part_count;
   bool counts_quota;
-  uint8_t passes_faster; /**< batches sent to faster peers */
-  float speed_min;
+  uint8_t passes_faster;     /**< batches sent to faster peers */
+  struct sched_task tasks[]; /**< followed by the parts */
 };
 
+static inline struct sched_part *
+sched_parts (struct snipe_work *work)
+{
+  return (struct sched_part *)(work->tasks + work->task_count);
+}
+
 struct snipe_sched_endpoint
 {
   struct snipe_endpoint_info info;
--- a/src/decide/sched_queue.c
+++ b/src/decide/sched_queue.c
@@ -198,7 +198,7 @@
   work->remaining -= by;
   for (uint32_t i = 0; i < work->part_count; i++)
     {
-      struct sched_part *part = &work->parts[i];
+      struct sched_part *part = &sched_parts (work)[i];
 
       if (part->node.index == SCHED_NOWHERE)
         continue;
@@ -282,16 +282,17 @@
             uint32_t *order)
 {
   for (uint32_t i = 0; i < work->task_count; i++)
-    work->parts[work->tasks[i].part].room++;
+    sched_parts (work)[work->tasks[i].part].room++;
   for (uint32_t i = 0; i < work->part_count; i++)
     {
-      work->parts[i].order = order;
-      order += work->parts[i].room;
-      work->parts[i].room = 0;
+      sched_parts (work)[i].order = order;
+      order += sched_parts (work)[i].room;
+      sched_parts (work)[i].room = 0;
     }
   for (uint32_t i = 0; i < work->task_count; i++)
     {
-      struct sched_part *part = &work->parts[work->tasks[sorted[i].task].part];
+      struct sched_part *part
+          = &sched_parts (work)[work->tasks[sorted[i].task].part];
 
       part->order[part->room++] = sorted[i].task;
     }
@@ -339,13 +340,11 @@
       code = snipe_status_set (SNIPE_E_NOMEM, "no memory for %u tasks", count);
       goto cleanup;
     }
-  work->parts = (struct sched_part *)((char *)work + align8 (sizeof *work));
-  work->tasks = (struct sched_task *)(work->parts + parts);
   work->expiry.index = SCHED_NOWHERE;
   work->ctx = options->ctx;
   work->wait_max = options->wait_max;
   work->speed_min = options->speed_min;
-  work->task_count = count;
+  work->task_count = (uint16_t)count;
   work->part_count = (uint16_t)parts;
   work->team = options->team;
   work->counts_quota = options->counts_quota;
@@ -365,11 +364,11 @@
     }
   if (count > 1)
     qsort (sorted, count, sizeof *sorted, by_expected);
-  fill_parts (work, sorted, (uint32_t *)(work->tasks + count));
+  fill_parts (work, sorted, (uint32_t *)(sched_parts (work) + parts));
   team = sched_team_at (sched, options->team);
   for (uint32_t i = 0; i < parts; i++)
     {
-      struct sched_part *part = &work->parts[i];
+      struct sched_part *part = &sched_parts (work)[i];
 
       part->work = work;
       part->lane = lane_get (team, shapes[i]);
@@ -398,7 +397,7 @@
 
   for (uint32_t i = 0; i < work->part_count; i++)
     {
-      struct sched_part *part = &work->parts[i];
+      struct sched_part *part = &sched_parts (work)[i];
 
       while (part->count > 0)
         {
@@ -421,7 +420,7 @@
     return;
   snipe_sched_work_cancel (sched, work, NULL);
   for (uint32_t i = 0; i < work->part_count; i++)
-    work->parts[i].lane->shape->parts--;
+    sched_parts (work)[i].lane->shape->parts--;
   free (work);
 }
 
@@ -452,7 +451,7 @@
                      uint32_t task, snipe_time now)
 {
   struct sched_task *entry = &work->tasks[task];
-  struct sched_part *part = &work->parts[entry->part];
+  struct sched_part *part = &sched_parts (work)[entry->part];
   uint32_t *first;
   uint32_t place = 0;
 
@@ -492,7 +491,7 @@
 
       for (uint32_t i = 0; i < work->part_count; i++)
         {
-          struct sched_part *part = &work->parts[i];
+          struct sched_part *part = &sched_parts (work)[i];
 
           for (uint32_t j = 0; j < part->count; j++)
             {
--- a/tools/bench-decide.c
+++ b/tools/bench-decide.c
@@ -1038,6 +1038,9 @@
     {
       snipe_sched_free (sim.hosts[i].sched);
       g_free (sim.hosts[i].waiting);
+      g_free (sim.hosts[i].wanted);
+      g_free (sim.hosts[i].offered);
+      g_free (sim.hosts[i].offered_until);
     }
   g_free (sim.hosts);
   g_array_free (sim.passes, TRUE);
