--- a/src/decide/sched.c
+++ b/src/decide/sched.c
@@ -247,7 +247,7 @@
 
   if (entry->state != SNIPE_TASK_RUNNING)
     return;
-  shape = work->parts[entry->part].lane->shape;
+  shape = sched_parts (work)[entry->part].lane->shape;
   task_done (sched, work, entry);
   if (entry->probe)
     endpoint->probing = false;
@@ -310,6 +310,8 @@
       return "home-full";
     case SNIPE_REASON_PEER_FASTER:
       return "peer-faster";
+    case SNIPE_REASON_TOO_SLOW:
+      return "too-slow";
     case SNIPE_REASON_WAITED:
       return "waited";
     case SNIPE_REASON_BASELINE:
