Test answers under endpoint faults; fix three faults the runs showed

Cause: no test compared the per-task states of a failed answer with the endpoints' counts of starts, and none ran work with all endpoints faulty.

Faults shown by test_answers, and fixed here: - A task that had been started, failed and was queued for its retry was answered not_run when another task failed the job or the caller cancelled it: drop_queued () ignored earlier starts. Seen: "not_run" with 1 to 4 starts. It is now "unknown". - A task passed to a peer was repeated up to the rule's max at the peer and again at the home: 4 starts seen with max=2. The home alone counts now. - A task of a batch whose start a peer's endpoints refused stayed in that peer's queue until the job's deadline (30 s), though endpoints of other hosts were free. It now goes back to its home as not run. Lost wake-ups and suspension were ruled out: status pages showed endpoints free elsewhere and back-offs under 4 s. Messages about ids now name the id.

Open: a body over 64 KB cannot be forwarded between hosts (2 cases), and one job of six waits past its queue rule while endpoints refuse.

--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -84,6 +84,11 @@
       snipe_sched_requeue (engine->sched, run->work, start->task, now);
       return false;
     case SNIPE_RETRY_REQUEUE:
+      /* The home can place it anywhere; here it would wait for the endpoints
+         of this host alone, which may all refuse. */
+      if (run->kind == RUN_GUEST)
+        return run_task_ended (engine, run, start->task, TASK_NOT_RUN,
+                               SNIPE_OK, "");
       if (run->code != SNIPE_OK || now >= run->deadline)
         return run_task_ended (engine, run, start->task,
                                task->repeats > 0 ? TASK_UNKNOWN : TASK_NOT_RUN,
--- a/src/engine/lookup.c
+++ b/src/engine/lookup.c
@@ -169,13 +169,19 @@
                   "the host of this id left before it started; take a new "
                   "id");
   else
-    reply_failed (lookup->reply, lookup->ctx, lookup->id.text,
-                  SNIPE_OUTCOME_UNKNOWN, SNIPE_E_HOME_AWAY,
+    {
+      char message[160];
+
+      g_snprintf (message, sizeof message,
                   status == SNIPE_OK
-                      ? "the host of this id cannot be reached and its "
-                        "archive does not hold the id"
-                      : "neither the host of this id nor its archive can be "
-                        "reached");
+                      ? "the host of id %s cannot be reached and its archive "
+                        "does not hold the id"
+                      : "neither the host of id %s nor its archive can be "
+                        "reached",
+                  lookup->id.text);
+      reply_failed (lookup->reply, lookup->ctx, lookup->id.text,
+                    SNIPE_OUTCOME_UNKNOWN, SNIPE_E_HOME_AWAY, message);
+    }
 }
 
 static void
--- a/src/engine/request.c
+++ b/src/engine/request.c
@@ -56,6 +56,7 @@
   struct snipe_str answer = SNIPE_STR_INIT;
   char id[sizeof sub->id.text];
   bool cancel_run = false;
+  char message[160];
   int http;
 
   memcpy (id, sub->id.text, sizeof id);
@@ -63,9 +64,12 @@
       && memcmp (sub->digest, digest, DIGEST_BYTES) != 0)
     {
       pthread_mutex_unlock (&shard->lock);
+      g_snprintf (message, sizeof message,
+                  "id %s was used before with another body; this body was not "
+                  "run, the earlier one may have been",
+                  id);
       reply_failed (reply, ctx, id, SNIPE_OUTCOME_UNKNOWN, SNIPE_E_ID_REUSED,
-                    "the id was used before with another body; this body was "
-                    "not run, the earlier one may have been");
+                    message);
       return;
     }
   if (request->verb == SNIPE_VERB_SUBMIT)
@@ -237,18 +241,18 @@
 
   if (engine_id_expired (engine, id, now))
     return snipe_status_set (SNIPE_E_ID_EXPIRED,
-                             "the id is older than the memory of ids (%lld "
+                             "id %s is older than the memory of ids (%lld "
                              "s); it is not started, an earlier attempt may "
                              "have run",
-                             (long long)(engine->options.horizon / SNIPE_S));
+                             id->text, (long long)(engine->options.horizon / SNIPE_S));
   switch (id->kind)
     {
     case SNIPE_ID_OWN:
       if (id->u.own.created_ms - engine_wall_ms (engine, now) > ID_FUTURE_MS)
         return snipe_status_set (SNIPE_E_BAD_ID,
-                                 "the id's timestamp is over %d s in the "
-                                 "future",
-                                 ID_FUTURE_MS / 1000);
+                                 "the timestamp of id %s is over %d s in "
+                                 "the future",
+                                 id->text, ID_FUTURE_MS / 1000);
       return SNIPE_OK;
     case SNIPE_ID_ISSUED:
       break;
@@ -257,7 +261,7 @@
   issued = engine->next_sequence;
   pthread_mutex_unlock (&engine->issue_lock);
   if (id->u.issued.sequence >= issued)
-    return snipe_status_set (SNIPE_E_BAD_ID, "the id was never handed out");
+    return snipe_status_set (SNIPE_E_BAD_ID, "id %s was never handed out", id->text);
   return SNIPE_OK;
 }
 
--- a/src/engine/run.c
+++ b/src/engine/run.c
@@ -79,8 +79,12 @@
             (unsigned long long)snipe_rules_version (run->rules),
             snipe_str_c (&spec->team), snipe_str_c (&task->kind));
       run->tasks[i].rule_line = allow->line;
+      /* The home of a batch counts the repeats of its tasks: if the peer
+         repeated them too, the rule's maximum would multiply. */
       run->tasks[i].repeats_max
-          = retry == NULL ? 0 : (uint16_t)MIN (retry->u.retry.max, UINT16_MAX);
+          = retry == NULL || run->kind == RUN_GUEST
+                ? 0
+                : (uint16_t)MIN (retry->u.retry.max, UINT16_MAX);
       tasks[i] = (struct snipe_work_task){
         .needs = task->needs,
         .domains = allow->u.allow.domain_count == 0 ? ~(uint64_t)0 : 0,
@@ -274,7 +278,12 @@
   uint32_t count = snipe_sched_work_cancel (engine->sched, run->work, removed);
 
   for (uint32_t i = 0; i < count; i++)
-    run->tasks[removed[i]].state = TASK_NOT_RUN;
+    {
+      struct task_run *task = &run->tasks[removed[i]];
+
+      /* A task that waits for its retry was started before. */
+      task->state = task->repeats > 0 ? TASK_UNKNOWN : TASK_NOT_RUN;
+    }
   run->open -= count;
   g_free (removed);
 }
--- a/tests/faults/cluster.c
+++ b/tests/faults/cluster.c
@@ -14,6 +14,7 @@
 #define POLL_MS 10
 #define REQUEST_TIMEOUT_MS 60000
 #define CONTROL_TIMEOUT_MS 20000
+#define RECOVER_LIMIT_MS 60000
 
 static const char *
 need_env (const char *name)
@@ -29,6 +30,7 @@
 cluster_load (struct cluster *out)
 {
   gchar **hosts = g_strsplit (need_env ("SNIPE_TEST_HOSTS"), ";", -1);
+  json_t *counts;
 
   memset (out, 0, sizeof *out);
   g_strlcpy (out->platform, need_env ("SNIPE_TEST_PLATFORM"),
@@ -48,6 +50,10 @@
       g_strfreev (parts);
     }
   g_strfreev (hosts);
+  counts = cluster_get (out->endpoints, "/control/counts");
+  out->endpoint_count
+      = (int)json_array_size (json_object_get (counts, "endpoints"));
+  json_decref (counts);
 }
 
 void
@@ -151,21 +157,35 @@
 }
 
 char *
-cluster_job (const char *team, int tasks, int ms, bool idempotent)
+cluster_job_body (const struct cluster_job *job)
 {
   GString *text = g_string_new (NULL);
 
-  g_string_printf (text, "{\"team\":\"%s\",\"tasks\":[", team);
-  for (int i = 0; i < tasks; i++)
+  g_string_printf (text, "{\"team\":\"%s\",", job->team);
+  if (job->deadline_ms > 0)
+    g_string_append_printf (text, "\"deadline_ms\":%d,", job->deadline_ms);
+  g_string_append (text, "\"tasks\":[");
+  for (int i = 0; i < job->tasks; i++)
     g_string_append_printf (
         text,
-        "%s{\"kind\":\"price-strip\",\"run_ms\":%d,\"idempotent\":%s,"
+        "%s{\"kind\":\"%s\",\"run_ms\":%d,\"idempotent\":%s,\"cores\":%d,"
         "\"payload\":{\"ms\":%d,\"n\":%d}}",
-        i == 0 ? "" : ",", ms, idempotent ? "true" : "false", ms, i);
+        i == 0 ? "" : ",", job->kind == NULL ? "price-strip" : job->kind,
+        job->ms, job->idempotent ? "true" : "false",
+        job->cores == 0 ? 1 : job->cores, job->ms, i);
   g_string_append (text, "]}");
   return g_string_free (text, FALSE);
 }
 
+char *
+cluster_job (const char *team, int tasks, int ms, bool idempotent)
+{
+  const struct cluster_job job
+      = { .team = team, .tasks = tasks, .ms = ms, .idempotent = idempotent };
+
+  return cluster_job_body (&job);
+}
+
 void
 cluster_send (struct cluster_answer *out, const struct cluster *cluster,
               int host, const char *method, const char *path, const char *body,
@@ -194,7 +214,7 @@
 cluster_submit (struct cluster_answer *out, const struct cluster *cluster,
                 int host, const char *id, const char *body)
 {
-  char path[CLUSTER_TEXT];
+  char path[CLUSTER_PATH];
 
   snprintf (path, sizeof path, "/v1/jobs/%s", id);
   cluster_send (out, cluster, host, "PUT", path, body, REQUEST_TIMEOUT_MS);
@@ -255,7 +275,7 @@
 int
 cluster_job_starts (const struct cluster *cluster, const char *id)
 {
-  char path[CLUSTER_TEXT];
+  char path[CLUSTER_PATH];
 
   snprintf (path, sizeof path, "/control/job?id=%s", id);
   return count (cluster->endpoints, path, "starts");
@@ -267,25 +287,176 @@
   return count (cluster->endpoints, "/control/counts", "duplicate_starts");
 }
 
+int
+cluster_task_starts (const struct cluster *cluster, const char *id, int task)
+{
+  char path[CLUSTER_PATH];
+
+  snprintf (path, sizeof path, "/control/task?id=%s/%d", id, task);
+  return count (cluster->endpoints, path, "starts");
+}
+
+int
+cluster_all_starts (const struct cluster *cluster)
+{
+  return count (cluster->endpoints, "/control/counts", "starts");
+}
+
+/** @return whether a result is the echo of a task of cluster_job_body (). */
+static bool
+is_echo (json_t *result, const char *id, int task)
+{
+  char name[CLUSTER_PATH];
+  json_t *echo = json_object_get (result, "echo");
+
+  snprintf (name, sizeof name, "%s/%d", id, task);
+  return g_strcmp0 (json_string_value (json_object_get (result, "task")), name)
+             == 0
+         && json_is_integer (json_object_get (echo, "n"))
+         && json_integer_value (json_object_get (echo, "n")) == task;
+}
+
+int
+cluster_answer_faults (const struct cluster *cluster, const char *id,
+                       int tasks, const struct cluster_answer *answer)
+{
+  bool complete = strcmp (answer->outcome, "complete") == 0;
+  bool not_run = strcmp (answer->outcome, "not_run") == 0;
+  json_t *results = json_object_get (answer->root, "results");
+  json_t *states = json_object_get (answer->root, "tasks");
+  int faults = 0;
+
+  if (!complete && !not_run && strcmp (answer->outcome, "unknown") != 0)
+    faults += printf ("\n      %s: no outcome, HTTP %d", id, answer->http) > 0;
+  if (json_array_size (results) != (complete ? (size_t)tasks : 0)
+      || (states != NULL && json_array_size (states) != (size_t)tasks)
+      || (complete && states != NULL) || complete != (answer->code == 0))
+    faults += printf ("\n      %s: answer is partial", id) > 0;
+  if (not_run && cluster_job_starts (cluster, id) != 0)
+    faults += printf ("\n      %s: not_run, but it was started", id) > 0;
+  for (int i = 0; i < tasks && (complete || states != NULL); i++)
+    {
+      const char *state = json_string_value (json_array_get (states, i));
+      int starts = cluster_task_starts (cluster, id, i);
+
+      if (complete
+              ? starts == 0 || !is_echo (json_array_get (results, i), id, i)
+              : (g_strcmp0 (state, "ran") == 0 && starts == 0)
+                    || (g_strcmp0 (state, "not_run") == 0 && starts != 0)
+                    || (not_run && g_strcmp0 (state, "not_run") != 0))
+        faults += printf ("\n      %s/%d: \"%s\" with %d starts", id, i,
+                          complete ? "complete" : state, starts)
+                  > 0;
+    }
+  return faults;
+}
+
 bool
-cluster_wait_starts (const struct cluster *cluster, const char *id, int starts,
-                     int64_t limit_ms)
+cluster_wait (bool (*done) (const struct cluster *cluster, void *arg),
+              const struct cluster *cluster, void *arg, int64_t limit_ms)
 {
   for (int64_t waited = 0; waited < limit_ms; waited += POLL_MS)
     {
-      if (cluster_job_starts (cluster, id) >= starts)
+      if (done (cluster, arg))
         return true;
       cluster_sleep_ms (POLL_MS);
     }
   return false;
 }
 
+struct starts_wanted
+{
+  const char *id;
+  int starts;
+};
+
+static bool
+has_starts (const struct cluster *cluster, void *arg)
+{
+  const struct starts_wanted *wanted = arg;
+
+  return cluster_job_starts (cluster, wanted->id) >= wanted->starts;
+}
+
+bool
+cluster_wait_starts (const struct cluster *cluster, const char *id, int starts,
+                     int64_t limit_ms)
+{
+  struct starts_wanted wanted = { .id = id, .starts = starts };
+
+  return cluster_wait (has_starts, cluster, &wanted, limit_ms);
+}
+
 void
-cluster_signal (const struct cluster *cluster, int host, int signal)
+cluster_mode (const struct cluster *cluster, int every, const char *mode,
+              double factor)
 {
-  if (kill (cluster->hosts[host].pid, signal) != 0)
-    g_error ("host %s has no process %d", cluster->hosts[host].name,
-             (int)cluster->hosts[host].pid);
+  char text[CLUSTER_TEXT];
+
+  for (int i = 0; i < cluster->endpoint_count; i += every)
+    {
+      snprintf (text, sizeof text,
+                "{\"endpoint\":\"ep-%03d\",\"mode\":\"%s\",\"factor\":%g}", i,
+                mode, factor);
+      cluster_endpoints (cluster, text);
+    }
+}
+
+int
+cluster_endpoint_count (const struct cluster *cluster, int endpoint,
+                        const char *field)
+{
+  json_t *root = cluster_get (cluster->endpoints, "/control/counts");
+  json_t *list = json_object_get (root, "endpoints");
+  int value = (int)json_integer_value (
+      json_object_get (json_array_get (list, (size_t)endpoint), field));
+
+  json_decref (root);
+  return value;
+}
+
+int
+cluster_owner (const struct cluster *cluster, int endpoint)
+{
+  char name[CLUSTER_TEXT];
+  int owner = -1;
+
+  snprintf (name, sizeof name, "ep-%03d", endpoint);
+  for (int h = 0; h < cluster->host_count && owner < 0; h++)
+    {
+      json_t *root = cluster_get (cluster->hosts[h].http, "/v1/status");
+      json_t *item;
+      size_t i;
+
+      json_array_foreach (json_object_get (root, "endpoints"), i, item)
+      {
+        if (g_strcmp0 (json_string_value (json_object_get (item, "name")),
+                       name)
+            == 0)
+          owner = h;
+      }
+      json_decref (root);
+    }
+  return owner;
+}
+
+/** @return whether an item of a list of a host's page has a flag so. */
+static bool
+any_flag (const struct cluster *cluster, int host, const char *list,
+          const char *flag, bool value)
+{
+  json_t *root = cluster_get (cluster->hosts[host].http, "/v1/status");
+  json_t *item;
+  bool found = false;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, list), i, item)
+  {
+    if (json_is_true (json_object_get (item, flag)) == value)
+      found = true;
+  }
+  json_decref (root);
+  return found;
 }
 
 /** A process that ended stays a zombie until the script reaps it. */
@@ -307,6 +478,67 @@
   return ended;
 }
 
+/** Sends a little work to each host that has an endpoint suspended, as only
+ * work probes an endpoint. */
+static bool
+none_suspended (const struct cluster *cluster, void *arg)
+{
+  bool none = true;
+
+  for (int h = 0; h < cluster->host_count; h++)
+    {
+      struct cluster_answer answer;
+      char id[CLUSTER_TEXT];
+      char *body;
+
+      if (process_ended (cluster->hosts[h].pid)
+          || !any_flag (cluster, h, "endpoints", "suspended", true))
+        continue;
+      none = false;
+      body = cluster_job_body (&(struct cluster_job){ .team = arg,
+                                                      .tasks = 16,
+                                                      .ms = 1,
+                                                      .idempotent = true,
+                                                      .deadline_ms = 2000 });
+      cluster_issue (id, cluster, h);
+      cluster_submit (&answer, cluster, h, id, body);
+      cluster_answer_clear (&answer);
+      g_free (body);
+    }
+  return none;
+}
+
+bool
+cluster_recover (const struct cluster *cluster, const char *team)
+{
+  char *name = g_strdup (team);
+  bool recovered;
+
+  cluster_mode (cluster, 1, "ok", 1);
+  recovered = cluster_wait (none_suspended, cluster, name, RECOVER_LIMIT_MS);
+  g_free (name);
+  return recovered;
+}
+
+bool
+cluster_all_live (const struct cluster *cluster, void *unused)
+{
+  (void)unused;
+  for (int h = 0; h < cluster->host_count; h++)
+    if (!process_ended (cluster->hosts[h].pid)
+        && any_flag (cluster, h, "peers", "live", false))
+      return false;
+  return true;
+}
+
+void
+cluster_signal (const struct cluster *cluster, int host, int signal)
+{
+  if (kill (cluster->hosts[host].pid, signal) != 0)
+    g_error ("host %s has no process %d", cluster->hosts[host].name,
+             (int)cluster->hosts[host].pid);
+}
+
 bool
 cluster_wait_exit (const struct cluster *cluster, int host, int64_t limit_ms)
 {
--- /dev/null
+++ b/tests/faults/test_answers.c
@@ -0,0 +1,375 @@
+/* P2, P3, P4: under each fault of the endpoints an answer is complete or
+   failed and agrees with the endpoints' counts of starts; bad input starts
+   nothing and is answered with a numbered code. */
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "faults/cluster.h"
+#include "snipe/status.h"
+#include "suite.h"
+
+/* Of each case; together they have more tasks than the cluster has slots, so
+   that jobs queue and pass tasks to peers. */
+#define JOBS 6
+#define TASKS 30
+#define MS 40
+#define DEADLINE_MS 1500
+#define TEXT_MAX 64
+
+struct fault_case
+{
+  const char *name; /**< the failure that the case guards against */
+  const char *mode;
+  double factor;
+  int every; /**< 1: all endpoints, 2: half of them */
+  const char *team;
+  bool idempotent;
+  int deadline_ms;
+  const char *allowed; /**< outcomes, separated by blanks */
+  int code;            /**< of a failed answer, 0: any */
+};
+
+static const struct fault_case faults[] = {
+  { "results mixed up between jobs and hosts", "ok", 1, 1, "reorder", false, 0,
+    "complete", 0 },
+  { "failed tasks given as results", "fail", 1, 1, "reorder", false,
+    DEADLINE_MS, "unknown not_run", 0 },
+  { "partial answer when some tasks fail", "fail", 1, 2, "reorder", false, 0,
+    "complete unknown", SNIPE_E_TASK_FAILED },
+  { "retried task called not run", "fail", 1, 2, "routes", true, 0,
+    "complete unknown", SNIPE_E_TASK_FAILED },
+  { "retried task called not run, all fail", "fail", 1, 1, "routes", true,
+    DEADLINE_MS, "unknown not_run", 0 },
+  { "written start called not run, all dead", "dead", 1, 1, "reorder", false,
+    DEADLINE_MS, "not_run unknown", 0 },
+  { "partial answer when some are dead", "dead", 1, 2, "reorder", false, 0,
+    "complete unknown", 0 },
+  { "frozen start called not run", "freeze", 1, 1, "reorder", false,
+    DEADLINE_MS, "unknown not_run", 0 },
+  { "partial answer when some freeze", "freeze", 1, 2, "routes", true,
+    DEADLINE_MS, "complete unknown not_run", 0 },
+  { "start counted, then cut, called not run", "cut", 1, 1, "reorder", false,
+    DEADLINE_MS, "unknown not_run", 0 },
+  { "partial answer when some cut", "cut", 1, 2, "routes", true, 0,
+    "complete unknown", SNIPE_E_TASK_LOST },
+  { "late answer given to another task", "late", 3, 1, "reorder", false, 0,
+    "complete", 0 },
+  { "answer after the deadline", "late", 100, 1, "reorder", false, DEADLINE_MS,
+    "unknown not_run", 0 },
+  { "refused start called started", "refuse", 1, 1, "reorder", false,
+    DEADLINE_MS, "not_run", SNIPE_E_DEADLINE },
+  { "refused start not placed elsewhere", "refuse", 1, 2, "reorder", false, 0,
+    "complete", 0 },
+  { "queued past the wait of its rule", "refuse", 1, 1, "patient", false, 0,
+    "not_run", SNIPE_E_OVERLOAD },
+};
+
+static struct cluster cluster;
+
+static void
+check_answer (const struct fault_case *c, const char *id, const char *first,
+              const struct cluster_answer *answer)
+{
+  bool allowed
+      = answer->outcome[0] != '\0'
+        && strstr (first == NULL ? c->allowed : first, answer->outcome) != NULL
+        && (c->code == 0 || answer->code == 0 || answer->code == c->code);
+
+  if (!allowed)
+    printf ("\n      %s: HTTP %d \"%s\" code %d", id, answer->http,
+            answer->outcome, answer->code);
+  CU_ASSERT_TRUE (allowed);
+  CU_ASSERT_EQUAL (cluster_answer_faults (&cluster, id, TASKS, answer), 0);
+}
+
+static void
+run_fault (const struct fault_case *c)
+{
+  const struct cluster_job job = { .team = c->team,
+                                   .tasks = TASKS,
+                                   .ms = MS,
+                                   .idempotent = c->idempotent,
+                                   .deadline_ms = c->deadline_ms };
+  struct cluster_request requests[JOBS];
+  char ids[JOBS][CLUSTER_TEXT];
+  char *body = cluster_job_body (&job);
+  int starts[JOBS];
+  int count[3] = { 0 };
+
+  cluster_mode (&cluster, c->every, c->mode, c->factor);
+  for (int i = 0; i < JOBS; i++)
+    {
+      cluster_issue (ids[i], &cluster, i % cluster.host_count);
+      cluster_submit_async (&requests[i], &cluster, i % cluster.host_count,
+                            ids[i], body);
+    }
+  for (int i = 0; i < JOBS; i++)
+    {
+      cluster_join (&requests[i]);
+      count[requests[i].answer.outcome[0] == 'c'   ? 0
+            : requests[i].answer.outcome[0] == 'n' ? 1
+                                                   : 2]++;
+      check_answer (c, ids[i], NULL, &requests[i].answer);
+      starts[i] = cluster_job_starts (&cluster, ids[i]);
+    }
+  printf ("\n    %s (%s): %d complete, %d not_run, %d unknown", c->name,
+          c->mode, count[0], count[1], count[2]);
+  CU_ASSERT_TRUE (cluster_recover (&cluster, "routes"));
+  /* With all endpoints well again, each id keeps its answer, at its home and
+     elsewhere, and nothing of it starts. */
+  for (int i = 0; i < JOBS; i++)
+    for (int at = i; at < i + 2; at++)
+      {
+        struct cluster_answer again;
+
+        cluster_submit (&again, &cluster, at % cluster.host_count, ids[i],
+                        body);
+        check_answer (c, ids[i], requests[i].answer.outcome, &again);
+        cluster_answer_clear (&again);
+      }
+  for (int i = 0; i < JOBS; i++)
+    {
+      CU_ASSERT_EQUAL (cluster_job_starts (&cluster, ids[i]), starts[i]);
+      cluster_answer_clear (&requests[i].answer);
+    }
+  if (!c->idempotent)
+    CU_ASSERT_EQUAL (cluster_duplicate_starts (&cluster), 0);
+  cluster_endpoints (&cluster, "{\"reset\":true}");
+  g_free (body);
+}
+
+static void
+test_faults (void)
+{
+  cluster_load (&cluster);
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    run_fault (&faults[i]);
+}
+
+enum id_kind
+{
+  ID_ISSUED,       /* handed out by the host */
+  ID_TEXT,         /* the text of the case */
+  ID_OWN_FUTURE,   /* UUID of a time two minutes ahead */
+  ID_OWN_OLD,      /* UUID older than the horizon */
+  ID_USED,         /* ran with another body */
+  ID_NEVER_ISSUED, /* sequence number that was not handed out */
+};
+
+/** How a body is made from the text of its case. */
+enum body_kind
+{
+  BODY_TEXT,
+  BODY_OVERSIZED, /* over the limit of a body */
+  BODY_PAYLOAD,   /* a payload over its limit */
+  BODY_DEEP,
+  BODY_TASKS, /* one task too many */
+};
+
+struct bad_case
+{
+  const char *name;
+  enum id_kind id;
+  const char *id_text;
+  enum body_kind kind;
+  const char *body;
+  const char *outcome;
+  int http;
+  int code;
+  const char *says; /**< part of the message; NULL: the id */
+};
+
+#define TASK "{\"kind\":\"price-strip\"}"
+#define JOB(member) "{\"team\":\"reorder\",\"tasks\":[" TASK "]" member "}"
+#define WITH_TASK(member)                                                     \
+  "{\"team\":\"reorder\",\"tasks\":[{\"kind\":\"price-strip\"," member "}]}"
+#define BAD_BODY(name, body, http, code, says)                                \
+  {                                                                           \
+    name, ID_ISSUED, NULL, BODY_TEXT, body, "not_run", http, code, says       \
+  }
+#define BAD_ID(name, id, text, http, code, says)                              \
+  {                                                                           \
+    name, id, text, BODY_TEXT, JOB (""), "unknown", http, code, says          \
+  }
+
+static const struct bad_case bad[] = {
+  BAD_BODY ("malformed", "{\"team\":", 400, SNIPE_E_INVALID, "line 1"),
+  BAD_BODY ("empty", "", 400, SNIPE_E_INVALID, "empty"),
+  BAD_BODY ("not an object", "[]", 400, SNIPE_E_INVALID, "object"),
+  BAD_BODY ("unknown field", JOB (",\"colour\":1"), 400, SNIPE_E_INVALID,
+            "colour"),
+  BAD_BODY ("unknown task field", WITH_TASK ("\"cpus\":1"), 400,
+            SNIPE_E_INVALID, "cpus"),
+  BAD_BODY ("duplicate key", JOB (",\"team\":\"routes\""), 400,
+            SNIPE_E_INVALID, "duplicate"),
+  BAD_BODY ("team is a number", "{\"team\":7,\"tasks\":[" TASK "]}", 400,
+            SNIPE_E_INVALID, "\"team\""),
+  BAD_BODY ("no team", "{\"tasks\":[" TASK "]}", 400, SNIPE_E_INVALID,
+            "\"team\""),
+  BAD_BODY ("tasks is an object", "{\"team\":\"reorder\",\"tasks\":{}}", 400,
+            SNIPE_E_INVALID, "\"tasks\""),
+  BAD_BODY ("no tasks", "{\"team\":\"reorder\",\"tasks\":[]}", 400,
+            SNIPE_E_INVALID, "\"tasks\""),
+  BAD_BODY ("task is a string", "{\"team\":\"reorder\",\"tasks\":[\"a\"]}",
+            400, SNIPE_E_INVALID, "tasks[0]"),
+  BAD_BODY ("run_ms is text", WITH_TASK ("\"run_ms\":\"1\""), 400,
+            SNIPE_E_INVALID, "\"run_ms\""),
+  BAD_BODY ("run_ms is negative", WITH_TASK ("\"run_ms\":-1"), 400,
+            SNIPE_E_INVALID, "\"run_ms\""),
+  BAD_BODY ("cores is a fraction", WITH_TASK ("\"cores\":1.5"), 400,
+            SNIPE_E_INVALID, "\"cores\""),
+  BAD_BODY ("idempotent is a number", WITH_TASK ("\"idempotent\":1"), 400,
+            SNIPE_E_INVALID, "\"idempotent\""),
+  BAD_BODY ("deadline too long", JOB (",\"deadline_ms\":600001"), 400,
+            SNIPE_E_INVALID, "\"deadline_ms\""),
+  { "oversized body", ID_ISSUED, NULL, BODY_OVERSIZED, NULL, "unknown", 413,
+    SNIPE_E_TOO_LARGE, "1048576" },
+  { "oversized payload", ID_ISSUED, NULL, BODY_PAYLOAD, NULL, "not_run", 413,
+    SNIPE_E_TOO_LARGE, "65536" },
+  { "deep", ID_ISSUED, NULL, BODY_DEEP, NULL, "not_run", 413,
+    SNIPE_E_TOO_LARGE, "16" },
+  { "too many tasks", ID_ISSUED, NULL, BODY_TASKS, NULL, "not_run", 413,
+    SNIPE_E_TOO_LARGE, "221" },
+  BAD_BODY ("fits nowhere", WITH_TASK ("\"cores\":65"), 422, SNIPE_E_UNFIT,
+            "65 cores"),
+  BAD_BODY ("no rule for the kind",
+            "{\"team\":\"reorder\",\"tasks\":[{\"kind\":\"other\"}]}", 403,
+            SNIPE_E_NO_RULE, "\"other\""),
+  BAD_BODY ("unknown team", "{\"team\":\"nobody\",\"tasks\":[" TASK "]}", 403,
+            SNIPE_E_NO_RULE, "\"nobody\""),
+  BAD_ID ("malformed id", ID_TEXT, "abc", 400, SNIPE_E_BAD_ID, "\"abc\""),
+  BAD_ID ("id is a UUID of version 4", ID_TEXT,
+          "6f1d3c9e-8b0a-4c57-9d2e-0123456789ab", 400, SNIPE_E_BAD_ID, NULL),
+  BAD_ID ("id missing", ID_TEXT, "", 400, SNIPE_E_BAD_ID, "POST /v1/ids"),
+  BAD_ID ("id of the future", ID_OWN_FUTURE, NULL, 400, SNIPE_E_BAD_ID, NULL),
+  BAD_ID ("id older than the horizon", ID_OWN_OLD, NULL, 410,
+          SNIPE_E_ID_EXPIRED, NULL),
+  BAD_ID ("id of another body", ID_USED, NULL, 409, SNIPE_E_ID_REUSED, NULL),
+  BAD_ID ("never issued number", ID_NEVER_ISSUED, NULL, 400, SNIPE_E_BAD_ID,
+          NULL),
+  BAD_ID ("id of an unknown host", ID_TEXT, "s-0000000000000001-00000000", 502,
+          SNIPE_E_HOME_AWAY, NULL),
+};
+
+static char *
+make_body (const struct bad_case *c)
+{
+  GString *text;
+
+  switch (c->kind)
+    {
+    case BODY_OVERSIZED:
+    case BODY_PAYLOAD:
+      text = g_string_new ("{\"team\":\"reorder\",\"tasks\":[{\"kind\":"
+                           "\"price-strip\",\"payload\":\"");
+      for (int i = 0; i < (c->kind == BODY_PAYLOAD ? 70000 : 1100000); i++)
+        g_string_append_c (text, 'x');
+      g_string_append (text, "\"}]}");
+      return g_string_free (text, FALSE);
+    case BODY_DEEP:
+      text = g_string_new (NULL);
+      for (int i = 0; i < 100000; i++)
+        g_string_append_c (text, '[');
+      return g_string_free (text, FALSE);
+    case BODY_TASKS:
+      return cluster_job ("reorder", 221, 1, false);
+    case BODY_TEXT:
+      break;
+    }
+  return g_strdup (c->body);
+}
+
+static void
+run_good (int host, char *id, int n)
+{
+  struct cluster_answer answer;
+  char *body = cluster_job ("reorder", n, 1, false);
+
+  cluster_issue (id, &cluster, host);
+  cluster_submit (&answer, &cluster, host, id, body);
+  CU_ASSERT_STRING_EQUAL (answer.outcome, "complete");
+  CU_ASSERT_EQUAL (cluster_answer_faults (&cluster, id, n, &answer), 0);
+  cluster_answer_clear (&answer);
+  g_free (body);
+}
+
+static void
+make_id (const struct bad_case *c, int host, char *id)
+{
+  switch (c->id)
+    {
+    case ID_ISSUED:
+      cluster_issue (id, &cluster, host);
+      break;
+    case ID_TEXT:
+      g_strlcpy (id, c->id_text, CLUSTER_TEXT);
+      break;
+    case ID_OWN_FUTURE:
+      cluster_own_id (id, -120000);
+      break;
+    case ID_OWN_OLD:
+      cluster_own_id (id, 700000);
+      break;
+    case ID_USED:
+      run_good (host, id, 2);
+      break;
+    case ID_NEVER_ISSUED:
+      cluster_issue (id, &cluster, host);
+      memcpy (strrchr (id, '-') + 1, "7fffffff", 8);
+      break;
+    }
+}
+
+static void
+run_bad (const struct bad_case *c, int host, int at)
+{
+  struct cluster_answer answer;
+  char id[CLUSTER_TEXT];
+  char good[CLUSTER_TEXT];
+  char *body = make_body (c);
+  const char *message;
+  bool expected;
+  int before;
+
+  make_id (c, host, id);
+  before = cluster_all_starts (&cluster);
+  cluster_submit (&answer, &cluster, at, id, body);
+  message = json_string_value (json_object_get (answer.root, "message"));
+  expected = strcmp (answer.outcome, c->outcome) == 0 && answer.http == c->http
+             && answer.code == c->code && message != NULL
+             && strstr (message, c->says == NULL ? id : c->says) != NULL;
+  if (!expected)
+    printf ("\n    %s: HTTP %d \"%s\" code %d: %s", c->name, answer.http,
+            answer.outcome, answer.code, message == NULL ? "-" : message);
+  CU_ASSERT_TRUE (expected);
+  CU_ASSERT_EQUAL (cluster_all_starts (&cluster), before);
+  /* The daemon still serves. */
+  run_good (at, good, 1);
+  cluster_answer_clear (&answer);
+  g_free (body);
+}
+
+static void
+test_bad_input (void)
+{
+  cluster_load (&cluster);
+  /* At the home of the id, and at a host that forwards to it. */
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    for (int at = 0; at < 2; at++)
+      run_bad (&bad[i], 0, at);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "bad input", test_bad_input },
+    { "answers under faults of endpoints", test_faults },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("answers", tests);
+}
