Forward large bodies; end a refused task's wait by its queue rule

Cause 1: a record to a peer over the 64 KB send buffer goes out in several fragments, which libtirpc's non-blocking server does not join, so a body of 70 KB sent to another host than the id's home was answered HOME_AWAY. Ruled out: the XDR bounds and the record limit (4 MB, 64 MB), and the answer's way back. Records over 8 MB are still not taken.

Cause 2: the scheduler starts a task's wait anew at each requeue, as its own test demands, so a task that endpoints refused every 20 ms waited until the job's deadline (30 s) instead of its queue rule's 300 ms. The engine now compares with the time of admission before it requeues a task that never started.

--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -62,6 +62,7 @@
   struct run *run = start->run;
   struct task_run *task = &run->tasks[start->task];
   const struct snipe_task_spec *spec = &run->spec->tasks[start->task];
+  bool over;
 
   snipe_sched_task_end (engine->sched, run->work, start->task, result->end,
                         result->duration, now);
@@ -89,10 +90,8 @@
       if (run->kind == RUN_GUEST)
         return run_task_ended (engine, run, start->task, TASK_NOT_RUN,
                                SNIPE_OK, "");
-      if (run->code != SNIPE_OK || now >= run->deadline)
-        return run_task_ended (engine, run, start->task,
-                               task->repeats > 0 ? TASK_UNKNOWN : TASK_NOT_RUN,
-                               SNIPE_E_DEADLINE, end_message (result->end));
+      if (run_task_waited (engine, run, start->task, now, &over))
+        return over;
       task->state = TASK_WAITING;
       snipe_sched_requeue (engine->sched, run->work, start->task, now);
       return false;
--- a/src/engine/pass.c
+++ b/src/engine/pass.c
@@ -143,11 +143,10 @@
 task_came_back (struct snipe_engine *engine, struct run *run, uint32_t task,
                 snipe_time now)
 {
-  if (run->code != SNIPE_OK || now >= run->deadline)
-    return run_task_ended (
-        engine, run, task,
-        run->tasks[task].repeats > 0 ? TASK_UNKNOWN : TASK_NOT_RUN,
-        SNIPE_E_DEADLINE, "no endpoint took the task in time");
+  bool over;
+
+  if (run_task_waited (engine, run, task, now, &over))
+    return over;
   run->tasks[task].state = TASK_WAITING;
   snipe_sched_requeue (engine->sched, run->work, task, now);
   return false;
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -83,6 +83,7 @@
   int code;      /**< first failure, or 0 */
   char message[160];
   snipe_time deadline;
+  snipe_time wait_until; /**< a task not started by then is not requeued */
 };
 
 enum submission_state
@@ -308,6 +309,11 @@
 /** Starts the run of a job at its home; ends the submission if refused. */
 void run_start_home (struct snipe_engine *engine, struct submission *sub,
                      const char *body, size_t len, snipe_time now);
+/** Ends a task that was not started and may not wait any longer, by the
+ * queue rule or the deadline. @return whether it did; then @p over tells
+ * whether its run has ended. */
+bool run_task_waited (struct snipe_engine *engine, struct run *run,
+                      uint32_t task, snipe_time now, bool *over);
 void run_cancel (struct snipe_engine *engine, struct submission *sub,
                  snipe_time now);
 /** A task ended for good; call with the scheduler's lock. @return true if it
--- a/src/engine/request.c
+++ b/src/engine/request.c
@@ -244,7 +244,8 @@
                              "id %s is older than the memory of ids (%lld "
                              "s); it is not started, an earlier attempt may "
                              "have run",
-                             id->text, (long long)(engine->options.horizon / SNIPE_S));
+                             id->text,
+                             (long long)(engine->options.horizon / SNIPE_S));
   switch (id->kind)
     {
     case SNIPE_ID_OWN:
@@ -261,7 +262,8 @@
   issued = engine->next_sequence;
   pthread_mutex_unlock (&engine->issue_lock);
   if (id->u.issued.sequence >= issued)
-    return snipe_status_set (SNIPE_E_BAD_ID, "id %s was never handed out", id->text);
+    return snipe_status_set (SNIPE_E_BAD_ID, "id %s was never handed out",
+                             id->text);
   return SNIPE_OK;
 }
 
--- a/src/engine/run.c
+++ b/src/engine/run.c
@@ -199,6 +199,7 @@
   if (status < 0)
     goto cleanup;
   run->open = count;
+  run->wait_until = now + wait;
   engine->runs++;
 
 cleanup:
@@ -305,6 +306,24 @@
   return run->open == 0;
 }
 
+bool
+run_task_waited (struct snipe_engine *engine, struct run *run, uint32_t task,
+                 snipe_time now, bool *over)
+{
+  bool late = run->code != SNIPE_OK || now >= run->deadline;
+  bool ran = run->tasks[task].repeats > 0;
+
+  /* The wait of a task that ran before began anew with its retry. */
+  if (!late && (ran || now < run->wait_until))
+    return false;
+  *over = run_task_ended (
+      engine, run, task, ran ? TASK_UNKNOWN : TASK_NOT_RUN,
+      late ? SNIPE_E_DEADLINE : SNIPE_E_OVERLOAD,
+      late ? "no endpoint took the task in time"
+           : "no endpoint took the task in the wait of its queue rule");
+  return true;
+}
+
 void
 run_cancel (struct snipe_engine *engine, struct submission *sub,
             snipe_time now)
--- a/src/peer/sender.c
+++ b/src/peer/sender.c
@@ -20,8 +20,11 @@
 #define RETRY_AFTER (200 * SNIPE_MS)
 /* How often idle connections that the peer closed are looked for. */
 #define SWEEP_EVERY_S 5
-/* Size of libtirpc's buffers per connection; most messages fit. */
-#define BUFFER_BYTES (64U << 10)
+/* Size of libtirpc's buffers per connection. A message over the send buffer
+   goes out in several fragments, which libtirpc's non-blocking server does
+   not put together (seen above 64 KB). Pages are used only when written. */
+#define SEND_BYTES (8U << 20)
+#define RECEIVE_BYTES (64U << 10)
 
 struct snipe_peer_sender
 {
@@ -117,7 +120,7 @@
   if (fd < 0)
     return SNIPE_E_UNREACHABLE;
   peer->client = clnt_vc_create (fd, &address, SNIPE_PEER_PROGRAM,
-                                 SNIPE_PEER_V1, BUFFER_BYTES, BUFFER_BYTES);
+                                 SNIPE_PEER_V1, SEND_BYTES, RECEIVE_BYTES);
   if (peer->client == NULL)
     {
       close (fd);
