--- a/src/engine/run.c
+++ b/src/engine/run.c
@@ -79,8 +79,12 @@
             (unsigned long long)snipe_rules_version (run->rules),
             snipe_str_c (&spec->team), snipe_str_c (&task->kind));
       run->tasks[i].rule_line = allow->line;
+      /* The home of a batch counts the repeats of its tasks: if the peer
+         repeated them too, the rule's maximum would multiply. */
       run->tasks[i].repeats_max
-          = retry == NULL ? 0 : (uint16_t)MIN (retry->u.retry.max, UINT16_MAX);
+          = retry == NULL || run->kind == RUN_GUEST
+                ? 0
+                : (uint16_t)MIN (retry->u.retry.max, UINT16_MAX);
       tasks[i] = (struct snipe_work_task){
         .needs = task->needs,
         .domains = allow->u.allow.domain_count == 0 ? ~(uint64_t)0 : 0,
@@ -196,6 +200,7 @@
   if (status < 0)
     goto cleanup;
   run->open = count;
+  run->wait_until = now + wait;
   engine->runs++;
 
 cleanup:
@@ -296,7 +301,12 @@
   uint32_t count = snipe_sched_work_cancel (engine->sched, run->work, removed);
 
   for (uint32_t i = 0; i < count; i++)
-    run->tasks[removed[i]].state = TASK_NOT_RUN;
+    {
+      struct task_run *task = &run->tasks[removed[i]];
+
+      /* A task that waits for its retry was started before. */
+      task->state = task->repeats > 0 ? TASK_UNKNOWN : TASK_NOT_RUN;
+    }
   run->open -= count;
   g_free (removed);
 }
@@ -318,6 +328,24 @@
   return run->open == 0;
 }
 
+bool
+run_task_waited (struct snipe_engine *engine, struct run *run, uint32_t task,
+                 snipe_time now, bool *over)
+{
+  bool late = run->code != SNIPE_OK || now >= run->deadline;
+  bool ran = run->tasks[task].repeats > 0;
+
+  /* The wait of a task that ran before began anew with its retry. */
+  if (!late && (ran || now < run->wait_until))
+    return false;
+  *over = run_task_ended (
+      engine, run, task, ran ? TASK_UNKNOWN : TASK_NOT_RUN,
+      late ? SNIPE_E_DEADLINE : SNIPE_E_OVERLOAD,
+      late ? "no endpoint took the task in time"
+           : "no endpoint took the task in the wait of its queue rule");
+  return true;
+}
+
 void
 run_cancel (struct snipe_engine *engine, struct submission *sub,
             snipe_time now)
