--- a/src/engine/status.c
+++ b/src/engine/status.c
@@ -75,12 +75,10 @@
       const struct snipe_rule *limit;
       uint32_t running;
       uint32_t queued;
-      gpointer share = NULL;
 
       if (!g_hash_table_add (seen, (gpointer)team))
         continue;
       limit = snipe_rules_limit (engine->rules, &lines[i].team);
-      share = g_hash_table_lookup (engine->shares, team);
       snipe_sched_team_use (engine->sched,
                             snipe_sched_team (engine->sched, &lines[i].team),
                             &running, &queued);
@@ -88,7 +86,9 @@
           list,
           json_pack ("{s:s, s:i, s:i, s:i, s:i}", "team", team, "limit",
                      limit == NULL ? -1 : (int)limit->u.limit.slots, "share",
-                     limit == NULL ? -1 : (int)GPOINTER_TO_UINT (share),
+                     limit == NULL
+                         ? -1
+                         : (int)engine_share_of (engine, &lines[i].team),
                      "running", (int)running, "queued", (int)queued));
     }
   g_hash_table_destroy (seen);
--- a/tests/faults/cluster.c
+++ b/tests/faults/cluster.c
@@ -115,6 +115,22 @@
   post (cluster->endpoints, "POST", "/control", json);
 }
 
+void
+cluster_publish_rules (const struct cluster *cluster, const char *text)
+{
+  json_t *row = cluster_get (cluster->platform, "/table/row?key=rules");
+  json_t *txn = json_pack (
+      "{s:[{s:s, s:O}], s:[{s:s, s:{s:s, s:s, s:s, s:s}}]}", "if", "key",
+      "rules", "version", json_object_get (row, "version"), "put", "key",
+      "rules", "value", "text", text, "who", "test", "when", "", "op", "0");
+  char *body = json_dumps (txn, JSON_COMPACT);
+
+  post (cluster->platform, "POST", "/table/txn", body);
+  free (body);
+  json_decref (txn);
+  json_decref (row);
+}
+
 void
 cluster_issue (char *id, const struct cluster *cluster, int host)
 {
--- a/tests/faults/cluster.h
+++ b/tests/faults/cluster.h
@@ -80,6 +80,8 @@
 /** Posts a control message to the platform or the endpoints. */
 void cluster_platform (const struct cluster *cluster, const char *json);
 void cluster_endpoints (const struct cluster *cluster, const char *json);
+/** Publishes rules over the present ones by a plain table write. */
+void cluster_publish_rules (const struct cluster *cluster, const char *text);
 /** Reads a JSON page of a host or stand-in; the caller drops it. */
 json_t *cluster_get (const char *address, const char *path);
 /** @return starts of all tasks of a job that the endpoints counted. */
