Send a heartbeat only to a peer that was not heard lately

Cause: every host sent a HELLO to every peer each second, although most pairs had exchanged batches, results or offers within that second, and each message and each reply carries the same load. Each pair also exchanged two heartbeats where one informs both sides.

Ruled out: a longer interval, which would delay the detection of dead peers (3.5 intervals of silence). A lost heartbeat is still repeated three times within that time, by each side of a pair on its own clock.

--- a/src/engine/cluster.c
+++ b/src/engine/cluster.c
@@ -100,6 +100,7 @@
   peer->incarnation = incarnation;
   peer->learned = now;
   peer->heard = INT64_MIN / 2;
+  peer->greeted = INT64_MIN / 2;
   peer->size = 1;
   g_hash_table_insert (engine->peers, &peer->incarnation, peer);
   engine->next_owners = now;
@@ -405,10 +406,38 @@
                        hello_done, engine);
 }
 
+/** Whether a heartbeat to a peer is due. Every message and every reply carries
+ * the sender's load, so a peer that was heard has also heard this host, and
+ * the next heartbeat can wait for a whole interval from then on. */
+static bool
+hello_due (const struct snipe_engine *engine, const struct peer *peer,
+           snipe_time now)
+{
+  snipe_time interval = engine->options.hello_interval;
+
+  if (now - peer->greeted < interval)
+    return false;
+  /* One exchange serves both sides; the one with the greater incarnation
+     leaves it to the other and only speaks if that one is late. */
+  if (engine->options.incarnation > peer->incarnation)
+    interval += interval / 4;
+  return now - peer->heard >= interval;
+}
+
+static bool
+greet_seeds (struct snipe_engine *engine, snipe_time now)
+{
+  if (now < engine->next_seeds)
+    return false;
+  engine->next_seeds = now + engine->options.hello_interval;
+  return true;
+}
+
 void
-engine_hello_all (struct snipe_engine *engine, snipe_time now)
+engine_hello (struct snipe_engine *engine, bool all, snipe_time now)
 {
   GPtrArray *addresses = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *known = g_ptr_array_new_with_free_func (g_free);
   const char *const *seed = engine->links.seeds;
   GHashTableIter iter;
   gpointer value;
@@ -416,12 +445,23 @@
   pthread_mutex_lock (&engine->sched_lock);
   g_hash_table_iter_init (&iter, engine->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_ptr_array_add (addresses, g_strdup (((struct peer *)value)->address));
+    {
+      struct peer *peer = value;
+
+      g_ptr_array_add (known, g_strdup (peer->address));
+      if (!all && !hello_due (engine, peer, now))
+        continue;
+      peer->greeted = now;
+      g_ptr_array_add (addresses, g_strdup (peer->address));
+    }
+  if (!greet_seeds (engine, now))
+    seed = NULL;
   pthread_mutex_unlock (&engine->sched_lock);
   for (; seed != NULL && *seed != NULL; seed++)
-    if (!g_ptr_array_find_with_equal_func (addresses, *seed, g_str_equal, NULL)
+    if (!g_ptr_array_find_with_equal_func (known, *seed, g_str_equal, NULL)
         && strcmp (*seed, engine->rpc_address) != 0)
       g_ptr_array_add (addresses, g_strdup (*seed));
+  g_ptr_array_free (known, TRUE);
   for (guint i = 0; i < addresses->len; i++)
     {
       snipe_counter_add (SNIPE_C_HELLOS, 1);
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -7,6 +7,8 @@
 #include "snipe/status.h"
 
 #define TICK_US 5000
+/* Looks for due heartbeats in each of their intervals. */
+#define HELLO_CHECKS 16
 /* Shards swept for old ids: one each this often. */
 #define SWEEP_INTERVAL (500 * SNIPE_MS)
 
@@ -162,8 +164,9 @@
       now = snipe_clock_now ();
       if (now >= engine->next_hello)
         {
-          engine->next_hello = now + engine->options.hello_interval;
-          engine_hello_all (engine, now);
+          engine->next_hello
+              = now + engine->options.hello_interval / HELLO_CHECKS;
+          engine_hello (engine, false, now);
           update_gauges (engine, now);
         }
       engine_check_peers (engine, now);
@@ -267,7 +270,7 @@
 {
   __atomic_store_n (&engine->draining, 1, __ATOMIC_RELEASE);
   g_message ("draining: no new work is accepted");
-  engine_hello_all (engine, snipe_clock_now ());
+  engine_hello (engine, true, snipe_clock_now ());
 }
 
 bool
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -146,6 +146,7 @@
   snipe_time heard;   /**< last message from it */
   snipe_time learned; /**< when this host first knew of it */
   snipe_time offered; /**< last offer sent to it */
+  snipe_time greeted; /**< last heartbeat sent to it */
   bool lost;          /**< its batches were given up */
 };
 
@@ -206,7 +207,8 @@
   uint32_t waiting_peers;   /**< peers that want an offer, atomic hint */
   GPtrArray *owned_domains; /**< names of the domains of owned endpoints */
   snipe_time next_owners;   /**< when to look at ownership again */
-  snipe_time next_hello;
+  snipe_time next_hello;    /**< next look for due heartbeats */
+  snipe_time next_seeds;
 
   pthread_mutex_t issue_lock;
   uint32_t next_sequence;
@@ -361,7 +363,7 @@
 bool peer_live (const struct snipe_engine *engine, const struct peer *peer,
                 snipe_time now);
 void engine_owners_update (struct snipe_engine *engine, snipe_time now);
-void engine_hello_all (struct snipe_engine *engine, snipe_time now);
+void engine_hello (struct snipe_engine *engine, bool all, snipe_time now);
 /** Offers free slots to a peer whose tasks were refused here. */
 void engine_offer (struct snipe_engine *engine, snipe_time now);
 /** Notes that a peer has tasks that found no slot here; with the lock. */
