Let a peer decline tasks that it would run no faster

Cause: a task passed because a peer seemed faster was started on whatever slot the peer had left when the batch arrived; the scheduler offers a least speed for a batch, which the message did not carry. Changed: peer_batch carries the least speed, declined tasks go back in the reply. The log tells a slot that is the slowest in time from the fastest. Ruled out: declining by the job's expected end (in the simulation tasks went back and forth once hosts had learnt different durations).

--- a/include/snipe/sched.h
+++ b/include/snipe/sched.h
@@ -116,6 +116,8 @@
 enum snipe_reason
 {
   SNIPE_REASON_FASTEST_FREE, /**< fastest free slot of this host */
+  SNIPE_REASON_IN_TIME,      /**< slowest free slot of this host that does
+                                not delay the job */
   SNIPE_REASON_PROBE,        /**< trial of a suspended endpoint */
   SNIPE_REASON_HOME_FULL,    /**< passed: no free slot here */
   SNIPE_REASON_PEER_FASTER,  /**< passed: peer faster by pass_gain */
--- a/src/decide/sched.c
+++ b/src/decide/sched.c
@@ -304,6 +304,8 @@
     {
     case SNIPE_REASON_FASTEST_FREE:
       return "fastest-free";
+    case SNIPE_REASON_IN_TIME:
+      return "slowest-in-time";
     case SNIPE_REASON_PROBE:
       return "probe";
     case SNIPE_REASON_HOME_FULL:
--- a/src/decide/sched_place.c
+++ b/src/decide/sched_place.c
@@ -388,7 +388,7 @@
     }
   endpoint = slowest_enough (sched, part, now);
   if (endpoint != NULL)
-    return start (sched, part, endpoint, SNIPE_REASON_FASTEST_FREE, now, out);
+    return start (sched, part, endpoint, SNIPE_REASON_IN_TIME, now, out);
   endpoint = fastest_free (sched, shape);
   if (endpoint != NULL && endpoint->speed < part->work->speed_min)
     return decline (sched, part, out);
--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -227,7 +227,11 @@
             continue;
           break;
         case SNIPE_DECISION_EXPIRE:
-          expire (engine, run, decision.u.expire.task, now, ended);
+          /* A declined task goes back in the reply to its batch. */
+          if (decision.reason == SNIPE_REASON_TOO_SLOW)
+            guest_decline (run, decision.u.expire.task);
+          else
+            expire (engine, run, decision.u.expire.task, now, ended);
           continue;
         }
       g_array_append_val (actions, action);
--- a/src/engine/pass.c
+++ b/src/engine/pass.c
@@ -102,6 +102,7 @@
   args->job = strdup (run->job);
   args->team = strdup (snipe_str_c (&run->spec->team));
   args->deadline = (u_quad_t)MAX (run->deadline - now, SNIPE_MS);
+  args->speed_min_permille = (u_int)(decision->u.pass.speed_min * 1000);
   args->tasks.tasks_len = count;
   args->tasks.tasks_val = calloc (count, sizeof (peer_task));
   for (uint32_t i = 0; i < count; i++)
@@ -397,9 +398,18 @@
   return run;
 }
 
+void
+guest_decline (struct run *run, uint32_t task)
+{
+  run->tasks[task].state = TASK_NOT_RUN;
+  run->tasks[task].refused = true;
+  run->open--;
+}
+
 /** Admits a batch; with the lock. */
 static int
-guest_admit (struct snipe_engine *engine, struct run *run, snipe_time now)
+guest_admit (struct snipe_engine *engine, struct run *run, float speed_min,
+             snipe_time now)
 {
   uint32_t count = run->spec->task_count;
   struct snipe_work_task *tasks;
@@ -418,6 +428,7 @@
       options.tasks = tasks;
       options.wait_max = run->deadline - now;
       options.counts_quota = false;
+      options.speed_min = speed_min;
       options.ctx = run;
       status = snipe_sched_work_add (&run->work, engine->sched, &options, now);
     }
@@ -430,32 +441,30 @@
   return status;
 }
 
-/** Lists the tasks of a batch that found no slot as refused. */
+/** Lists the tasks of a batch as refused that found no slot, or none that
+ * was fast enough. */
 static void
 guest_refuse_queued (struct snipe_engine *engine, struct run *run,
                      peer_batch_reply *reply)
 {
   uint32_t count = run->spec->task_count;
-  uint32_t *removed = calloc (count, sizeof *removed);
-  uint32_t refused
-      = run->work == NULL
-            ? 0
-            : snipe_sched_work_cancel (engine->sched, run->work, removed);
-
-  run->open -= refused;
-  for (uint32_t i = 0; i < refused; i++)
-    {
-      run->tasks[removed[i]].state = TASK_NOT_RUN;
-      run->tasks[removed[i]].refused = true;
-      removed[i] = run->u.guest.indexes[removed[i]];
-    }
-  if (run->work == NULL)
+  uint32_t *list = calloc (count, sizeof *list);
+  uint32_t queued;
+  uint32_t refused = 0;
+
+  if (list == NULL)
+    g_error ("no memory for refused tasks");
+  if (run->work != NULL)
     {
-      refused = count;
-      memcpy (removed, run->u.guest.indexes, count * sizeof *removed);
+      queued = snipe_sched_work_cancel (engine->sched, run->work, list);
+      for (uint32_t i = 0; i < queued; i++)
+        guest_decline (run, list[i]);
     }
+  for (uint32_t i = 0; i < count; i++)
+    if (run->work == NULL || run->tasks[i].refused)
+      list[refused++] = run->u.guest.indexes[i];
   reply->refused.refused_len = refused;
-  reply->refused.refused_val = removed;
+  reply->refused.refused_val = list;
 }
 
 int
@@ -471,7 +480,8 @@
 
   engine_heard (engine, &args->from, now);
   pthread_mutex_lock (&engine->sched_lock);
-  if (guest_admit (engine, run, now) == SNIPE_OK)
+  if (guest_admit (engine, run, (float)args->speed_min_permille / 1000.0F, now)
+      == SNIPE_OK)
     engine_decide (engine, now, actions, ended);
   guest_refuse_queued (engine, run, reply);
   empty = run->work == NULL || run->open == 0;
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -355,6 +355,8 @@
 void guest_send_results (struct snipe_engine *engine, struct run *run);
 /** Sends results again whose delivery failed. */
 void guest_resend (struct snipe_engine *engine, snipe_time now);
+/** Gives a task back to the peer that passed it; with the lock. */
+void guest_decline (struct run *run, uint32_t task);
 int engine_on_run_batch (void *ctx, const peer_batch *args,
                          peer_batch_reply *reply);
 int engine_on_results (void *ctx, const peer_results *args, peer_load *reply);
--- a/src/peer/snipe_peer.h
+++ b/src/peer/snipe_peer.h
@@ -109,6 +109,7 @@
 	peer_name job;
 	peer_name team;
 	u_quad_t deadline;
+	u_int speed_min_permille;
 	struct {
 		u_int tasks_len;
 		peer_task *tasks_val;
--- a/src/peer/snipe_peer.x
+++ b/src/peer/snipe_peer.x
@@ -80,6 +80,8 @@
   peer_name team;
   /* Time left until the job's deadline. */
   unsigned hyper deadline;
+  /* Least speed of an endpoint worth taking the tasks for, 0: any. */
+  unsigned int speed_min_permille;
   peer_task tasks<PEER_TASKS_MAX>;
 };
 
--- a/src/peer/snipe_peer_xdr.c
+++ b/src/peer/snipe_peer_xdr.c
@@ -291,6 +291,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->deadline))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->speed_min_permille))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, PEER_TASKS_MAX,
 		sizeof (peer_task), (xdrproc_t) xdr_peer_task))
 		 return FALSE;
