Test a domain cut off and the platform down

cluster_cut () now cuts a domain's endpoints off too: hosts outside took them over before, as they saw no live host there, so that the tests did not judge whether the domain works on its own endpoints.

--- a/tests/faults/cluster.c
+++ b/tests/faults/cluster.c
@@ -15,6 +15,7 @@
 #define REQUEST_TIMEOUT_MS 60000
 #define CONTROL_TIMEOUT_MS 20000
 #define RECOVER_LIMIT_MS 60000
+#define CLUSTER_REFUSED_MAX 256
 
 static const char *
 need_env (const char *name)
@@ -569,22 +570,25 @@
 /** Names of hosts and addresses outside a domain that a host must refuse. */
 static void
 refuse_outside (const struct cluster *cluster, int host, const char *domain,
-                bool platform)
+                bool platform, json_t *list)
 {
-  const char *names[2 * CLUSTER_HOSTS_MAX + 2];
+  const char *names[CLUSTER_REFUSED_MAX + 1];
   const struct cluster_host *self = &cluster->hosts[host];
+  json_t *item;
+  size_t i;
   int n = 0;
 
-  for (int i = 0; domain != NULL && i < cluster->host_count; i++)
-    {
-      const struct cluster_host *other = &cluster->hosts[i];
-      bool inside = strcmp (other->domain, domain) == 0;
-
-      if (inside == (strcmp (self->domain, domain) == 0))
-        continue;
-      names[n++] = other->name;
-      names[n++] = other->rpc;
-    }
+  json_array_foreach (list, i, item)
+  {
+    const char *other = json_string_value (json_object_get (item, "domain"));
+    bool inside = g_strcmp0 (other, domain) == 0;
+
+    if (inside == (strcmp (self->domain, domain) == 0)
+        || n + 2 > CLUSTER_REFUSED_MAX - 1)
+      continue;
+    names[n++] = json_string_value (json_object_get (item, "name"));
+    names[n++] = json_string_value (json_object_get (item, "address"));
+  }
   if (domain != NULL && platform && strcmp (self->domain, domain) == 0)
     names[n++] = "platform";
   names[n] = NULL;
@@ -594,8 +598,23 @@
 void
 cluster_cut (const struct cluster *cluster, const char *domain, bool platform)
 {
+  json_t *root = NULL;
+  json_t *list = NULL;
+
+  if (domain != NULL)
+    {
+      root = cluster_get (cluster->platform, "/hosts");
+      list = json_object_get (root, "hosts");
+      /* The list has no RPC address of entry hosts. */
+      for (int i = 0; i < cluster->host_count; i++)
+        json_array_append_new (
+            list, json_pack ("{s:s, s:s, s:s}", "name", cluster->hosts[i].name,
+                             "address", cluster->hosts[i].rpc, "domain",
+                             cluster->hosts[i].domain));
+    }
   for (int i = 0; i < cluster->host_count; i++)
-    refuse_outside (cluster, i, domain, platform);
+    refuse_outside (cluster, i, domain, platform, list);
+  json_decref (root);
 }
 
 int
--- a/tests/faults/cluster.h
+++ b/tests/faults/cluster.h
@@ -122,7 +122,8 @@
 /** Makes a host refuse the named hosts and addresses; NULL-terminated. */
 void cluster_refuse (const struct cluster *cluster, int host,
                      const char *const *names);
-/** Cuts a failure domain off from all other domains, and from the platform
+/** Cuts a failure domain, with its endpoints, off from all other domains,
+ * and from the platform
  * if @p platform; heals everything if @p domain is NULL. */
 void cluster_cut (const struct cluster *cluster, const char *domain,
                   bool platform);
