Meet the linter in the limits test and the platform client

The struct of the client had 33 bytes of padding, and the analyzer could not see that the mask of loaded hosts never shifts by a negative number; the test now keeps a flag for each host.

--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -180,6 +180,7 @@
   GHashTable *lease_rows; /**< incarnation (uint64_t *) -> version, the same */
   uint32_t live_hosts;
   bool hosts_changed; /**< the entries must be reported again */
+  bool quota_short;   /**< tasks waited for a share in the last round */
   bool failing;       /**< the last whole round had a failure */
   uint64_t polls;
   bool registered;
@@ -190,7 +191,6 @@
   snipe_time valid_until; /**< 0 before the first renewal */
   snipe_time quota_next;  /**< earliest next round that may write */
   snipe_time sweep_next;
-  bool quota_short;   /**< tasks waited for a share in the last round */
   GHashTable *leases; /**< incarnation (uint64_t *) -> snipe_lease_seen */
   GHashTable *swept;  /**< the same as leases, as the sweeper saw them */
   GHashTable *quotas; /**< team (char *) -> struct snipe_quota_team */
--- a/tests/faults/test_limits.c
+++ b/tests/faults/test_limits.c
@@ -59,10 +59,18 @@
 };
 
 static struct cluster cluster;
-/* Bit i: host i gets load. Read and written atomically. */
-static guint active;
+/* Whether a host gets load. Read and written atomically. */
+static gint active[CLUSTER_HOSTS_MAX];
 static gint stop;
 
+/** Puts load on the hosts from @p first to before @p end, and on no other. */
+static void
+load_hosts (int first, int end)
+{
+  for (int i = 0; i < CLUSTER_HOSTS_MAX; i++)
+    g_atomic_int_set (&active[i], i >= first && i < end);
+}
+
 /** Submits one job after the other to one host while it is active. */
 static void *
 client (void *arg)
@@ -76,7 +84,7 @@
       char path[CLUSTER_TEXT];
       const char *id;
 
-      if ((g_atomic_int_get (&active) >> host & 1) == 0)
+      if (!g_atomic_int_get (&active[host]))
         {
           cluster_sleep_ms (20);
           continue;
@@ -232,7 +240,7 @@
     case FAULT_ONE_HOST:
       for (int host = 0; host < 2; host++)
         {
-          g_atomic_int_set (&active, 1U << host);
+          load_hosts (host, host + 1);
           /* 20 tasks of one host at a time, over its equal slice of 6. */
           CU_ASSERT_TRUE (wait_share (host, CLIENTS * TASKS, LIMIT));
         }
@@ -285,14 +293,14 @@
 
   /* Frozen and cut hosts are used again; those that end are not. */
   if (c->fault == FAULT_KILL || c->fault == FAULT_DRAIN)
-    g_atomic_int_and (&active, ~(1U << *victim));
+    load_hosts (0, *victim);
   reset_max ();
   disturb (c, *victim);
   most = max_running ();
   CU_ASSERT_TRUE (most <= MAX (*before, c->limit));
   if (c->fault == FAULT_KILL || c->fault == FAULT_DRAIN)
     (*victim)--;
-  g_atomic_int_set (&active, (1U << (*victim + 1)) - 1);
+  load_hosts (0, *victim + 1);
   /* A lower limit holds from here on, and all of it is put to use. */
   reset_max ();
   CU_ASSERT_TRUE (wait_running (c->limit * 9 / 10));
@@ -316,7 +324,7 @@
 
   cluster_load (&cluster);
   victim = cluster.host_count - 1;
-  g_atomic_int_set (&active, (1U << cluster.host_count) - 1);
+  load_hosts (0, cluster.host_count);
   for (int host = 0; host < cluster.host_count; host++)
     for (int i = 0; i < CLIENTS; i++)
       CU_ASSERT_EQUAL_FATAL (pthread_create (&threads[count++], NULL, client,
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -746,7 +746,7 @@
   options.url = fake.url;
   options.host = "entry-1";
   /* Few enough that no whole read comes between the two counts. */
-  options.poll = 200 * SNIPE_MS;
+  options.poll = 100 * SNIPE_MS;
   options.self.incarnation = SELF;
   options.events = &events;
   options.ctx = &rec;
