--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -36,6 +36,8 @@
   X (OFFERS, "offers_total", "counter", "Offers of free slots to peers")      \
   X (HELLOS, "hellos_total", "counter", "Heartbeats sent to peers")           \
   X (FORWARDS, "forwards_total", "counter", "Requests forwarded to a home")   \
+  X (PEER_BYTES, "peer_bytes_total", "counter",                               \
+     "Bytes of calls to peers and of their replies, without TCP")             \
   X (STORE_READS, "store_reads_total", "counter",                             \
      "Reads sent to the platform")                                            \
   X (STORE_WRITES, "store_writes_total", "counter",                           \
--- a/src/peer/sender.c
+++ b/src/peer/sender.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "snipe/counter.h"
 #include "snipe/status.h"
 #include "util/refuse.h"
 
@@ -20,6 +21,8 @@
 #define RETRY_AFTER (200 * SNIPE_MS)
 /* How often idle connections that the peer closed are looked for. */
 #define SWEEP_EVERY_S 5
+/* Record marks and RPC headers of a call (44 bytes) and its reply (28). */
+#define CALL_OVERHEAD_BYTES 72
 /* Size of libtirpc's buffers per connection. A message over the send buffer
    goes out in several fragments, which libtirpc's non-blocking server does
    not put together (seen above 64 KB). Pages are used only when written. */
@@ -216,6 +219,10 @@
     }
   else if (snipe_refuse_match (peer->text))
     status = SNIPE_E_TIMEOUT;
+  snipe_counter_add (SNIPE_C_PEER_BYTES,
+                     CALL_OVERHEAD_BYTES
+                         + xdr_sizeof (proc->args, &call->call.args)
+                         + xdr_sizeof (proc->reply, &reply));
   end_call (call, status, status == SNIPE_OK ? &reply : NULL);
   xdr_free (proc->reply, (char *)&reply);
 }
