Fill every slot in the storm test; meet the linter

The storm test sent 16 tasks at a time to the owner of the failing endpoint, which may place all of them at its other endpoints: 0 starts in one of three runs, so that nothing was judged and the test failed. It now sends more tasks than the cluster has slots; the check is the same.

--- a/tests/faults/cluster.c
+++ b/tests/faults/cluster.c
@@ -583,7 +583,7 @@
     const char *other = json_string_value (json_object_get (item, "domain"));
     bool inside = g_strcmp0 (other, domain) == 0;
 
-    if (inside == (strcmp (self->domain, domain) == 0)
+    if (inside == (g_strcmp0 (self->domain, domain) == 0)
         || n + 2 > CLUSTER_REFUSED_MAX - 1)
       continue;
     names[n++] = json_string_value (json_object_get (item, "name"));
--- a/tests/faults/test_answers.c
+++ b/tests/faults/test_answers.c
@@ -23,7 +23,7 @@
 {
   const char *name; /**< the failure that the case guards against */
   const char *mode;
-  double factor;
+  int factor;
   int every; /**< 1: all endpoints, 2: half of them */
   const char *team;
   bool idempotent;
@@ -173,8 +173,8 @@
 {
   const char *name;
   enum id_kind id;
-  const char *id_text;
   enum body_kind kind;
+  const char *id_text;
   const char *body;
   const char *outcome;
   int http;
@@ -188,11 +188,11 @@
   "{\"team\":\"reorder\",\"tasks\":[{\"kind\":\"price-strip\"," member "}]}"
 #define BAD_BODY(name, body, http, code, says)                                \
   {                                                                           \
-    name, ID_ISSUED, NULL, BODY_TEXT, body, "not_run", http, code, says       \
+    name, ID_ISSUED, BODY_TEXT, NULL, body, "not_run", http, code, says       \
   }
 #define BAD_ID(name, id, text, http, code, says)                              \
   {                                                                           \
-    name, id, text, BODY_TEXT, JOB (""), "unknown", http, code, says          \
+    name, id, BODY_TEXT, text, JOB (""), "unknown", http, code, says          \
   }
 
 static const struct bad_case bad[] = {
@@ -225,13 +225,13 @@
             SNIPE_E_INVALID, "\"idempotent\""),
   BAD_BODY ("deadline too long", JOB (",\"deadline_ms\":600001"), 400,
             SNIPE_E_INVALID, "\"deadline_ms\""),
-  { "oversized body", ID_ISSUED, NULL, BODY_OVERSIZED, NULL, "unknown", 413,
+  { "oversized body", ID_ISSUED, BODY_OVERSIZED, NULL, NULL, "unknown", 413,
     SNIPE_E_TOO_LARGE, "1048576" },
-  { "oversized payload", ID_ISSUED, NULL, BODY_PAYLOAD, NULL, "not_run", 413,
+  { "oversized payload", ID_ISSUED, BODY_PAYLOAD, NULL, NULL, "not_run", 413,
     SNIPE_E_TOO_LARGE, "65536" },
-  { "deep", ID_ISSUED, NULL, BODY_DEEP, NULL, "not_run", 413,
+  { "deep", ID_ISSUED, BODY_DEEP, NULL, NULL, "not_run", 413,
     SNIPE_E_TOO_LARGE, "16" },
-  { "too many tasks", ID_ISSUED, NULL, BODY_TASKS, NULL, "not_run", 413,
+  { "too many tasks", ID_ISSUED, BODY_TASKS, NULL, NULL, "not_run", 413,
     SNIPE_E_TOO_LARGE, "221" },
   BAD_BODY ("fits nowhere", WITH_TASK ("\"cores\":65"), 422, SNIPE_E_UNFIT,
             "65 cores"),
@@ -318,7 +318,7 @@
       break;
     case ID_NEVER_ISSUED:
       cluster_issue (id, &cluster, host);
-      memcpy (strrchr (id, '-') + 1, "7fffffff", 8);
+      g_strlcpy (strrchr (id, '-') + 1, "7fffffff", 9);
       break;
     }
 }
--- a/tests/faults/test_retries.c
+++ b/tests/faults/test_retries.c
@@ -15,6 +15,7 @@
 #define TASKS 30
 #define RETRY_MAX 2 /* of the script's rule for team reorder */
 #define SLOTS 8
+#define FILL 120 /* 12 endpoints have 96 slots */
 #define SUSPEND_MIN_MS 500
 #define WAIT_MS 60000
 
@@ -97,16 +98,17 @@
     run_case (&cases[i]);
 }
 
+/** Runs more tasks than there are slots, so that no endpoint stays idle. */
 static void
 run_job (int host)
 {
   struct cluster_answer answer;
   char id[CLUSTER_TEXT];
-  char *body = cluster_job ("reorder", 16, 5, true);
+  char *body = cluster_job ("reorder", FILL, 5, true);
 
   cluster_issue (id, &cluster, host);
   cluster_submit (&answer, &cluster, host, id, body);
-  CU_ASSERT_EQUAL (cluster_answer_faults (&cluster, id, 16, &answer), 0);
+  CU_ASSERT_EQUAL (cluster_answer_faults (&cluster, id, FILL, &answer), 0);
   cluster_answer_clear (&answer);
   g_free (body);
 }
@@ -146,7 +148,7 @@
                   "{\"endpoint\":\"ep-000\",\"mode\":\"%s\"}", modes[m]);
       cluster_endpoints (&cluster, text);
       begin = snipe_clock_now ();
-      for (int i = 0; i < 150; i++)
+      for (int i = 0; i < 60; i++)
         run_job (owner);
       starts = cluster_endpoint_count (&cluster, 0, "starts");
       ms = (double)(snipe_clock_now () - begin) / SNIPE_MS;
