Copy the result's text instead of dumping it again

Cause: each endpoint answer was parsed by jansson and its member "result" dumped by jansson. For a short answer parsing takes 1.3 to 1.6 us and dumping 0.9 us (loop over 300,000 answers); numbers with a fraction cost more to dump.

The parser still reads the whole answer, so broken JSON is refused as before. If the object has "result" as its only member and no white space, the text after the first colon is the value and is copied; otherwise it is dumped. Names that occur twice are read by the old path.

Ruled out as the larger part: the parser's checks, which stay.

--- a/src/endpoint/start.c
+++ b/src/endpoint/start.c
@@ -129,24 +129,58 @@
   end_with_result (start, end, NULL);
 }
 
-/* Takes the text of member "result" from the answer's JSON object. */
+/* Finds the text of the only member of a JSON object that the parser has
+ * accepted: the member's name holds no colon, and only the object's brace can
+ * follow the value. @return whether that text is compact as it stands. */
+static bool
+find_only_member (const struct snipe_start *start, const char **text,
+                  size_t *len)
+{
+  const char *data = start->answer;
+  const char *colon = memchr (data, ':', start->answer_len);
+
+  for (size_t i = 0; i < start->answer_len; i++)
+    if ((unsigned char)data[i] <= ' ')
+      return false;
+  if (colon == NULL || data[start->answer_len - 1] != '}')
+    return false;
+  *text = colon + 1;
+  *len = start->answer_len - 1 - (size_t)(colon + 1 - data);
+  return true;
+}
+
+/* Takes the text of member "result" from the answer's JSON object. Dumping
+ * the value of a short answer took 0.9 us beside 1.4 us for parsing it, so
+ * its text is copied if the object has no other member and no white space. */
 static bool
 read_result (const struct snipe_start *start, struct snipe_str *text)
 {
   json_t *root = NULL;
   const json_t *value;
+  const char *only;
+  size_t len;
   char *dump = NULL;
+  bool copied = false;
+  bool unique = true;
 
   if (start->answer_len > 0)
-    root = json_loadb (start->answer, start->answer_len, 0, NULL);
+    root = json_loadb (start->answer, start->answer_len,
+                       JSON_REJECT_DUPLICATES, NULL);
+  if (root == NULL && start->answer_len > 0)
+    {
+      root = json_loadb (start->answer, start->answer_len, 0, NULL);
+      unique = false;
+    }
   value = json_object_get (root, "result");
-  if (value != NULL)
+  if (unique && value != NULL && json_object_size (root) == 1
+      && find_only_member (start, &only, &len))
+    copied = snipe_str_set (text, only, len) == SNIPE_OK;
+  else if (value != NULL)
     dump = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
   json_decref (root);
-  if (dump == NULL)
-    return false;
-  snipe_str_take (text, dump, strlen (dump));
-  return true;
+  if (dump != NULL)
+    snipe_str_take (text, dump, strlen (dump));
+  return copied || dump != NULL;
 }
 
 static enum snipe_end
