--- a/src/peer/sender.c
+++ b/src/peer/sender.c
@@ -23,10 +23,9 @@
 #define SWEEP_EVERY_S 5
 /* Record marks and RPC headers of a call (44 bytes) and its reply (28). */
 #define CALL_OVERHEAD_BYTES 72
-/* Size of libtirpc's buffers per connection. A message over the send buffer
-   goes out in several fragments, which libtirpc's non-blocking server does
-   not put together (seen above 64 KB). Pages are used only when written. */
-#define SEND_BYTES (8U << 20)
+/* Size of libtirpc's buffers per connection. A longer message goes out in
+   several fragments, which the server puts together. */
+#define SEND_BYTES (64U << 10)
 #define RECEIVE_BYTES (64U << 10)
 
 struct snipe_peer_sender
