--- a/src/engine/cluster.c
+++ b/src/engine/cluster.c
@@ -80,9 +80,9 @@
   snipe_sched_load (engine->sched, now, &load);
   *out = (peer_load){
     .incarnation = engine->options.incarnation,
-    .name = strdup (engine->host),
-    .address = strdup (engine->rpc_address),
-    .domain = strdup (engine->domain),
+    .name = g_strdup (engine->host),
+    .address = g_strdup (engine->rpc_address),
+    .domain = g_strdup (engine->domain),
     .size_permille = (u_int)(engine->options.size * 1000),
     .state = snipe_engine_draining (engine) ? PEER_LEAVING : PEER_LIVE,
     .rules_version
--- a/tests/faults/cluster.c
+++ b/tests/faults/cluster.c
@@ -38,7 +38,7 @@
              sizeof out->platform);
   g_strlcpy (out->endpoints, need_env ("SNIPE_TEST_ENDPOINTS"),
              sizeof out->endpoints);
-  for (int i = 0; hosts[i] != NULL && i < CLUSTER_HOSTS_MAX; i++)
+  for (int i = 0; i < CLUSTER_HOSTS_MAX && hosts[i] != NULL; i++)
     {
       struct cluster_host *host = &out->hosts[out->host_count++];
       gchar **parts = g_strsplit (hosts[i], ",", 5);
