Keep the text of the last second for log lines

Cause: each line ran gmtime_r, strftime and two printf calls under the log's lock. The date's text now changes once a second and the parts are appended.

--- a/src/util/log.c
+++ b/src/util/log.c
@@ -39,16 +39,29 @@
   return "debug";
 }
 
+/** Appends a time; with the lock. The text of the last second is kept, so that
+ * the date is not formatted for each line. */
 static void
 append_time (GString *out, int64_t wall_ms)
 {
+  static char text[32];
+  static time_t text_seconds = -1;
   time_t seconds = (time_t)(wall_ms / 1000);
-  struct tm tm;
-  char text[32];
+  unsigned int ms = (unsigned int)(wall_ms % 1000);
+  const char fraction[]
+      = { '.', (char)('0' + ms / 100), (char)('0' + ms / 10 % 10),
+          (char)('0' + ms % 10), 'Z' };
 
-  gmtime_r (&seconds, &tm);
-  strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &tm);
-  g_string_append_printf (out, "%s.%03dZ", text, (int)(wall_ms % 1000));
+  if (seconds != text_seconds)
+    {
+      struct tm tm;
+
+      gmtime_r (&seconds, &tm);
+      strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &tm);
+      text_seconds = seconds;
+    }
+  g_string_append (out, text);
+  g_string_append_len (out, fraction, sizeof fraction);
 }
 
 static const char *
@@ -93,9 +106,15 @@
   else
     {
       append_time (buffer, snipe_clock_wall_ms ());
-      g_string_append_printf (buffer, " %s ", level_name (level));
+      g_string_append_c (buffer, ' ');
+      g_string_append (buffer, level_name (level));
+      g_string_append_c (buffer, ' ');
       if (host != NULL)
-        g_string_append_printf (buffer, "host=%s ", host);
+        {
+          g_string_append (buffer, "host=");
+          g_string_append (buffer, host);
+          g_string_append_c (buffer, ' ');
+        }
       g_string_append (buffer, message);
       g_string_append_c (buffer, '\n');
     }
