--- a/src/engine/decision_log.c
+++ b/src/engine/decision_log.c
@@ -6,18 +6,29 @@
 #include "snipe/status.h"
 #include "util/log.h"
 
+/* The lines are in file order. A search from the first on would cost each
+ * decision line a walk over up to 680 rules. */
 const struct snipe_rule *
 rule_by_line (const struct snipe_rules *rules, uint32_t line)
 {
   const struct snipe_rule *lines;
-  uint32_t count;
+  uint32_t from = 0;
+  uint32_t to;
 
   if (rules == NULL || line == 0)
     return NULL;
-  lines = snipe_rules_lines (rules, &count);
-  for (uint32_t i = 0; i < count; i++)
-    if (lines[i].line == line)
-      return &lines[i];
+  lines = snipe_rules_lines (rules, &to);
+  while (from < to)
+    {
+      uint32_t middle = from + (to - from) / 2;
+
+      if (lines[middle].line == line)
+        return &lines[middle];
+      if (lines[middle].line < line)
+        from = middle + 1;
+      else
+        to = middle;
+    }
   return NULL;
 }
 
