--- a/tools/bench-daemon.sh
+++ b/tools/bench-daemon.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Processor time per no-op task of one entry daemon, beside that of bare
-# libcurl clients posting to the same endpoints in the same run, and the
-# daemon's memory per waiting task. Usage: bench-daemon.sh [TASKS_PER_JOB]
+# libcurl clients posting to the same endpoints in the same run, the latency
+# that it adds to a job of one task, and its resident memory per waiting task
+# beyond the payload. Usage: bench-daemon.sh [TASKS_PER_JOB]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . tests/faults/cluster.sh
@@ -43,4 +44,44 @@
     'BEGIN { printf "asked %d starts/s: %d starts, %.1f us of processor time each\n", rate, n, c / n }'
   grep -E '^(response_ms|run|jobs) ' "$dir/load.txt"
 done
+
+# The response time includes the generator and the endpoint, so the daemon
+# adds less. Half load is half of the highest rate that is kept up.
+echo "== jobs of one no-op task"
+for rate in 1000 2000 4000 8000; do
+  c0=$(cpu_us) s0=$(metric task_starts_total)
+  "$bin/snipe-load" --hosts "$SNIPE_TEST_HTTP" --jobs $((rate * 3)) \
+    --rate "$rate" --tasks-min 1 --tasks-max 1 --ms-min 0.001 \
+    --ms-max 0.001 --slots-total 64 >"$dir/load.txt"
+  c1=$(cpu_us) s1=$(metric task_starts_total)
+  awk -v c=$((c1 - c0)) -v n=$((s1 - s0)) -v rate=$rate \
+    'BEGIN { printf "asked %d jobs/s: %d starts, %.1f us of processor time each\n", rate, n, c / n }'
+  grep -E '^(response_ms|run|jobs) ' "$dir/load.txt"
+done
 echo "resident memory: $(rss_kb) KB"
+
+# On a fresh daemon: memory that earlier rounds freed would hide the growth.
+cluster_stop
+cluster_start "$bin" "$dir/fresh"
+pid=${SNIPE_TEST_HOSTS##*,}
+echo "== waiting tasks, endpoints frozen"
+curl -sf -XPOST "http://$SNIPE_TEST_ENDPOINTS/control" \
+  -d '{"endpoint":"*","mode":"freeze"}' >/dev/null
+payload=$(printf '%0100d' 0)
+body=$(jq -cn --arg p "$payload" '{team:"load",deadline_ms:120000,
+  tasks:[range(200)|{kind:"work",run_ms:1000,payload:$p}]}')
+ids=$(curl -sf -XPOST "http://$SNIPE_TEST_HTTP/v1/ids?count=250" \
+  | jq -r '.ids[]')
+r0=$(rss_kb)
+# wait=0 answers as soon as the job is queued.
+for id in $ids; do
+  printf 'url = "http://%s/v1/jobs/%s?wait=0"\noutput = "/dev/null"\n' \
+    "$SNIPE_TEST_HTTP" "$id"
+done >"$dir/urls"
+curl -s -XPUT --data-binary "$body" -K "$dir/urls"
+queued=$(curl -sf "http://$SNIPE_TEST_HTTP/v1/status" | jq .queued)
+r1=$(rss_kb)
+# The payload's quotes count as payload.
+awk -v kb=$((r1 - r0)) -v n="$queued" -v p=$((${#payload} + 2)) \
+  'BEGIN { printf "%d tasks waiting, resident %d KB more: %.0f bytes each beyond a payload of %d\n", n, kb, kb * 1024 / n - p, p }'
+echo "resident memory: $r1 KB"
