--- a/src/engine/request.c
+++ b/src/engine/request.c
@@ -126,7 +126,13 @@
 begin (struct snipe_engine *engine, struct submission *sub, const char *body,
        size_t len, snipe_time now)
 {
-  if (sub->cancelled)
+  struct shard *shard = engine_shard (engine, sub->id.text);
+  bool cancelled;
+
+  pthread_mutex_lock (&shard->lock);
+  cancelled = sub->cancelled;
+  pthread_mutex_unlock (&shard->lock);
+  if (cancelled)
     finish_not_run (engine, sub, SNIPE_E_CANCELLED,
                     "cancelled before anything started");
   else if (snipe_engine_draining (engine))
--- a/src/platform/claim.c
+++ b/src/platform/claim.c
@@ -4,6 +4,10 @@
 #include "snipe/counter.h"
 #include "snipe/status.h"
 
+/* The platform takes several hundred writes a second from all hosts together,
+ * so the claims of the fleet stay under 300 a second however many hosts and
+ * ids there are. */
+#define CLAIM_PAUSE_PER_HOST (SNIPE_S / 300)
 /* Longest pause between attempts while the platform fails. */
 #define FAIL_PAUSE_MAX (250 * SNIPE_MS)
 
@@ -201,11 +205,13 @@
 static snipe_time
 pause_after (const struct snipe_platform *platform, uint32_t failures)
 {
-  snipe_time pause = platform->options.claim_interval;
+  uint32_t hosts = __atomic_load_n (&platform->live_hosts, __ATOMIC_RELAXED);
+  snipe_time pause
+      = MAX (platform->options.claim_interval, hosts * CLAIM_PAUSE_PER_HOST);
 
   for (uint32_t i = 0; i < failures && pause < FAIL_PAUSE_MAX; i++)
     pause *= 2;
-  return failures > 0 && pause > FAIL_PAUSE_MAX ? FAIL_PAUSE_MAX : pause;
+  return pause;
 }
 
 static void
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -306,7 +306,7 @@
   }
   if (rc == SNIPE_OK)
     {
-      p->live_hosts = live > 0 ? live : 1;
+      __atomic_store_n (&p->live_hosts, live > 0 ? live : 1, __ATOMIC_RELAXED);
       if (p->events.entries != NULL)
         p->events.entries (p->options.ctx, list, count);
     }
