--- a/src/peer/sender.c
+++ b/src/peer/sender.c
@@ -220,8 +220,10 @@
     status = SNIPE_E_TIMEOUT;
   snipe_counter_add (SNIPE_C_PEER_BYTES,
                      CALL_OVERHEAD_BYTES
-                         + xdr_sizeof (proc->args, &call->call.args)
-                         + xdr_sizeof (proc->reply, &reply));
+                         + xdr_sizeof (proc->args, &call->call.args));
+  /* Without success the reply is empty and cannot be encoded. */
+  if (result == RPC_SUCCESS)
+    snipe_counter_add (SNIPE_C_PEER_BYTES, xdr_sizeof (proc->reply, &reply));
   end_call (call, status, status == SNIPE_OK ? &reply : NULL);
   xdr_free (proc->reply, (char *)&reply);
 }
