--- a/tests/faults/cluster.sh
+++ b/tests/faults/cluster.sh
@@ -134,3 +134,15 @@
   done
   cluster_pids=()
 }
+
+# Processor time of all daemons so far, microseconds.
+cluster_cpu_us() {
+  local host sum=0 t hz
+  hz=$(getconf CLK_TCK)
+  for host in ${SNIPE_TEST_HOSTS//;/ }; do
+    t=$(awk -v hz="$hz" '{ print int (($14 + $15) * 1000000 / hz) }' \
+      "/proc/${host##*,}/stat")
+    sum=$((sum + t))
+  done
+  echo "$sum"
+}
--- a/tools/measure-control.sh
+++ b/tools/measure-control.sh
@@ -34,20 +34,10 @@
   done
   echo "$sum"
 }
-cpu_us() {
-  local host hz sum=0 t
-  hz=$(getconf CLK_TCK)
-  for host in ${SNIPE_TEST_HOSTS//;/ }; do
-    t=$(awk -v hz="$hz" '{ print int (($14 + $15) * 1000000 / hz) }' \
-      "/proc/${host##*,}/stat")
-    sum=$((sum + t))
-  done
-  echo "$sum"
-}
-c0=$(cpu_us) s0=$(total store_bytes_total) p0=$(total peer_bytes_total)
+c0=$(cluster_cpu_us) s0=$(total store_bytes_total) p0=$(total peer_bytes_total)
 h0=$(total hellos_total) r0=$(total store_reads_total)
 sleep "$seconds"
-c1=$(cpu_us) s1=$(total store_bytes_total) p1=$(total peer_bytes_total)
+c1=$(cluster_cpu_us) s1=$(total store_bytes_total) p1=$(total peer_bytes_total)
 h1=$(total hellos_total) r1=$(total store_reads_total)
 first=${SNIPE_TEST_HOSTS%%;*}
 rss=$(awk '/VmRSS/ { print $2 }' "/proc/${first##*,}/status")
