--- a/tools/check-source.sh
+++ b/tools/check-source.sh
@@ -24,4 +24,4 @@
   | xargs -P 8 -n 4 clang-tidy --quiet -p build 2>/dev/null
 cppcheck --quiet --enable=warning,performance,portability --inline-suppr \
   --error-exitcode=1 --suppress=missingIncludeSystem -j 8 -D_GNU_SOURCE \
-  --suppress=normalCheckLevelMaxBranches -Iinclude -Isrc -Itests "${units[@]}"
+  --suppress=normalCheckLevelMaxBranches -Iinclude -Isrc -Itests -Itools "${units[@]}"
