Give the parts of snipe-load a folder of their own

Cause: programs and the parts of one program lay side by side in tools/, and the build told them apart by a dash in the name. Decided: drive, workload, summary, fetch and clairvoyant move unchanged to tools/load; every tools/*.c is now a program. Users include "load/NAME.h".

--- a/tests/tools/test_load.c
+++ b/tests/tools/test_load.c
@@ -3,8 +3,8 @@
 #include "suite.h"
 #include <math.h>
 #include <string.h>
-#include "clairvoyant.h"
-#include "workload.h"
+#include "load/clairvoyant.h"
+#include "load/workload.h"
 
 struct schedule_case
 {
--- a/tools/snipe-load.c
+++ b/tools/snipe-load.c
@@ -8,8 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
-#include "drive.h"
-#include "summary.h"
+#include "load/drive.h"
+#include "load/summary.h"
 
 struct load
 {
