Split bench-decide into parts under tools/decide

Cause: one file of 1,342 lines held the options, the cost table, the event simulation and the clairvoyant schedules. Decided: bench-decide.c keeps the options and main; cost, sim, sim_input and ideal are parts of their own. What several of them use is apart, too: params.h, setup (schedulers and endpoints), sim_event (event queue), sim_load (loads and offers between hosts), sim_stats and sim_table. Code is moved, not changed; functions that now cross files get the prefix sim_ where their name was too general.

--- /dev/null
+++ b/tools/decide/setup.h
@@ -0,0 +1,20 @@
+/**
+ * @file setup.h
+ * Schedulers and endpoints as the benchmarks set them up.
+ */
+#ifndef DECIDE_SETUP_H
+#define DECIDE_SETUP_H
+
+#include "params.h"
+#include "snipe/sched.h"
+
+/** Exits with a message on failure. */
+struct snipe_sched *sched_new (const struct params *params,
+                               enum snipe_policy policy, uint64_t seed);
+/** Adds an endpoint of SLOTS slots whose name is @p index. */
+void add_endpoint (struct snipe_sched *sched, uint32_t index,
+                   const char *domain);
+/** @return the index that the endpoint was added with. */
+uint32_t endpoint_index (const struct snipe_sched_endpoint *endpoint);
+
+#endif
--- /dev/null
+++ b/tools/decide/sim_load.c
@@ -0,0 +1,100 @@
+#include "sim_load.h"
+
+#include <glib.h>
+
+/* A host offers its free slots when they hold all tasks that wait at the other
+ * host, when there are this many, or after this time. */
+#define OFFER_SLOTS 8
+#define OFFER_WAIT (100 * SNIPE_MS)
+
+void
+sim_load (struct sim *sim, uint32_t host, struct snipe_peer_load *load)
+{
+  snipe_sched_load (sim->hosts[host].sched, sim->now, load);
+  load->incarnation = host + 1;
+  load->live = true;
+}
+
+static void
+sim_report_free (struct sim *sim, uint32_t from, uint32_t to,
+                 enum event_kind kind, uint32_t most)
+{
+  struct event event = {
+    .at = sim->now + sim->params->latency,
+    .kind = kind,
+    .host = to,
+  };
+
+  sim_load (sim, from, &event.load);
+  event.load.free_slots = MIN (event.load.free_slots, most);
+  event_push (&sim->queue, &event);
+}
+
+void
+sim_report (struct sim *sim, uint32_t from, uint32_t to, enum event_kind kind)
+{
+  sim_report_free (sim, from, to, kind, UINT32_MAX);
+}
+
+void
+sim_load_received (struct sim *sim, uint32_t host,
+                   const struct snipe_peer_load *load)
+{
+  snipe_sched_peer_set (sim->hosts[host].sched, load, sim->now);
+  sim->hosts[host].waiting[load->incarnation - 1] = load->queued > 0;
+  sim->hosts[host].wanted[load->incarnation - 1] = load->queued;
+}
+
+void
+sim_offer (struct sim *sim, uint32_t host)
+{
+  struct sim_host *self = &sim->hosts[host];
+  struct snipe_peer_load load;
+  uint32_t offered = 0;
+
+  sim_load (sim, host, &load);
+  if (load.free_slots == 0 || load.queued > 0)
+    {
+      self->free_since = 0;
+      return;
+    }
+  for (uint32_t i = 0; i < sim->input->hosts; i++)
+    {
+      if (self->offered_until[i] <= sim->now)
+        self->offered[i] = 0;
+      offered += self->offered[i];
+    }
+  for (uint32_t i = 0; i < sim->input->hosts && load.free_slots > offered; i++)
+    {
+      uint32_t to = (self->next + i) % sim->input->hosts;
+      uint32_t count = MIN (self->wanted[to], load.free_slots - offered);
+
+      if (!self->waiting[to] || count == 0)
+        continue;
+      if (count < OFFER_SLOTS && count < self->wanted[to]
+          && (self->free_since == 0
+              || sim->now - self->free_since < OFFER_WAIT))
+        {
+          if (self->free_since == 0)
+            {
+              struct event event = {
+                .at = sim->now + OFFER_WAIT,
+                .kind = EVENT_WAKE,
+                .host = host,
+              };
+
+              self->free_since = sim->now;
+              event_push (&sim->queue, &event);
+            }
+          return;
+        }
+      self->waiting[to] = false;
+      self->offered[to] = count;
+      self->offered_until[to] = sim->now + 4 * sim->params->latency + 1000;
+      offered += count;
+      sim->offers++;
+      sim_report_free (sim, host, to, EVENT_REPORT, count);
+      self->free_since = 0;
+    }
+  self->next++;
+}
