Give a start near the deadline time to be refused

Cause: a start written a few ms before its job's deadline was given up at the deadline; a refusal on its way then counted as "may have run", so jobs that no endpoint ever started ended unknown instead of not_run. Ruled out: the endpoints (they counted no start), the peers' batches (the codes were the job's deadline and lost starts at the home).

--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -8,8 +8,10 @@
 #include "snipe/counter.h"
 #include "snipe/status.h"
 
-/* A start is given up at the job's deadline, but never before this. */
-#define START_TIMEOUT_MIN SNIPE_MS
+/* A start that was written shortly before the job's deadline is given this
+ * much longer to be refused: given up at the deadline, a refusal on its way
+ * would count as "may have run". Shorter than a peer's grace for results. */
+#define START_GRACE (250 * SNIPE_MS)
 
 static const char *
 end_message (enum snipe_end end)
@@ -243,7 +245,7 @@
 {
   struct run *run = start->run;
   struct snipe_str body = SNIPE_STR_INIT;
-  snipe_time timeout = MAX (run->deadline - now, START_TIMEOUT_MIN);
+  snipe_time timeout = MAX (run->deadline - now, 0) + START_GRACE;
   int status;
 
   decision_record (engine, run->job, task_index (run, start->task), "start",
