Pick hosts that own an endpoint in the test of stopping hosts

Changed: the hosts to stop are picked among those that own an endpoint; all checks are as they were.

--- a/tests/faults/test_leaving.c
+++ b/tests/faults/test_leaving.c
@@ -233,13 +233,48 @@
   g_free (small);
 }
 
+/** Waits until a host owns an endpoint. Which host owns which is drawn anew
+ * with each start of the daemons, and a host may own none; one that does is
+ * picked, as only it can run work of a peer. @return the host */
+static int
+pick_owner (int except)
+{
+  for (int waited = 0; waited < WAIT_MS; waited += 10)
+    {
+      for (int i = 0; i < cluster.host_count; i++)
+        {
+          json_t *root;
+          size_t owned;
+
+          if (i == except)
+            continue;
+          root = cluster_get (cluster.hosts[i].http, "/v1/status");
+          owned = json_array_size (json_object_get (root, "endpoints"));
+          json_decref (root);
+          if (owned > 0)
+            return i;
+        }
+      cluster_sleep_ms (10);
+    }
+  g_error ("no host owns an endpoint");
+}
+
 static void
 test_host (void)
 {
+  int first;
+  int second;
+  int peer;
+
   cluster_load (&cluster);
   cluster_endpoints (&cluster, "{\"reset\":true}");
-  stop_host (1, 2, false);
-  stop_host (3, 4, true);
+  first = pick_owner (-1);
+  stop_host (first, (first + 1) % cluster.host_count, false);
+  second = pick_owner (first);
+  peer = 0;
+  while (peer == first || peer == second)
+    peer++;
+  stop_host (second, peer, true);
 }
 
 int
