--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -423,8 +423,8 @@
 static bool
 lists_due (const struct snipe_platform *p)
 {
-  return p->live_hosts <= LARGE_FLEET || p->hosts == NULL
-         || p->entries == NULL || p->hosts_changed || p->polls % 2 == 0;
+  return p->live_hosts <= LARGE_FLEET || p->hosts == NULL || p->entries == NULL
+         || p->hosts_changed || p->polls % 2 == 0;
 }
 
 static int
