--- a/src/util/settings.c
+++ b/src/util/settings.c
@@ -118,6 +118,45 @@
   return false;
 }
 
+/** Help of a setting: what it is, allowed values, default, environment. */
+static char *
+help_text (const struct snipe_setting *row)
+{
+  GString *text = g_string_new (row->help);
+  char *choices;
+
+  switch (row->kind)
+    {
+    case SNIPE_SETTING_UINT:
+      g_string_append_printf (text,
+                              "; %.15g to %.15g, default %" G_GUINT64_FORMAT,
+                              row->min, row->max, (guint64)*row->out.number);
+      break;
+    case SNIPE_SETTING_DOUBLE:
+      g_string_append_printf (text, "; %.15g to %.15g, default %.15g",
+                              row->min, row->max, *row->out.real);
+      break;
+    case SNIPE_SETTING_CHOICE:
+      choices = g_strjoinv (", ", (char **)row->choices);
+      g_string_append_printf (text, "; one of %s, default %s", choices,
+                              row->choices[*row->out.number]);
+      g_free (choices);
+      break;
+    case SNIPE_SETTING_BOOL:
+      g_string_append (text, "; true or false, default false");
+      break;
+    case SNIPE_SETTING_TEXT:
+    case SNIPE_SETTING_ADDRESS:
+      if (row->required)
+        g_string_append (text, "; required");
+      else if (*row->out.text != NULL)
+        g_string_append_printf (text, "; default %s", *row->out.text);
+      break;
+    }
+  g_string_append_printf (text, " [%s]", row->env);
+  return g_string_free (text, FALSE);
+}
+
 static struct argp_option *
 make_options (const struct snipe_setting *table, size_t count)
 {
@@ -125,7 +164,7 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      char *doc = g_strdup_printf ("%s [%s]", table[i].help, table[i].env);
+      char *doc = help_text (&table[i]);
 
       options[i].name = table[i].flag;
       options[i].key = FIRST_KEY + (int)i;
