Drop starts and batches that a stopped process decided long ago

A process that is stopped between a decision and its start, or with a peer's batch unread in its socket, acted on it when it resumed, although its lease or the batch had been given up. Changed: a decision older than 500 ms is not carried out, a start not handed to a connection within 500 ms is dropped as not started, a batch whose sender has closed the connection is not taken, and an unsent batch is given up after 1 s instead of 2.

--- a/src/endpoint/start.c
+++ b/src/endpoint/start.c
@@ -9,6 +9,10 @@
 #include "snipe/status.h"
 #include "util/refuse.h"
 
+/* A start that was not handed to a connection within this time is dropped as
+ * not started: the process was stopped meanwhile, and what allowed the start
+ * (a lease, a batch) may be over. Connecting takes at most half of it. */
+#define HANDOVER_MAX (500 * SNIPE_MS)
 /* Longest answer that is read; an answer carries one task's result. */
 #define ANSWER_MAX ((size_t)1 << 20)
 #define ANSWER_ROOM 512
@@ -26,7 +30,8 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
-  if (start->written || snipe_refuse_match (start->address))
+  if (start->written || snipe_refuse_match (start->address)
+      || snipe_clock_now () - start->begun > HANDOVER_MAX)
     return CURL_PREREQFUNC_ABORT;
   start->written = true;
   return CURL_PREREQFUNC_OK;
--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -12,6 +12,9 @@
  * much longer to be refused: given up at the deadline, a refusal on its way
  * would count as "may have run". Shorter than a peer's grace for results. */
 #define START_GRACE (250 * SNIPE_MS)
+/* A decision that is older than this when it is carried out is dropped: the
+ * process was stopped in between, and leases may have lapsed. */
+#define DECISION_MAX_AGE (500 * SNIPE_MS)
 
 static const char *
 end_message (enum snipe_end end)
@@ -248,6 +251,13 @@
   snipe_time timeout = MAX (run->deadline - now, 0) + START_GRACE;
   int status;
 
+  if (snipe_clock_now () - now > DECISION_MAX_AGE)
+    {
+      struct snipe_start_result result = { .end = SNIPE_END_NOT_CONNECTED };
+
+      start_done (start, &result);
+      return;
+    }
   decision_record (engine, run->job, task_index (run, start->task), "start",
                    snipe_reason_name (start->reason), start->endpoint,
                    run->tasks[start->task].rule_line, run->rules);
@@ -280,7 +290,8 @@
           act_start (engine, action->u.start, now);
           break;
         case SNIPE_DECISION_PASS:
-          pass_send (engine, action);
+          pass_send (engine, action,
+                     snipe_clock_now () - now > DECISION_MAX_AGE);
           break;
         case SNIPE_DECISION_EXPIRE:
           break;
--- a/src/engine/pass.c
+++ b/src/engine/pass.c
@@ -6,8 +6,9 @@
 #include "snipe/counter.h"
 #include "snipe/status.h"
 
-/* A peer answers a batch at once; past this its reply is not waited for. */
-#define BATCH_TIMEOUT (2 * SNIPE_S)
+/* A peer answers a batch at once; past this its reply is not waited for, and
+ * a batch that is still queued is not sent any more. */
+#define BATCH_TIMEOUT SNIPE_S
 /* Results of a batch may arrive this long after the job's deadline. */
 #define RESULTS_GRACE (500 * SNIPE_MS)
 #define RESULTS_TIMEOUT (2 * SNIPE_S)
@@ -224,11 +225,19 @@
 }
 
 void
-pass_send (struct snipe_engine *engine, struct action *action)
+pass_send (struct snipe_engine *engine, struct action *action, bool stale)
 {
   struct pass *pass = action->u.pass.pass;
   int status;
 
+  if (stale)
+    {
+      xdr_free ((xdrproc_t)xdr_peer_batch,
+                (char *)&action->u.pass.call->args.run_batch);
+      g_free (action->u.pass.call);
+      pass_done (pass, SNIPE_E_UNREACHABLE, NULL);
+      return;
+    }
   for (uint32_t i = 0; i < pass->count; i++)
     decision_record (engine, pass->job, pass->tasks[i].task, "pass",
                      snipe_reason_name (pass->reason), pass->peer,
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -344,7 +344,9 @@
 struct pass *pass_new (struct snipe_engine *engine, struct run *run,
                        const struct snipe_decision *decision, snipe_time now,
                        struct snipe_peer_call **call, char *address);
-void pass_send (struct snipe_engine *engine, struct action *action);
+/** Sends a batch, or takes its tasks back if the decision is @p stale. */
+void pass_send (struct snipe_engine *engine, struct action *action,
+                bool stale);
 /** Marks the tasks of all batches at a peer as unknown. */
 void pass_peer_lost (struct snipe_engine *engine, uint64_t incarnation,
                      GPtrArray *ended);
--- a/src/peer/server.c
+++ b/src/peer/server.c
@@ -93,6 +93,17 @@
   return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
 }
 
+/* Whether the caller has closed the connection: it has given up the call, as
+ * it does when this process was stopped for longer than its timeout. A batch
+ * that was given up must not be started. */
+static bool
+is_abandoned (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLRDHUP };
+
+  return poll (&poll_fd, 1, 0) > 0;
+}
+
 /* Runs the handler of a call whose arguments are next in @p xdrs. */
 static int
 run_call (struct snipe_peer_server *server, XDR *xdrs, uint32_t procedure,
@@ -117,6 +128,7 @@
       status = send_reply (connection, answer);
     }
   else if (!snipe_peer_proc_refused (procedure, &args)
+           && (procedure != PEER_RUN_BATCH || !is_abandoned (connection->fd))
            && handle (server, procedure, &args, &reply) >= 0)
     {
       accepted->ar_stat = SUCCESS;
