--- a/tests/peer/test_net_faults.c
+++ b/tests/peer/test_net_faults.c
@@ -265,6 +265,33 @@
   close (fd);
 }
 
+/* Guards against a server that was stopped starting a batch that its sender
+ * gave up meanwhile. Holding the host's lock stops its handler, and so its
+ * server thread. */
+static void
+test_abandoned_batch (void)
+{
+  struct host *a = host_new (0, 1);
+  struct host *b = host_new (0, 1);
+  struct host *c = host_new (0, 1);
+  struct waiter waiter = WAITER_INIT;
+
+  pthread_mutex_lock (&b->lock);
+  begin (a, b->address, PEER_HELLO, LONG_WAIT, &waiter);
+  CU_ASSERT_EQUAL (call_once (c, b->address, PEER_RUN_BATCH, 300 * SNIPE_MS),
+                   SNIPE_E_TIMEOUT);
+  pthread_mutex_unlock (&b->lock);
+  await (&waiter, 1);
+  /* Each of these calls is one more round of the server's loop. */
+  for (int i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (call_once (a, b->address, PEER_HELLO, LONG_WAIT),
+                     SNIPE_OK);
+  CU_ASSERT_EQUAL (host_calls (b, PEER_RUN_BATCH), 0);
+  host_free (a);
+  host_free (b);
+  host_free (c);
+}
+
 int
 main (void)
 {
@@ -273,6 +300,7 @@
     { "garbage", test_garbage },
     { "no reply", test_no_reply },
     { "free ends the calls", test_free_ends_calls },
+    { "abandoned batch", test_abandoned_batch },
     CU_TEST_INFO_NULL,
   };
 
