Count lost tasks against the quota until they must have stopped

Ruled out: the shares in the table, which stayed at 60 of 60. Changed: the home keeps such a task against its share for the longest task time (--task-max-ms) and reports it as running when shares are moved.

--- a/src/bin/snipelbd.c
+++ b/src/bin/snipelbd.c
@@ -267,6 +267,7 @@
   options.horizon = (snipe_time)config.horizon_s * SNIPE_S;
   options.answer_bytes = config.answer_mb * 1048576;
   options.decisions = (uint32_t)config.decisions;
+  options.task_max = (snipe_time)config.task_max_ms * SNIPE_MS;
   options.hello_interval = (snipe_time)config.hello_ms * SNIPE_MS;
   options.archive_interval = (snipe_time)config.archive_ms * SNIPE_MS;
   options.limits.body_bytes = config.body_bytes;
--- a/src/engine/dispatch.c
+++ b/src/engine/dispatch.c
@@ -71,6 +71,8 @@
 
   snipe_sched_task_end (engine->sched, run->work, start->task, result->end,
                         result->duration, now);
+  if (result->end == SNIPE_END_LOST)
+    engine_task_lost (engine, run, now);
   if (result->end == SNIPE_END_OK)
     {
       task->result = result->result;
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -71,6 +71,7 @@
   g_queue_init (&engine->late_notices);
   g_queue_init (&engine->unarchived);
   g_queue_init (&engine->held);
+  g_queue_init (&engine->lost_tasks);
 }
 
 int
@@ -268,6 +269,7 @@
   g_ptr_array_free (engine->rule_history, TRUE);
   g_async_queue_unref (engine->lookups);
   g_queue_clear_full (&engine->issued, g_free);
+  g_queue_clear_full (&engine->lost_tasks, g_free);
   snipe_rules_unref (engine->rules);
   snipe_sched_free (engine->sched);
   free (engine->decisions);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -31,6 +31,7 @@
   size_t answer_bytes;         /**< answers kept, default 64 MiB */
   uint32_t decisions;          /**< decisions kept to explain, a power of two,
                                     default 65536 */
+  snipe_time task_max;         /**< longest task, default 60 s */
   snipe_time hello_interval;   /**< between heartbeats, default 1 s */
   snipe_time archive_interval; /**< between archive segments, default 2 s */
   struct snipe_job_limits limits;
@@ -41,7 +42,7 @@
   {                                                                           \
     .version = SNIPE_ENGINE_OPTIONS_VERSION, .size = 1,                       \
     .horizon = 600 * SNIPE_S, .answer_bytes = 64 * 1048576,                   \
-    .decisions = 65536, .hello_interval = SNIPE_S,                            \
+    .decisions = 65536, .task_max = 60 * SNIPE_S, .hello_interval = SNIPE_S,  \
     .archive_interval = 2 * SNIPE_S, .limits = SNIPE_JOB_LIMITS_INIT,         \
     .sched = SNIPE_SCHED_OPTIONS_INIT                                         \
   }
--- a/src/engine/pass.c
+++ b/src/engine/pass.c
@@ -161,6 +161,8 @@
 {
   struct task_run *state = &run->tasks[task];
 
+  if (end == SNIPE_END_LOST)
+    engine_task_lost (engine, run, now);
   if (run->code == SNIPE_OK && now < run->deadline
       && snipe_retry_judge (&engine->retry_budget, end,
                             run->spec->tasks[task].idempotent, state->repeats,
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -167,6 +167,14 @@
   snipe_time issued;
 };
 
+/** A task that was started and whose end is unknown: it counts against its
+ * team's share until it must have stopped. */
+struct lost_task
+{
+  uint32_t team;
+  snipe_time until;
+};
+
 struct decision
 {
   int64_t wall_ms;
@@ -203,6 +211,7 @@
   GHashTable *shares;   /**< team -> share of its quota */
   snipe_time shares_until;
   bool shares_stopped;
+  GQueue lost_tasks; /**< struct lost_task, oldest first */
   uint64_t next_batch;
   uint32_t runs;            /**< runs not yet ended */
   uint32_t notices;         /**< results on their way to peers, atomic */
@@ -405,7 +414,12 @@
  * got one; with the lock. */
 uint32_t engine_share_of (struct snipe_engine *engine,
                           const struct snipe_str *team);
-/** Stops limited teams when their shares have lapsed; with the lock. */
+/** Counts a started task whose end is unknown against its team's share until
+ * the longest task time has passed; with the lock. */
+void engine_task_lost (struct snipe_engine *engine, const struct run *run,
+                       snipe_time now);
+/** Stops limited teams when their shares have lapsed, and frees the slots of
+ * lost tasks whose time is over; with the lock. */
 void engine_check_shares (struct snipe_engine *engine, snipe_time now);
 
 /* forward.c */
--- a/src/engine/rules_in_force.c
+++ b/src/engine/rules_in_force.c
@@ -21,6 +21,28 @@
   return GPOINTER_TO_UINT (share);
 }
 
+static uint32_t
+lost_of (const struct snipe_engine *engine, uint32_t team)
+{
+  uint32_t count = 0;
+
+  for (const GList *l = engine->lost_tasks.head; l != NULL; l = l->next)
+    count += ((const struct lost_task *)l->data)->team == team;
+  return count;
+}
+
+/** What the scheduler may use of a team's share now. */
+static void
+set_share (struct snipe_engine *engine, const struct snipe_str *name)
+{
+  uint32_t team = snipe_sched_team (engine->sched, name);
+  uint32_t share = engine_share_of (engine, name);
+  uint32_t lost = lost_of (engine, team);
+
+  snipe_sched_team_share (engine->sched, team,
+                          share > lost ? share - lost : 0);
+}
+
 /** Gives the scheduler weights and limits of the rules; with the lock. */
 static void
 apply (struct snipe_engine *engine, const struct snipe_rules *before)
@@ -51,8 +73,7 @@
                                    lines[i].u.weight.value);
           break;
         case SNIPE_RULE_LIMIT:
-          snipe_sched_team_share (engine->sched, team,
-                                  engine_share_of (engine, &lines[i].team));
+          set_share (engine, &lines[i].team);
           break;
         case SNIPE_RULE_ALLOW:
         case SNIPE_RULE_QUEUE:
@@ -134,6 +155,7 @@
       demand->limit = lines[i].u.limit.slots;
       snipe_sched_team_use (engine->sched, team, &demand->running,
                             &demand->queued);
+      demand->running += lost_of (engine, team);
       n++;
     }
   pthread_mutex_unlock (&engine->sched_lock);
@@ -153,9 +175,7 @@
   lines = snipe_rules_lines (engine->rules, &count);
   for (uint32_t i = 0; i < count; i++)
     if (lines[i].kind == SNIPE_RULE_LIMIT)
-      snipe_sched_team_share (engine->sched,
-                              snipe_sched_team (engine->sched, &lines[i].team),
-                              engine_share_of (engine, &lines[i].team));
+      set_share (engine, &lines[i].team);
 }
 
 void
@@ -177,9 +197,43 @@
   engine_pump (engine, snipe_clock_now ());
 }
 
+void
+engine_task_lost (struct snipe_engine *engine, const struct run *run,
+                  snipe_time now)
+{
+  struct lost_task *lost;
+
+  /* A batch from a peer counts at its home. */
+  if (run->kind != RUN_HOME
+      || snipe_rules_limit (engine->rules, &run->spec->team) == NULL)
+    return;
+  lost = g_new (struct lost_task, 1);
+  lost->team = snipe_sched_team (engine->sched, &run->spec->team);
+  lost->until = now + engine->options.task_max;
+  g_queue_push_tail (&engine->lost_tasks, lost);
+  set_share (engine, &run->spec->team);
+}
+
+static void
+forget_lost_tasks (struct snipe_engine *engine, snipe_time now)
+{
+  const struct lost_task *oldest = g_queue_peek_head (&engine->lost_tasks);
+  bool forgot = false;
+
+  while (oldest != NULL && now >= oldest->until)
+    {
+      g_free (g_queue_pop_head (&engine->lost_tasks));
+      oldest = g_queue_peek_head (&engine->lost_tasks);
+      forgot = true;
+    }
+  if (forgot)
+    apply_shares (engine);
+}
+
 void
 engine_check_shares (struct snipe_engine *engine, snipe_time now)
 {
+  forget_lost_tasks (engine, now);
   if (engine->shares_stopped || now < engine->shares_until
       || g_hash_table_size (engine->shares) == 0)
     return;
--- a/tests/faults/test_limits.c
+++ b/tests/faults/test_limits.c
@@ -29,6 +29,7 @@
   FAULT_PLATFORM, /* platform down, for less than the lease */
   FAULT_OUTAGE,   /* platform down past the lease */
   FAULT_LOSE,     /* replies to writes are lost */
+  FAULT_SLOW,     /* tasks outlive their jobs' deadlines */
   FAULT_FREEZE,   /* a host stops past its lease, then goes on */
   FAULT_CUT,      /* a domain is cut off past its lease */
   FAULT_LOWER,    /* the rule's limit shrinks */
@@ -50,6 +51,7 @@
   { "platform down for a moment", FAULT_PLATFORM, LIMIT },
   { "platform down past the lease", FAULT_OUTAGE, LIMIT },
   { "replies lost", FAULT_LOSE, LIMIT },
+  { "tasks outlive their deadlines", FAULT_SLOW, LIMIT },
   { "host frozen past its lease", FAULT_FREEZE, LIMIT },
   { "domain cut off past its lease", FAULT_CUT, LIMIT },
   { "limit lowered", FAULT_LOWER, 25 },
@@ -228,6 +230,37 @@
   g_free (body);
 }
 
+/** Waves of jobs whose tasks still run when their callers give up. A task
+ * takes 1.2 s, less than the longest task time of the script's daemons. */
+static void
+outlive_deadlines (void)
+{
+  const struct cluster_job job
+      = { .team = TEAM, .tasks = 60, .ms = TASK_MS, .deadline_ms = 300 };
+  struct cluster_request requests[CLUSTER_HOSTS_MAX];
+  char *body = cluster_job_body (&job);
+
+  load_hosts (0, 0);
+  cluster_mode (&cluster, 1, "slow", 8);
+  for (int wave = 0; wave < 3; wave++)
+    {
+      for (int i = 0; i < cluster.host_count; i++)
+        {
+          char id[CLUSTER_TEXT];
+
+          cluster_issue (id, &cluster, i);
+          cluster_submit_async (&requests[i], &cluster, i, id, body);
+        }
+      for (int i = 0; i < cluster.host_count; i++)
+        {
+          cluster_join (&requests[i]);
+          cluster_answer_clear (&requests[i].answer);
+        }
+    }
+  cluster_mode (&cluster, 1, "ok", 1);
+  g_free (body);
+}
+
 static void
 disturb (const struct limit_case *c, int victim)
 {
@@ -251,6 +284,9 @@
       cluster_sleep_ms (c->fault == FAULT_OUTAGE ? LAPSE_MS : 800);
       cluster_platform (&cluster, "{\"down\":false}");
       break;
+    case FAULT_SLOW:
+      outlive_deadlines ();
+      break;
     case FAULT_LOSE:
       cluster_platform (&cluster, "{\"lose_replies\":20}");
       cluster_sleep_ms (2000);
