Pick a host with a usable endpoint in the test of stopping hosts

Ruled out: a fault of passing (the host's page showed only endpoints that had left in reach of the pick). Changed: the pick asks for an endpoint that is neither leaving nor suspended; all checks are as they were.

--- a/tests/faults/test_leaving.c
+++ b/tests/faults/test_leaving.c
@@ -233,27 +233,36 @@
   g_free (small);
 }
 
-/** Waits until a host owns an endpoint. Which host owns which is drawn anew
- * with each start of the daemons, and a host may own none; one that does is
- * picked, as only it can run work of a peer. @return the host */
+/** Endpoints of a host that can take work: those that left in the test before
+ * stay out of use. */
+static int
+usable_endpoints (int host)
+{
+  json_t *root = cluster_get (cluster.hosts[host].http, "/v1/status");
+  json_t *endpoint;
+  int usable = 0;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, "endpoints"), i, endpoint)
+  {
+    usable += json_is_false (json_object_get (endpoint, "leaving"))
+              && json_is_false (json_object_get (endpoint, "suspended"));
+  }
+  json_decref (root);
+  return usable;
+}
+
+/** Waits until a host owns such an endpoint. Which host owns which is drawn
+ * anew with each start of the daemons, and a host may own none; one that does
+ * is picked, as only it can run work of a peer. @return the host */
 static int
 pick_owner (int except)
 {
   for (int waited = 0; waited < WAIT_MS; waited += 10)
     {
       for (int i = 0; i < cluster.host_count; i++)
-        {
-          json_t *root;
-          size_t owned;
-
-          if (i == except)
-            continue;
-          root = cluster_get (cluster.hosts[i].http, "/v1/status");
-          owned = json_array_size (json_object_get (root, "endpoints"));
-          json_decref (root);
-          if (owned > 0)
-            return i;
-        }
+        if (i != except && usable_endpoints (i) > 0)
+          return i;
       cluster_sleep_ms (10);
     }
   g_error ("no host owns an endpoint");
