Remove what nothing calls

Cause: a last read of the change found a function that frees a load report, a count of passable tasks kept for each queued task, and a time that the decision log was given and ignored; none had a reader left.

--- a/include/snipe/sched.h
+++ b/include/snipe/sched.h
@@ -280,9 +280,6 @@
 enum snipe_task_state snipe_work_task_state (const struct snipe_work *work,
                                              uint32_t task);
 
-/** @return waiting tasks that may be passed to a peer. */
-uint32_t snipe_sched_passable (const struct snipe_sched *sched);
-
 const char *snipe_reason_name (enum snipe_reason reason);
 
 #endif
--- a/src/decide/sched.c
+++ b/src/decide/sched.c
@@ -291,12 +291,6 @@
     task_done (sched, work, &work->tasks[task]);
 }
 
-uint32_t
-snipe_sched_passable (const struct snipe_sched *sched)
-{
-  return sched->passable;
-}
-
 const char *
 snipe_reason_name (enum snipe_reason reason)
 {
--- a/src/decide/sched_private.h
+++ b/src/decide/sched_private.h
@@ -207,7 +207,6 @@
   double kinds_log_mean; /**< mean of log_factor, held near 0 */
   float peer_best_speed; /**< over usable peers, 0 if none */
   uint32_t queued;
-  uint32_t passable;
   uint32_t free_slots;
   uint32_t reservations;
   uint32_t next_endpoint; /**< of round robin */
--- a/src/decide/sched_queue.c
+++ b/src/decide/sched_queue.c
@@ -151,8 +151,6 @@
   if (work->counts_quota)
     team->queued_quota += change;
   sched->queued += change;
-  if (shape->key.passable)
-    sched->passable += change;
   if (part->count == 0 && part->node.index != SCHED_NOWHERE)
     {
       sched_heap_remove (&part->lane->parts, &part->node);
--- a/src/engine/cluster.c
+++ b/src/engine/cluster.c
@@ -22,12 +22,6 @@
   uint64_t incarnation;
 };
 
-void
-load_free (peer_load *load)
-{
-  xdr_free ((xdrproc_t)xdr_peer_load, (char *)load);
-}
-
 struct peer *
 engine_peer (struct snipe_engine *engine, uint64_t incarnation)
 {
--- a/src/engine/decision_log.c
+++ b/src/engine/decision_log.c
@@ -48,7 +48,7 @@
               " rule_version=%llu rule_line=%u requester=\"%s\"",
               (unsigned long long)decision->rules_version, rule->line,
               snipe_str_c (&rule->requester));
-  snipe_log_decision (engine->host, decision->wall_ms, line);
+  snipe_log_decision (engine->host, line);
 }
 
 void
--- a/src/engine/private.h
+++ b/src/engine/private.h
@@ -394,7 +394,6 @@
 struct peer *engine_peer (struct snipe_engine *engine, uint64_t incarnation);
 /** Looks at the liveness of peers: ownership, lost batches. */
 void engine_check_peers (struct snipe_engine *engine, snipe_time now);
-void load_free (peer_load *load);
 int engine_on_hello (void *ctx, const peer_load *args, peer_load *reply);
 int engine_on_offer (void *ctx, const peer_load *args, peer_load *reply);
 int engine_on_get_rules (void *ctx, const peer_load *args, peer_rules *reply);
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -199,7 +199,7 @@
 }
 
 void
-snipe_log_decision (const char *host, int64_t wall_ms, const char *line)
+snipe_log_decision (const char *host, const char *line)
 {
   const GLogField fields[] = {
     { "MESSAGE", line, -1 },
@@ -207,6 +207,5 @@
     { "GLIB_DOMAIN", G_LOG_DOMAIN, -1 },
   };
 
-  (void)wall_ms;
   g_log_structured_array (G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS (fields));
 }
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -21,6 +21,6 @@
 /** @return whether decision lines are written. */
 bool snipe_log_decisions_enabled (void);
 /** Logs one decision at level info. @param line key=value pairs */
-void snipe_log_decision (const char *host, int64_t wall_ms, const char *line);
+void snipe_log_decision (const char *host, const char *line);
 
 #endif
