--- /dev/null
+++ b/include/snipe/home.h
@@ -0,0 +1,137 @@
+/**
+ * @file home.h
+ * The host that took a job from its caller keeps it until it is answered:
+ * it hands the tasks to pools, follows a pool to its next owner, and gives
+ * the answer. Nothing is stored; if the host dies, the caller sends the job
+ * again. Pure: orders leave through struct snipe_home_port.
+ *
+ * A task that may have started in a pool is only ever continued in that pool,
+ * whose owner learns from the endpoints what runs there. So it never runs
+ * twice at the same time, whichever hosts die or are cut off.
+ */
+#ifndef SNIPE_HOME_H
+#define SNIPE_HOME_H
+
+#include "snipe/pool.h"
+
+struct snipe_home;
+
+/** A job of one step, answered when it has ended. */
+struct snipe_home_job
+{
+  const char *id;
+  const char *route;
+  const char *service;
+  struct snipe_str spec;
+  uint32_t count; /**< tasks */
+  struct snipe_capacity each;
+  const char *label;
+  const char *rack;
+  uint32_t max_per_endpoint;
+  uint32_t priority;
+  uint32_t attempts;
+  snipe_time estimate;
+  double slack_factor; /**< wanted duration over that of the longest task */
+  snipe_time slo;      /**< wanted duration beyond that */
+  snipe_time give_up;  /**< caller waits no longer */
+  uint64_t rules_version; /**< configuration that admitted it, for the log */
+  void *ctx;           /**< of the answer */
+};
+
+enum snipe_home_outcome
+{
+  SNIPE_HOME_COMPLETE,
+  SNIPE_HOME_FAILED,   /**< a task failed for the last time */
+  SNIPE_HOME_NOT_RUN,  /**< nothing has started, nothing will */
+  SNIPE_HOME_UNKNOWN,  /**< given up; something may have started */
+};
+
+struct snipe_home_answer
+{
+  enum snipe_home_outcome outcome;
+  int code; /**< enum snipe_status */
+  snipe_time retry_after;
+};
+
+struct snipe_home_port
+{
+  void *ctx;
+  /** Sends a batch to the owner of a pool.
+   * @return 0, or negative if it surely does not arrive. */
+  int (*submit) (void *ctx, uint64_t owner, const char *service,
+                 const char *domain, const struct snipe_pool_batch *batch);
+  void (*cancel) (void *ctx, uint64_t owner, uint64_t number);
+  /** The answer to a job, once. */
+  void (*answer) (void *ctx, void *job_ctx,
+                  const struct snipe_home_answer *answer);
+};
+
+struct snipe_home_options
+{
+  unsigned int version;
+  uint64_t incarnation;
+  const char *domain;
+  /** A pool whose owner was lost gets a new one within this time. */
+  snipe_time takeover;
+  struct snipe_home_port port;
+};
+#define SNIPE_HOME_OPTIONS_VERSION 1
+#define SNIPE_HOME_OPTIONS_INIT                                               \
+  {                                                                           \
+    .version = SNIPE_HOME_OPTIONS_VERSION, .takeover = 800 * SNIPE_MS         \
+  }
+
+int snipe_home_new (struct snipe_home **out,
+                    const struct snipe_home_options *options);
+void snipe_home_free (struct snipe_home *home);
+
+/** Takes a job. The answer comes through the port, maybe at once. */
+void snipe_home_submit (struct snipe_home *home,
+                        const struct snipe_home_job *job, snipe_time now);
+/** The caller has closed its connection: stops the job without an answer. */
+void snipe_home_abandon (struct snipe_home *home, void *ctx, snipe_time now);
+/** Ends a job at the caller's request.
+ * @return whether it was running here. */
+bool snipe_home_cancel (struct snipe_home *home, const char *id,
+                        snipe_time now);
+/** @return whether the job is running here. */
+bool snipe_home_has (const struct snipe_home *home, const char *id);
+/** @return jobs of a route of which no task is known to have started. */
+uint32_t snipe_home_pending (const struct snipe_home *home, const char *route);
+/** @return jobs that are not answered. */
+uint32_t snipe_home_jobs (const struct snipe_home *home);
+
+/** State of a pool, as its owner told it at @p now. A higher epoch than
+ * before means that the pool has a new owner. */
+struct snipe_home_load
+{
+  const char *service;
+  const char *domain;
+  uint64_t owner;
+  uint64_t epoch;
+  const uint32_t *free_cpu; /**< of each endpoint with room, thousandths */
+  uint32_t free_count;
+  int64_t total_cpu;
+  int64_t backlog;
+  double slowness;
+};
+void snipe_home_load (struct snipe_home *home,
+                      const struct snipe_home_load *load, snipe_time now);
+/** An owner is claimed without a load yet. */
+void snipe_home_owner (struct snipe_home *home, const char *service,
+                       const char *domain, uint64_t owner, uint64_t epoch,
+                       snipe_time now);
+/** A host is not heard any more. */
+void snipe_home_owner_lost (struct snipe_home *home, uint64_t owner,
+                            snipe_time now);
+void snipe_home_result (struct snipe_home *home,
+                        const struct snipe_pool_result *result,
+                        snipe_time now);
+/** Sends the open batches of a host's pools again: some may be lost. */
+void snipe_home_resend (struct snipe_home *home, uint64_t owner);
+/** Gives up all jobs: this host was stopped for so long that others have
+ * given it up. */
+void snipe_home_fail_all (struct snipe_home *home, snipe_time now);
+void snipe_home_tick (struct snipe_home *home, snipe_time now);
+
+#endif
--- /dev/null
+++ b/include/snipe/member.h
@@ -0,0 +1,111 @@
+/**
+ * @file member.h
+ * The hosts as this one sees them, and which of them owns each pool. Pure:
+ * a view is built from heartbeats and from the store's list of hosts.
+ *
+ * No agreement is needed for safety: an endpoint obeys the highest fencing
+ * token it has seen, and a token grows with the epoch of its claim. Views that
+ * differ for a moment cost orders that are refused, never a second start.
+ */
+#ifndef SNIPE_MEMBER_H
+#define SNIPE_MEMBER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include "snipe/clock.h"
+
+#define SNIPE_MEMBER_NAME_BYTES 208
+
+struct snipe_members;
+
+struct snipe_claim
+{
+  char service[SNIPE_MEMBER_NAME_BYTES];
+  char domain[SNIPE_MEMBER_NAME_BYTES];
+  uint64_t epoch;
+};
+
+/** What a host says of itself. */
+struct snipe_member
+{
+  uint64_t incarnation;
+  char name[SNIPE_MEMBER_NAME_BYTES];
+  char address[64]; /**< of its link, "ip:port" */
+  char domain[SNIPE_MEMBER_NAME_BYTES];
+  bool leaving;
+  const struct snipe_claim *claims;
+  uint32_t claim_count;
+};
+
+struct snipe_members_options
+{
+  unsigned int version;
+  struct snipe_member self; /**< without claims */
+  snipe_time silence;       /**< a host not heard for this long is lost */
+  snipe_time settle;        /**< no claim before, counted from the start */
+};
+#define SNIPE_MEMBERS_OPTIONS_VERSION 1
+#define SNIPE_MEMBERS_OPTIONS_INIT                                            \
+  {                                                                           \
+    .version = SNIPE_MEMBERS_OPTIONS_VERSION, .silence = 600 * SNIPE_MS,      \
+    .settle = 1500 * SNIPE_MS                                                 \
+  }
+
+int snipe_members_new (struct snipe_members **out,
+                       const struct snipe_members_options *options,
+                       snipe_time now);
+void snipe_members_free (struct snipe_members *members);
+
+/** A heartbeat of a host. @return whether it was not live before. */
+bool snipe_members_heard (struct snipe_members *members,
+                          const struct snipe_member *member, snipe_time now);
+/** Any other message of a host. */
+void snipe_members_sign (struct snipe_members *members, uint64_t incarnation,
+                         snipe_time now);
+/** A connection of the host broke: its process has ended, or only the
+ * connection has. It counts as lost unless it is heard again soon. */
+void snipe_members_suspect (struct snipe_members *members,
+                            uint64_t incarnation, snipe_time now);
+bool snipe_members_live (const struct snipe_members *members,
+                         uint64_t incarnation);
+/** @return microseconds since the host was heard, INT64_MAX: never. */
+snipe_time snipe_members_silence (const struct snipe_members *members,
+                                  uint64_t incarnation, snipe_time now);
+/** Looks for hosts that fell silent; call it every few milliseconds.
+ * @return the incarnation of one that is lost by now, each once, or 0. */
+uint64_t snipe_members_lost (struct snipe_members *members, snipe_time now);
+/** This host was stopped: it knows nothing of the others until it hears
+ * them, and claims nothing before that. */
+void snipe_members_restart (struct snipe_members *members, snipe_time now);
+void snipe_members_leave (struct snipe_members *members);
+
+/** Calls @p visit for each live host but this one. */
+void snipe_members_each (const struct snipe_members *members,
+                         void (*visit) (void *ctx,
+                                        const struct snipe_member *member),
+                         void *ctx);
+
+enum snipe_ownership
+{
+  SNIPE_OWN_NONE,  /**< another host owns it, or should */
+  SNIPE_OWN_CLAIM, /**< this host should claim it, with @c epoch */
+  SNIPE_OWN_KEEP,  /**< this host owns it */
+  SNIPE_OWN_YIELD, /**< this host owns it and has to let go */
+};
+
+struct snipe_ownership_result
+{
+  enum snipe_ownership what;
+  uint64_t owner; /**< incarnation of the host that has it, 0: none known */
+  uint64_t epoch; /**< of that claim; of the new one for SNIPE_OWN_CLAIM */
+};
+
+/** Decides who owns a pool. @param own_epoch of this host's claim, 0: none
+ * @param store_version newest version that this host has seen in the store;
+ *   a new epoch is above it, so that epochs grow over restarts of all hosts */
+struct snipe_ownership_result
+snipe_members_decide (const struct snipe_members *members, const char *service,
+                      const char *domain, uint64_t own_epoch,
+                      uint64_t store_version, snipe_time now);
+
+#endif
--- /dev/null
+++ b/include/snipe/pool.h
@@ -0,0 +1,265 @@
+/**
+ * @file pool.h
+ * Scheduler of one pool: the endpoints of a service in one failure domain,
+ * each with a capacity in cores and memory, used by one host at a time. It
+ * decides which waiting task starts where, which work is refused, and what is
+ * stopped. Pure: it reads no clock and does no I/O; orders leave through
+ * struct snipe_pool_port and their answers come back as calls.
+ *
+ * Exclusive use of an endpoint rests on the endpoint itself: it carries out
+ * no order with a lower fencing token than it has seen. A new owner first
+ * reads what runs at each endpoint with its own, higher token.
+ */
+#ifndef SNIPE_POOL_H
+#define SNIPE_POOL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include "snipe/clock.h"
+#include "snipe/str.h"
+
+#define SNIPE_POOL_NAME_BYTES 208 /**< longest id or name, with its NUL */
+#define SNIPE_TASK_NAME_BYTES 96  /**< "<job>.<occurrence>.<step>.<index>" */
+
+struct snipe_pool;
+struct snipe_pool_endpoint;
+
+/** What a task takes, or an endpoint has. */
+struct snipe_capacity
+{
+  int64_t cpu; /**< thousandths of a core */
+  int64_t mem_mb;
+  int64_t gpu;
+};
+
+/** An endpoint as the directory lists it. */
+struct snipe_endpoint_entry
+{
+  char id[SNIPE_POOL_NAME_BYTES];
+  char address[64]; /**< "ip:port" */
+  char service[SNIPE_POOL_NAME_BYTES];
+  char domain[SNIPE_POOL_NAME_BYTES];
+  char kind[64]; /**< label of the hardware, "" if none */
+  char rack[64]; /**< "" if none */
+  int64_t born_ms; /**< start of this life, Unix time; 0 if unknown */
+  struct snipe_capacity capacity;
+  bool draining; /**< gets no new work */
+};
+
+/** How a task of a batch ended; part of the protocol between hosts. */
+enum snipe_task_end
+{
+  SNIPE_TASK_OPEN = 0,    /**< not yet */
+  SNIPE_TASK_DONE = 1,    /**< ran to its end */
+  SNIPE_TASK_BROKEN = 2,  /**< started, failed for the last time */
+  SNIPE_TASK_UNRUN = 3,   /**< never started, never will be */
+  SNIPE_TASK_STOPPED = 4, /**< started, then stopped */
+};
+
+/** Tasks of one job step that a host hands to a pool. */
+struct snipe_pool_batch
+{
+  uint64_t home;   /**< incarnation of the host that keeps the job */
+  uint64_t number; /**< unique at the home */
+  const char *job;
+  uint32_t step;
+  const char *route; /**< name under which durations are learned */
+  struct snipe_str spec;
+  const uint32_t *indexes; /**< of the tasks, in their step */
+  uint32_t count;
+  struct snipe_capacity each; /**< what one task takes */
+  const char *label;          /**< the endpoint must have it, "": any */
+  const char *rack;           /**< preferred rack, "": any */
+  uint32_t max_per_endpoint;  /**< 0: no limit */
+  uint32_t priority;          /**< 0 is the highest */
+  uint32_t attempts;          /**< starts that may fail before the job does */
+  snipe_time estimate;        /**< declared duration of a task */
+  snipe_time due;             /**< end wanted by then */
+  snipe_time late;            /**< worthless to the caller after that */
+  snipe_time give_up;         /**< caller waits no longer */
+  bool resent; /**< may run already, under an earlier owner */
+};
+
+/** End of a batch, sent to its home once. */
+struct snipe_pool_result
+{
+  uint64_t home;
+  uint64_t number;
+  const char *job;
+  const uint32_t *ends; /**< enum snipe_task_end of each task */
+  uint32_t count;
+  int code;               /**< enum snipe_status */
+  snipe_time retry_after; /**< if refused: when to come back */
+};
+
+/** Orders. Each is answered by one call of the function named, also when the
+ * endpoint gave no answer. */
+struct snipe_pool_start
+{
+  const struct snipe_endpoint_entry *endpoint;
+  uint64_t token;
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  struct snipe_str spec; /**< borrowed */
+  int64_t valid_until;   /**< endpoint clock, ms */
+  snipe_time timeout;
+};
+
+struct snipe_pool_stop
+{
+  const struct snipe_endpoint_entry *endpoint;
+  uint64_t token;
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  snipe_time timeout;
+};
+
+struct snipe_pool_hold
+{
+  const struct snipe_endpoint_entry *endpoint;
+  uint64_t token;
+  uint64_t last_seen;    /**< number of the last end noted */
+  int64_t valid_until;   /**< endpoint clock, ms; 0: do not extend */
+  snipe_time wait;       /**< the endpoint answers at an end, or after this */
+  snipe_time timeout;
+};
+
+struct snipe_pool_port
+{
+  void *ctx;
+  /** Answered by snipe_pool_on_start (). */
+  void (*start) (void *ctx, const struct snipe_pool_start *order);
+  /** Answered by snipe_pool_on_stop (). */
+  void (*stop) (void *ctx, const struct snipe_pool_stop *order);
+  /** Answered by snipe_pool_on_hold (). */
+  void (*hold) (void *ctx, const struct snipe_pool_hold *order);
+  void (*result) (void *ctx, const struct snipe_pool_result *result);
+};
+
+/** Answer of an endpoint to an order. */
+enum snipe_endpoint_answer
+{
+  SNIPE_ANSWER_OK,
+  SNIPE_ANSWER_NONE,      /**< no answer: may be carried out yet */
+  SNIPE_ANSWER_UNREACHED, /**< no connection: surely not carried out */
+  SNIPE_ANSWER_FENCED,    /**< a higher token was seen there */
+  SNIPE_ANSWER_OLD_RUN,   /**< an equal or higher run ended there */
+  SNIPE_ANSWER_TOO_LATE,  /**< the order's time was over */
+  SNIPE_ANSWER_NO_ROOM,
+  SNIPE_ANSWER_UNHEALTHY, /**< nothing was done */
+  SNIPE_ANSWER_OTHER_LIFE, /**< restarted since it was listed */
+  SNIPE_ANSWER_REFUSED,   /**< malformed order; nothing was done */
+};
+
+/** How the endpoint says that a run ended. */
+enum snipe_run_end
+{
+  SNIPE_RUN_DONE,
+  SNIPE_RUN_FAILED,
+  SNIPE_RUN_STOPPED,
+  SNIPE_RUN_LAPSED, /**< the endpoint's lease ran out */
+};
+
+struct snipe_endpoint_run
+{
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+};
+
+struct snipe_endpoint_end
+{
+  uint64_t number;
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  enum snipe_run_end end;
+};
+
+struct snipe_endpoint_report
+{
+  int64_t clock_ms; /**< endpoint clock; 0 if not told */
+  int64_t born_ms;  /**< 0 if not told */
+  const struct snipe_endpoint_run *running;
+  uint32_t running_count;
+  const struct snipe_endpoint_end *ends;
+  uint32_t end_count;
+};
+
+struct snipe_pool_options
+{
+  unsigned int version;
+  const char *service;
+  const char *domain;
+  uint64_t token;         /**< for every endpoint of the pool */
+  uint64_t epoch;         /**< of the claim, for log lines */
+  snipe_time lease_max;   /**< longest lease that an endpoint grants */
+  snipe_time stop_max;    /**< longest time that a stop takes */
+  snipe_time home_silence; /**< a home not heard for this long is lost */
+  struct snipe_pool_port port;
+};
+#define SNIPE_POOL_OPTIONS_VERSION 1
+#define SNIPE_POOL_OPTIONS_INIT                                               \
+  {                                                                           \
+    .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
+    .stop_max = 50 * SNIPE_MS, .home_silence = 600 * SNIPE_MS                 \
+  }
+
+int snipe_pool_new (struct snipe_pool **out,
+                    const struct snipe_pool_options *options, snipe_time now);
+void snipe_pool_free (struct snipe_pool *pool);
+
+/** Adds an endpoint or takes over what has changed of it. */
+void snipe_pool_endpoint_set (struct snipe_pool *pool,
+                              const struct snipe_endpoint_entry *entry,
+                              snipe_time now);
+/** The directory lists the endpoint no longer. */
+void snipe_pool_endpoint_remove (struct snipe_pool *pool, const char *id,
+                                 snipe_time now);
+
+/** Takes a batch; its end comes through the port, maybe at once. */
+void snipe_pool_submit (struct snipe_pool *pool,
+                        const struct snipe_pool_batch *batch, snipe_time now);
+/** Ends a batch: removes what waits and stops what runs. No result is sent. */
+void snipe_pool_cancel (struct snipe_pool *pool, uint64_t home,
+                        uint64_t number, snipe_time now);
+/** The host @p home is gone: ends all its batches. */
+void snipe_pool_home_lost (struct snipe_pool *pool, uint64_t home,
+                           snipe_time now);
+
+void snipe_pool_on_start (struct snipe_pool *pool, const char *endpoint,
+                          const char *task, uint32_t run,
+                          enum snipe_endpoint_answer answer,
+                          const struct snipe_endpoint_report *report,
+                          snipe_time now);
+void snipe_pool_on_stop (struct snipe_pool *pool, const char *endpoint,
+                         const char *task, uint32_t run,
+                         enum snipe_endpoint_answer answer,
+                         const struct snipe_endpoint_report *report,
+                         snipe_time now);
+void snipe_pool_on_hold (struct snipe_pool *pool, const char *endpoint,
+                         enum snipe_endpoint_answer answer,
+                         const struct snipe_endpoint_report *report,
+                         snipe_time now);
+/** Time has passed. Call at least every 50 ms. */
+void snipe_pool_tick (struct snipe_pool *pool, snipe_time now);
+/** @return whether it holds a batch or a run. */
+bool snipe_pool_busy (const struct snipe_pool *pool);
+/** @return whether the endpoint is one of the pool's. */
+bool snipe_pool_has (const struct snipe_pool *pool, const char *endpoint);
+/** @return whether an endpoint answered that another owner took over. */
+bool snipe_pool_fenced (const struct snipe_pool *pool);
+
+struct snipe_pool_load
+{
+  uint32_t endpoints; /**< usable ones */
+  int64_t total_cpu;
+  int64_t backlog; /**< waiting: thousandths of cores x ms */
+  double slowness; /**< actual over estimated duration */
+};
+
+/** Fills in the load; writes the free cores of up to @p max usable endpoints
+ * to @p free_cpu. @return how many were written. */
+uint32_t snipe_pool_load (const struct snipe_pool *pool,
+                          struct snipe_pool_load *out, uint32_t *free_cpu,
+                          uint32_t max, snipe_time now);
+
+#endif
--- /dev/null
+++ b/src/home/home.c
@@ -0,0 +1,557 @@
+#include "home/private.h"
+
+#include <string.h>
+
+#include "snipe/status.h"
+
+/* Times that refused tasks of a job are handed to another pool. */
+#define HANDOVERS_MAX 3
+/* A job that ends after this many times its wanted duration is worthless to
+ * its caller; see the operators' page. */
+#define LATE_FACTOR 3
+#define RETRY_AFTER_MIN (1 * SNIPE_S)
+
+struct job;
+
+/** Tasks of a job in one pool. */
+struct batch
+{
+  uint64_t number;
+  struct job *job;
+  struct pool_view *pool;
+  uint64_t owner; /**< host that it was sent to last, 0: none yet */
+  uint64_t epoch;
+  uint32_t *indexes;
+  uint32_t count;
+};
+
+struct job
+{
+  struct snipe_home_job spec; /**< its texts are owned */
+  snipe_time arrived;
+  snipe_time due;
+  snipe_time late;
+  uint32_t open;      /**< tasks that are not done */
+  uint32_t handovers;
+  bool started; /**< a task may have started */
+  GPtrArray *batches;
+};
+
+struct snipe_home
+{
+  uint64_t incarnation;
+  char domain[SNIPE_POOL_NAME_BYTES];
+  snipe_time takeover;
+  struct snipe_home_port port;
+  uint64_t next_number;
+  GHashTable *jobs;    /**< id -> struct job */
+  GHashTable *batches; /**< &number -> struct batch */
+  GPtrArray *pools;
+};
+
+static void
+batch_free (struct batch *batch)
+{
+  g_free (batch->indexes);
+  g_free (batch);
+}
+
+static void
+pool_view_free (struct pool_view *pool)
+{
+  g_array_free (pool->free_cpu, TRUE);
+  g_free (pool);
+}
+
+static void
+job_free (struct job *job)
+{
+  g_free ((char *)job->spec.id);
+  g_free ((char *)job->spec.route);
+  g_free ((char *)job->spec.service);
+  g_free ((char *)job->spec.label);
+  g_free ((char *)job->spec.rack);
+  snipe_str_clear (&job->spec.spec);
+  g_ptr_array_free (job->batches, TRUE);
+  g_free (job);
+}
+
+int
+snipe_home_new (struct snipe_home **out,
+                const struct snipe_home_options *options)
+{
+  struct snipe_home *home;
+
+  if (options->version != SNIPE_HOME_OPTIONS_VERSION)
+    return snipe_status_set (SNIPE_E_INVALID,
+                             "unknown version %u of home options",
+                             options->version);
+  home = g_new0 (struct snipe_home, 1);
+  home->incarnation = options->incarnation;
+  g_strlcpy (home->domain, options->domain, sizeof home->domain);
+  home->takeover = options->takeover;
+  home->port = options->port;
+  home->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      (GDestroyNotify)job_free);
+  home->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                         (GDestroyNotify)batch_free);
+  home->pools
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)pool_view_free);
+  *out = home;
+  return SNIPE_OK;
+}
+
+void
+snipe_home_free (struct snipe_home *home)
+{
+  if (home == NULL)
+    return;
+  g_hash_table_destroy (home->batches);
+  g_hash_table_destroy (home->jobs);
+  g_ptr_array_free (home->pools, TRUE);
+  g_free (home);
+}
+
+static void
+drop_batch (struct snipe_home *home, struct batch *batch)
+{
+  g_ptr_array_remove (batch->job->batches, batch);
+  g_hash_table_remove (home->batches, &batch->number);
+}
+
+/* Removes the job; what of it may run is stopped. */
+static void
+drop_job (struct snipe_home *home, struct job *job)
+{
+  while (job->batches->len > 0)
+    {
+      struct batch *batch = g_ptr_array_index (job->batches, 0);
+
+      if (batch->owner != 0)
+        home->port.cancel (home->port.ctx, batch->owner, batch->number);
+      drop_batch (home, batch);
+    }
+  g_hash_table_remove (home->jobs, job->spec.id);
+}
+
+static void
+answer (struct snipe_home *home, struct job *job,
+        enum snipe_home_outcome outcome, int code, snipe_time retry_after)
+{
+  struct snipe_home_answer value
+      = { .outcome = outcome, .code = code, .retry_after = retry_after };
+
+  home->port.answer (home->port.ctx, job->spec.ctx, &value);
+  drop_job (home, job);
+}
+
+/* Gives the job up: "not run" only if no task of it can have started. */
+static void
+give_up (struct snipe_home *home, struct job *job, int code,
+         snipe_time retry_after)
+{
+  answer (home, job, job->started ? SNIPE_HOME_UNKNOWN : SNIPE_HOME_NOT_RUN,
+          code, MAX (retry_after, RETRY_AFTER_MIN));
+}
+
+static int
+send_batch (struct snipe_home *home, struct batch *batch, bool resent)
+{
+  const struct snipe_home_job *spec = &batch->job->spec;
+  struct snipe_pool_batch order = {
+    .home = home->incarnation,
+    .number = batch->number,
+    .job = spec->id,
+    .route = spec->route,
+    .spec = spec->spec,
+    .indexes = batch->indexes,
+    .count = batch->count,
+    .each = spec->each,
+    .label = spec->label,
+    .rack = spec->rack,
+    .max_per_endpoint = spec->max_per_endpoint,
+    .priority = spec->priority,
+    .attempts = spec->attempts,
+    .estimate = spec->estimate,
+    .due = batch->job->due,
+    .late = batch->job->late,
+    .give_up = spec->give_up,
+    .resent = resent,
+  };
+  int status = home->port.submit (home->port.ctx, batch->pool->owner,
+                                  batch->pool->service, batch->pool->domain,
+                                  &order);
+
+  if (status == SNIPE_OK)
+    {
+      batch->owner = batch->pool->owner;
+      batch->epoch = batch->pool->epoch;
+    }
+  return status;
+}
+
+/* Distributes tasks of a job. @return 0, or a code if it was given up and
+ * freed. */
+static int
+dispatch (struct snipe_home *home, struct job *job, const uint32_t *indexes,
+          uint32_t count, snipe_time now)
+{
+  struct share *shares = g_new0 (struct share, home->pools->len + 1);
+  snipe_time wait = 0;
+  uint32_t share_count
+      = snipe_home_route (home->pools, home->domain, &job->spec, count,
+                          job->due, job->late, shares, &wait, now);
+  uint32_t sent = 0;
+  int status = share_count == 0 ? SNIPE_E_OVERLOAD : SNIPE_OK;
+
+  for (uint32_t i = 0; i < share_count && status == SNIPE_OK; i++)
+    {
+      struct batch *batch = g_new0 (struct batch, 1);
+
+      batch->number = ++home->next_number;
+      batch->job = job;
+      batch->pool = shares[i].pool;
+      batch->count = shares[i].count;
+      batch->indexes
+          = g_memdup2 (indexes + sent, batch->count * sizeof *indexes);
+      sent += batch->count;
+      g_hash_table_insert (home->batches, &batch->number, batch);
+      g_ptr_array_add (job->batches, batch);
+      status = send_batch (home, batch, false);
+      if (status == SNIPE_OK)
+        {
+          job->started = true;
+          snipe_home_take_room (batch->pool, &job->spec.each, batch->count,
+                                job->spec.estimate);
+        }
+    }
+  g_free (shares);
+  if (status != SNIPE_OK)
+    give_up (home, job, status, wait);
+  return status;
+}
+
+void
+snipe_home_submit (struct snipe_home *home, const struct snipe_home_job *spec,
+                   snipe_time now)
+{
+  struct job *job = g_hash_table_lookup (home->jobs, spec->id);
+  uint32_t *indexes;
+  double length;
+
+  if (job != NULL)
+    {
+      /* Sent again while it runs: the newer request gets the answer. */
+      struct snipe_home_answer value
+          = { .outcome = SNIPE_HOME_UNKNOWN, .code = SNIPE_E_CANCELLED };
+
+      home->port.answer (home->port.ctx, job->spec.ctx, &value);
+      job->spec.ctx = spec->ctx;
+      job->spec.give_up = spec->give_up;
+      return;
+    }
+  job = g_new0 (struct job, 1);
+  job->spec = *spec;
+  job->spec.id = g_strdup (spec->id);
+  job->spec.route = g_strdup (spec->route);
+  job->spec.service = g_strdup (spec->service);
+  job->spec.label = g_strdup (spec->label);
+  job->spec.rack = g_strdup (spec->rack);
+  job->spec.spec = (struct snipe_str)SNIPE_STR_INIT;
+  snipe_str_set (&job->spec.spec, spec->spec.data, spec->spec.len);
+  job->arrived = now;
+  job->open = spec->count;
+  job->batches = g_ptr_array_new ();
+  length = (double)spec->estimate
+           * snipe_home_best_slowness (home->pools, spec->service);
+  job->due
+      = now + (snipe_time)(length * spec->slack_factor) + spec->slo;
+  job->late = MIN (now + LATE_FACTOR * (job->due - now), spec->give_up);
+  g_hash_table_insert (home->jobs, (char *)job->spec.id, job);
+  indexes = g_new (uint32_t, spec->count);
+  for (uint32_t i = 0; i < spec->count; i++)
+    indexes[i] = i;
+  dispatch (home, job, indexes, spec->count, now);
+  g_free (indexes);
+}
+
+void
+snipe_home_abandon (struct snipe_home *home, void *ctx, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)now;
+  g_hash_table_iter_init (&iter, home->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct job *job = value;
+
+      if (job->spec.ctx != ctx)
+        continue;
+      drop_job (home, job);
+      return;
+    }
+}
+
+bool
+snipe_home_cancel (struct snipe_home *home, const char *id, snipe_time now)
+{
+  struct job *job = g_hash_table_lookup (home->jobs, id);
+
+  (void)now;
+  if (job == NULL)
+    return false;
+  answer (home, job, SNIPE_HOME_FAILED, SNIPE_E_CANCELLED, 0);
+  return true;
+}
+
+bool
+snipe_home_has (const struct snipe_home *home, const char *id)
+{
+  return g_hash_table_contains (home->jobs, id);
+}
+
+uint32_t
+snipe_home_pending (const struct snipe_home *home, const char *route)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, home->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct job *job = value;
+
+      if (job->open == job->spec.count && strcmp (job->spec.route, route) == 0)
+        count++;
+    }
+  return count;
+}
+
+uint32_t
+snipe_home_jobs (const struct snipe_home *home)
+{
+  return g_hash_table_size (home->jobs);
+}
+
+static struct pool_view *
+find_pool (struct snipe_home *home, const char *service, const char *domain)
+{
+  struct pool_view *pool;
+
+  for (guint i = 0; i < home->pools->len; i++)
+    {
+      pool = g_ptr_array_index (home->pools, i);
+      if (strcmp (pool->service, service) == 0
+          && strcmp (pool->domain, domain) == 0)
+        return pool;
+    }
+  pool = g_new0 (struct pool_view, 1);
+  g_strlcpy (pool->service, service, sizeof pool->service);
+  g_strlcpy (pool->domain, domain, sizeof pool->domain);
+  pool->free_cpu = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  pool->slowness = 1.0;
+  g_ptr_array_add (home->pools, pool);
+  return pool;
+}
+
+static GPtrArray *
+batches_of (struct snipe_home *home, const struct pool_view *pool)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, home->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct batch *)value)->pool == pool)
+      g_ptr_array_add (found, value);
+  return found;
+}
+
+/* The pool has a new owner: what may run in it goes on there. */
+static void
+change_owner (struct snipe_home *home, struct pool_view *pool, uint64_t owner,
+              uint64_t epoch)
+{
+  GPtrArray *batches;
+
+  pool->owner = owner;
+  pool->epoch = epoch;
+  pool->lost = 0;
+  batches = batches_of (home, pool);
+  for (guint i = 0; i < batches->len; i++)
+    send_batch (home, g_ptr_array_index (batches, i), true);
+  g_ptr_array_free (batches, TRUE);
+}
+
+void
+snipe_home_owner (struct snipe_home *home, const char *service,
+                  const char *domain, uint64_t owner, uint64_t epoch,
+                  snipe_time now)
+{
+  struct pool_view *pool = find_pool (home, service, domain);
+
+  (void)now;
+  if (epoch > pool->epoch)
+    change_owner (home, pool, owner, epoch);
+  else if (epoch == pool->epoch && pool->owner == 0)
+    {
+      /* The owner was silent for a while and has come back. */
+      pool->owner = owner;
+      pool->lost = 0;
+    }
+}
+
+void
+snipe_home_load (struct snipe_home *home, const struct snipe_home_load *load,
+                 snipe_time now)
+{
+  struct pool_view *pool = find_pool (home, load->service, load->domain);
+
+  if (load->epoch < pool->epoch)
+    return;
+  snipe_home_owner (home, load->service, load->domain, load->owner,
+                    load->epoch, now);
+  g_array_set_size (pool->free_cpu, 0);
+  g_array_append_vals (pool->free_cpu, load->free_cpu, load->free_count);
+  pool->total_cpu = load->total_cpu;
+  pool->backlog = load->backlog;
+  pool->slowness = load->slowness;
+  pool->told = now;
+}
+
+void
+snipe_home_owner_lost (struct snipe_home *home, uint64_t owner, snipe_time now)
+{
+  for (guint i = 0; i < home->pools->len; i++)
+    {
+      struct pool_view *pool = g_ptr_array_index (home->pools, i);
+
+      if (pool->owner != owner)
+        continue;
+      pool->owner = 0;
+      pool->lost = now;
+    }
+}
+
+void
+snipe_home_result (struct snipe_home *home,
+                   const struct snipe_pool_result *result, snipe_time now)
+{
+  struct batch *batch = g_hash_table_lookup (home->batches, &result->number);
+  struct job *job;
+  uint32_t *unrun;
+  uint32_t unrun_count = 0;
+  bool broken = false;
+  bool stopped = false;
+
+  if (batch == NULL || result->count != batch->count)
+    return;
+  job = batch->job;
+  unrun = g_new (uint32_t, batch->count);
+  for (uint32_t i = 0; i < result->count; i++)
+    switch (result->ends[i])
+      {
+      case SNIPE_TASK_DONE:
+        job->open--;
+        break;
+      case SNIPE_TASK_BROKEN:
+        broken = true;
+        break;
+      case SNIPE_TASK_UNRUN:
+        unrun[unrun_count++] = batch->indexes[i];
+        break;
+      default:
+        stopped = true;
+        break;
+      }
+  /* The job has not started if this was its only batch and none of it has. */
+  if (job->batches->len == 1 && unrun_count == job->spec.count)
+    job->started = false;
+  batch->owner = 0;
+  drop_batch (home, batch);
+  if (broken)
+    answer (home, job, SNIPE_HOME_FAILED, result->code, 0);
+  else if (result->code == SNIPE_E_CANCELLED)
+    /* Goes on for another host, to which the caller has sent it again. */
+    answer (home, job, SNIPE_HOME_UNKNOWN, result->code, 0);
+  else if (stopped || result->code == SNIPE_E_INVALID)
+    give_up (home, job, result->code, result->retry_after);
+  else if (job->open == 0)
+    answer (home, job, SNIPE_HOME_COMPLETE, SNIPE_OK, 0);
+  else if (unrun_count > 0)
+    {
+      if (++job->handovers > HANDOVERS_MAX)
+        give_up (home, job, result->code, result->retry_after);
+      else
+        dispatch (home, job, unrun, unrun_count, now);
+    }
+  g_free (unrun);
+}
+
+/* @return a code if the job has to be given up at @p now. */
+static int
+check_job (const struct snipe_home *home, const struct job *job,
+           snipe_time now)
+{
+  if (now >= job->spec.give_up)
+    return SNIPE_E_DEADLINE;
+  for (guint i = 0; i < job->batches->len; i++)
+    {
+      const struct batch *batch = g_ptr_array_index (job->batches, i);
+
+      if (batch->pool->owner == 0 && now - batch->pool->lost > home->takeover)
+        return SNIPE_E_TASK_LOST;
+    }
+  return SNIPE_OK;
+}
+
+void
+snipe_home_tick (struct snipe_home *home, snipe_time now)
+{
+  GPtrArray *ended = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, home->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (check_job (home, value, now) != SNIPE_OK)
+      g_ptr_array_add (ended, value);
+  for (guint i = 0; i < ended->len; i++)
+    {
+      struct job *job = g_ptr_array_index (ended, i);
+
+      give_up (home, job, check_job (home, job, now), 0);
+    }
+  g_ptr_array_free (ended, TRUE);
+}
+
+void
+snipe_home_resend (struct snipe_home *home, uint64_t owner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, home->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct batch *batch = value;
+
+      if (batch->pool->owner == owner && batch->owner == owner)
+        send_batch (home, batch, true);
+    }
+}
+
+void
+snipe_home_fail_all (struct snipe_home *home, snipe_time now)
+{
+  GList *jobs = g_hash_table_get_values (home->jobs);
+
+  (void)now;
+  for (GList *at = jobs; at != NULL; at = at->next)
+    answer (home, at->data, SNIPE_HOME_UNKNOWN, SNIPE_E_TASK_LOST, 0);
+  g_list_free (jobs);
+}
--- /dev/null
+++ b/src/home/private.h
@@ -0,0 +1,49 @@
+/**
+ * @file private.h
+ * Types shared by the files of the job keeper.
+ */
+#ifndef SNIPE_HOME_PRIVATE_H
+#define SNIPE_HOME_PRIVATE_H
+
+#include <glib.h>
+#include "snipe/home.h"
+
+/** What is known of a pool. */
+struct pool_view
+{
+  char service[SNIPE_POOL_NAME_BYTES];
+  char domain[SNIPE_POOL_NAME_BYTES];
+  uint64_t owner; /**< 0: none is known */
+  uint64_t epoch;
+  GArray *free_cpu; /**< uint32_t, less what was sent since the report */
+  int64_t total_cpu;
+  int64_t backlog;
+  double slowness;
+  snipe_time told;
+  snipe_time lost; /**< when its owner was lost, 0: it was not */
+};
+
+/** A planned share of a job's tasks. */
+struct share
+{
+  struct pool_view *pool;
+  uint32_t count;
+};
+
+/** Distributes @p count tasks over the pools of the job's service.
+ * @param out room for as many shares as there are pools
+ * @return how many shares were written; 0 if no pool can end the job before
+ *   it is worthless to its caller, and then @p wait is the shortest wait. */
+uint32_t snipe_home_route (GPtrArray *pools, const char *domain,
+                           const struct snipe_home_job *job, uint32_t count,
+                           snipe_time due, snipe_time late, struct share *out,
+                           snipe_time *wait, snipe_time now);
+/** @return the speed of the fastest pool of a service: actual over estimated
+ * duration. */
+double snipe_home_best_slowness (const GPtrArray *pools, const char *service);
+/** Takes the room of tasks that are being sent from a view. */
+void snipe_home_take_room (struct pool_view *pool,
+                           const struct snipe_capacity *each, uint32_t count,
+                           snipe_time estimate);
+
+#endif
--- /dev/null
+++ b/src/link/link.c
@@ -0,0 +1,414 @@
+#include "link/link.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peer/connection.h"
+#include "snipe/status.h"
+#include "util/address.h"
+
+/* A peer that acknowledges nothing for this long is as good as gone; below
+ * the silence after which a host counts as lost. */
+#define ACK_TIMEOUT_MS 500
+/* Bytes that may wait for a peer that does not read. */
+#define QUEUE_MAX ((size_t)8 << 20)
+/* Pause after a connection attempt that failed. */
+#define RETRY_PAUSE (100 * SNIPE_MS)
+
+/** A connection with its place in the loop. */
+struct channel
+{
+  struct snipe_link *link;
+  struct snipe_loop_watch watch;
+  struct snipe_peer_connection *connection;
+  char address[64];     /**< outgoing only */
+  uint64_t incarnation; /**< incoming only, after its HELLO */
+  bool connecting;
+};
+
+struct snipe_link
+{
+  struct snipe_link_options options;
+  struct snipe_loop_watch listener;
+  uint16_t port;
+  GHashTable *outgoing; /**< address -> struct channel */
+  GHashTable *failed;   /**< address -> time of the next attempt */
+  GPtrArray *incoming;
+};
+
+static xdrproc_t
+codec (uint32_t procedure)
+{
+  switch (procedure)
+    {
+    case LINK_SEND_HELLO:
+      return (xdrproc_t)xdr_link_hello;
+    case LINK_SEND_LOAD:
+      return (xdrproc_t)xdr_link_load;
+    case LINK_SEND_BATCH:
+      return (xdrproc_t)xdr_link_batch;
+    case LINK_SEND_RESULT:
+      return (xdrproc_t)xdr_link_result;
+    case LINK_SEND_CANCEL:
+      return (xdrproc_t)xdr_link_cancel;
+    case LINK_SEND_CANCEL_JOB:
+      return (xdrproc_t)xdr_link_cancel_job;
+    case LINK_SEND_FETCH:
+      return (xdrproc_t)xdr_link_fetch;
+    case LINK_SEND_SNAPSHOT:
+      return (xdrproc_t)xdr_link_snapshot;
+    default:
+      return NULL;
+    }
+}
+
+static void
+channel_free (struct channel *channel)
+{
+  snipe_loop_remove (channel->link->options.loop, &channel->watch);
+  snipe_peer_connection_free (channel->connection);
+  g_free (channel);
+}
+
+static void
+set_socket_options (int fd)
+{
+  int one = 1;
+  unsigned int timeout = ACK_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+/* Takes a call apart and hands its arguments on. */
+static int
+on_record (void *ctx, struct snipe_peer_connection *connection)
+{
+  struct channel *channel = ctx;
+  struct snipe_link *link = channel->link;
+  struct snipe_link_message message = { 0 };
+  struct rpc_msg header = { 0 };
+  char verifier[2 * MAX_AUTH_BYTES];
+  int status = SNIPE_E_INVALID;
+  xdrproc_t decode;
+  XDR xdrs;
+
+  header.rm_call.cb_cred.oa_base = verifier;
+  header.rm_call.cb_verf.oa_base = verifier + MAX_AUTH_BYTES;
+  xdrmem_create (&xdrs, connection->record, (u_int)connection->record_len,
+                 XDR_DECODE);
+  if (xdr_callmsg (&xdrs, &header) && header.rm_call.cb_prog == SNIPE_LINK
+      && header.rm_call.cb_vers == SNIPE_LINK_V1)
+    {
+      message.procedure = (uint32_t)header.rm_call.cb_proc;
+      decode = codec (message.procedure);
+      if (decode != NULL && decode (&xdrs, &message.args))
+        {
+          status = SNIPE_OK;
+          if (message.procedure == LINK_SEND_HELLO)
+            channel->incarnation = message.args.hello.incarnation;
+          link->options.received (link->options.ctx, channel->incarnation,
+                                  &message);
+        }
+      if (decode != NULL)
+        xdr_free (decode, (char *)&message.args);
+    }
+  xdr_destroy (&xdrs);
+  if (status != SNIPE_OK)
+    g_warning ("link: record of %zu bytes that cannot be decoded; its "
+               "connection is closed",
+               connection->record_len);
+  return status;
+}
+
+static void
+on_incoming (void *ctx, uint32_t events)
+{
+  struct channel *channel = ctx;
+  struct snipe_link *link = channel->link;
+  uint64_t incarnation;
+
+  (void)events;
+  if (snipe_peer_connection_read (channel->connection, on_record, channel) >= 0)
+    return;
+  incarnation = channel->incarnation;
+  g_ptr_array_remove_fast (link->incoming, channel);
+  if (incarnation != 0)
+    link->options.closed (link->options.ctx, incarnation);
+}
+
+static struct channel *
+channel_new (struct snipe_link *link, int fd,
+             void (*ready) (void *ctx, uint32_t events))
+{
+  struct channel *channel = g_new0 (struct channel, 1);
+
+  channel->link = link;
+  channel->connection = snipe_peer_connection_new (fd);
+  channel->watch = (struct snipe_loop_watch){ .fd = fd,
+                                              .ready = ready,
+                                              .ctx = channel };
+  return channel;
+}
+
+static void
+on_accept (void *ctx, uint32_t events)
+{
+  struct snipe_link *link = ctx;
+  int fd = accept4 (link->listener.fd, NULL, NULL,
+                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+  struct channel *channel;
+
+  (void)events;
+  if (fd < 0)
+    return;
+  set_socket_options (fd);
+  channel = channel_new (link, fd, on_incoming);
+  g_ptr_array_add (link->incoming, channel);
+  snipe_loop_add (link->options.loop, &channel->watch, EPOLLIN);
+}
+
+static void
+drop_outgoing (struct channel *channel, const char *why)
+{
+  struct snipe_link *link = channel->link;
+  snipe_time *retry = g_new (snipe_time, 1);
+
+  /* One that broke after it stood is tried again at once. */
+  g_message ("link: event=lost peer=%s reason=%s", channel->address, why);
+  *retry = snipe_clock_now () + (channel->connecting ? RETRY_PAUSE : 0);
+  g_hash_table_replace (link->failed, g_strdup (channel->address), retry);
+  g_hash_table_remove (link->outgoing, channel->address);
+}
+
+static void
+flush (struct channel *channel)
+{
+  struct snipe_link *link = channel->link;
+  bool pending;
+
+  if (snipe_peer_connection_flush (channel->connection) < 0)
+    {
+      drop_outgoing (channel, "write");
+      return;
+    }
+  pending = channel->connection->out_len > 0;
+  snipe_loop_change (link->options.loop, &channel->watch,
+                     pending ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+static void
+on_outgoing (void *ctx, uint32_t events)
+{
+  struct channel *channel = ctx;
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  getsockopt (channel->watch.fd, SOL_SOCKET, SO_ERROR, &error, &len);
+  if (error != 0 || (events & (EPOLLERR | EPOLLHUP)))
+    {
+      drop_outgoing (channel, error != 0 ? g_strerror (error) : "closed");
+      return;
+    }
+  if (events & EPOLLIN)
+    {
+      char byte;
+
+      /* Nothing comes back on this connection but its end. */
+      if (recv (channel->watch.fd, &byte, 1, 0) == 0)
+        {
+          drop_outgoing (channel, "closed");
+          return;
+        }
+    }
+  if (events & EPOLLOUT)
+    {
+      channel->connecting = false;
+      flush (channel);
+    }
+}
+
+static struct channel *
+open_channel (struct snipe_link *link, const char *address)
+{
+  const snipe_time *retry = g_hash_table_lookup (link->failed, address);
+  struct sockaddr_in to;
+  struct channel *channel;
+  int fd;
+
+  if (retry != NULL && snipe_clock_now () < *retry)
+    return NULL;
+  if (snipe_address_parse (&to, address) < 0)
+    return NULL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  set_socket_options (fd);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) < 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  channel = channel_new (link, fd, on_outgoing);
+  g_strlcpy (channel->address, address, sizeof channel->address);
+  channel->connecting = true;
+  g_hash_table_insert (link->outgoing, channel->address, channel);
+  snipe_loop_add (link->options.loop, &channel->watch, EPOLLIN | EPOLLOUT);
+  return channel;
+}
+
+static int
+encode (struct snipe_peer_connection *connection,
+        const struct snipe_link_message *message)
+{
+  struct rpc_msg header = { .rm_direction = CALL };
+  xdrproc_t body = codec (message->procedure);
+  unsigned long header_len;
+  unsigned long body_len;
+  char *data;
+  bool encoded;
+  XDR xdrs;
+
+  header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  header.rm_call.cb_prog = SNIPE_LINK;
+  header.rm_call.cb_vers = SNIPE_LINK_V1;
+  header.rm_call.cb_proc = message->procedure;
+  header.rm_call.cb_cred = _null_auth;
+  header.rm_call.cb_verf = _null_auth;
+  header_len = xdr_sizeof ((xdrproc_t)xdr_callmsg, &header);
+  body_len = xdr_sizeof (body, (void *)&message->args);
+  if (body_len == 0)
+    return snipe_status_set (SNIPE_E_TOO_LARGE,
+                             "message %u exceeds a limit of the protocol",
+                             message->procedure);
+  data = snipe_peer_connection_reserve (connection,
+                                        (uint32_t)(header_len + body_len));
+  if (data == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a message");
+  xdrmem_create (&xdrs, data, (u_int)(header_len + body_len), XDR_ENCODE);
+  encoded = xdr_callmsg (&xdrs, &header)
+            && body (&xdrs, (void *)&message->args);
+  xdr_destroy (&xdrs);
+  return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
+}
+
+int
+snipe_link_send (struct snipe_link *link, const char *address,
+                 const struct snipe_link_message *message)
+{
+  struct channel *channel = g_hash_table_lookup (link->outgoing, address);
+  int status;
+
+  if (channel == NULL)
+    channel = open_channel (link, address);
+  if (channel == NULL)
+    return snipe_status_set (SNIPE_E_UNREACHABLE, "no connection to %s",
+                             address);
+  if (channel->connection->out_len > QUEUE_MAX)
+    return snipe_status_set (SNIPE_E_UNREACHABLE, "%s does not read", address);
+  status = encode (channel->connection, message);
+  if (status == SNIPE_OK && !channel->connecting)
+    flush (channel);
+  return status;
+}
+
+void
+snipe_link_reset (struct snipe_link *link, const char *address)
+{
+  struct channel *channel = g_hash_table_lookup (link->outgoing, address);
+
+  if (channel != NULL)
+    {
+      drop_outgoing (channel, "silent");
+      g_hash_table_remove (link->failed, address);
+    }
+}
+
+static int
+listen_at (struct snipe_link *link, const char *address)
+{
+  struct sockaddr_in at;
+  socklen_t len = sizeof at;
+  int one = 1;
+  int fd;
+
+  if (snipe_address_parse (&at, address) < 0)
+    return SNIPE_E_INVALID;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return snipe_status_set (SNIPE_E_INTERNAL, "no socket for the link");
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&at, sizeof at) < 0 || listen (fd, 128) < 0
+      || getsockname (fd, (struct sockaddr *)&at, &len) < 0)
+    {
+      int error = errno;
+
+      close (fd);
+      return snipe_status_set (SNIPE_E_INVALID, "cannot listen on %s: %s",
+                               address, g_strerror (error));
+    }
+  link->port = ntohs (at.sin_port);
+  link->listener = (struct snipe_loop_watch){ .fd = fd,
+                                              .ready = on_accept,
+                                              .ctx = link };
+  return snipe_loop_add (link->options.loop, &link->listener, EPOLLIN);
+}
+
+int
+snipe_link_new (struct snipe_link **out,
+                const struct snipe_link_options *options)
+{
+  struct snipe_link *link;
+  int status;
+
+  if (options->version != SNIPE_LINK_OPTIONS_VERSION)
+    return snipe_status_set (SNIPE_E_INVALID,
+                             "unknown version %u of link options",
+                             options->version);
+  link = g_new0 (struct snipe_link, 1);
+  link->options = *options;
+  link->listener.fd = -1;
+  link->outgoing = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                          (GDestroyNotify)channel_free);
+  link->failed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  link->incoming
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)channel_free);
+  status = listen_at (link, options->listen);
+  if (status < 0)
+    {
+      snipe_link_free (link);
+      return status;
+    }
+  *out = link;
+  return SNIPE_OK;
+}
+
+void
+snipe_link_free (struct snipe_link *link)
+{
+  if (link == NULL)
+    return;
+  g_hash_table_destroy (link->outgoing);
+  g_hash_table_destroy (link->failed);
+  g_ptr_array_free (link->incoming, TRUE);
+  if (link->listener.fd >= 0)
+    {
+      snipe_loop_remove (link->options.loop, &link->listener);
+      close (link->listener.fd);
+    }
+  g_free (link);
+}
+
+uint16_t
+snipe_link_port (const struct snipe_link *link)
+{
+  return link->port;
+}
--- /dev/null
+++ b/src/link/link.h
@@ -0,0 +1,65 @@
+/**
+ * @file link.h
+ * Messages between hosts: one-way ONC RPC calls over TCP, on the event loop.
+ * Each host sends on connections that it opened and receives on those that
+ * others opened. A message on a connection that breaks may be lost; what
+ * matters is repeated by whoever needs it.
+ */
+#ifndef SNIPE_LINK_LINK_H
+#define SNIPE_LINK_LINK_H
+
+#include "link/snipe_link.h"
+#include "loop/loop.h"
+
+struct snipe_link;
+
+/** A message, tagged by its procedure. */
+struct snipe_link_message
+{
+  uint32_t procedure; /**< LINK_SEND_HELLO, ... */
+  union
+  {
+    link_hello hello;
+    link_load load;
+    link_batch batch;
+    link_result result;
+    link_cancel cancel;
+    link_cancel_job cancel_job;
+    link_fetch fetch;
+    link_snapshot snapshot;
+  } args;
+};
+
+struct snipe_link_options
+{
+  unsigned int version;
+  struct snipe_loop *loop;
+  const char *listen; /**< "ip:port", port 0: chosen by the system */
+  /** Receives a message; @p incarnation is that of the last HELLO on the same
+   * connection, 0 before it. The arguments are freed afterwards. */
+  void (*received) (void *ctx, uint64_t incarnation,
+                    const struct snipe_link_message *message);
+  /** A connection of that host to this one was closed or broke. */
+  void (*closed) (void *ctx, uint64_t incarnation);
+  void *ctx;
+};
+#define SNIPE_LINK_OPTIONS_VERSION 1
+#define SNIPE_LINK_OPTIONS_INIT                                               \
+  {                                                                           \
+    .version = SNIPE_LINK_OPTIONS_VERSION                                     \
+  }
+
+int snipe_link_new (struct snipe_link **out,
+                    const struct snipe_link_options *options);
+void snipe_link_free (struct snipe_link *link);
+uint16_t snipe_link_port (const struct snipe_link *link);
+
+/** Sends a message to the host at @p address, after a connection to it was
+ * made if there is none.
+ * @return 0, or SNIPE_E_UNREACHABLE if it surely does not arrive. */
+int snipe_link_send (struct snipe_link *link, const char *address,
+                     const struct snipe_link_message *message);
+/** Closes the connection to @p address: it seems to carry nothing. */
+void snipe_link_reset (struct snipe_link *link, const char *address);
+
+#endif
--- /dev/null
+++ b/src/link/snipe_link.x
@@ -0,0 +1,131 @@
+/*
+ * Messages between the hosts that dispatch by pools. Every procedure is a
+ * batched call (RFC 5531, section 8.4): it has no reply, and what it asks for
+ * comes back as a call of its own. Times are milliseconds from the moment of
+ * sending, because steady clocks of hosts have nothing in common.
+ */
+
+const LINK_NAME_MAX = 200;
+const LINK_SPEC_MAX = 65536;
+const LINK_TASKS_MAX = 4096;
+const LINK_POOLS_MAX = 256;
+const LINK_ENDPOINTS_MAX = 4096;
+const LINK_SNAPSHOT_MAX = 2097152;
+
+typedef string link_name<LINK_NAME_MAX>;
+
+struct link_claim
+{
+  link_name service;
+  link_name domain;
+  unsigned hyper epoch;
+};
+
+/* Heartbeat; also introduces the sender after a connection was made. */
+struct link_hello
+{
+  unsigned hyper incarnation;
+  link_name name;
+  link_name address;
+  link_name domain;
+  bool leaving;
+  unsigned hyper config_version;
+  unsigned hyper store_version;
+  /* Since the sender last heard the receiver. */
+  unsigned int silence_ms;
+  link_claim claims<LINK_POOLS_MAX>;
+};
+
+/* What a pool could take at the moment of sending. */
+struct link_load
+{
+  unsigned hyper incarnation;
+  link_name service;
+  link_name domain;
+  unsigned hyper epoch;
+  /* Free cores of each usable endpoint, in thousandths. */
+  unsigned int free_cpu<LINK_ENDPOINTS_MAX>;
+  /* Cores of all usable endpoints, in thousandths. */
+  unsigned hyper total_cpu;
+  /* Waiting work: thousandths of cores times milliseconds. */
+  unsigned hyper backlog;
+  /* Actual over estimated duration of recent tasks, in thousandths. */
+  unsigned int slowness;
+};
+
+struct link_batch
+{
+  unsigned hyper home;
+  unsigned hyper number;
+  link_name service;
+  link_name domain;
+  link_name job;
+  unsigned int step;
+  link_name route;
+  opaque spec<LINK_SPEC_MAX>;
+  unsigned int indexes<LINK_TASKS_MAX>;
+  unsigned int cpu;
+  unsigned int mem_mb;
+  unsigned int gpu;
+  link_name label;
+  link_name rack;
+  unsigned int max_per_endpoint;
+  unsigned int priority;
+  unsigned int attempts;
+  unsigned int estimate_ms;
+  int due_ms;
+  int late_ms;
+  int give_up_ms;
+  /* The tasks may run already under an earlier owner of the pool. */
+  bool resent;
+};
+
+struct link_result
+{
+  unsigned hyper home;
+  unsigned hyper number;
+  /* enum snipe_task_end, one for each index of the batch. */
+  unsigned int ends<LINK_TASKS_MAX>;
+  /* Result code of the first task that did not end well, 0 if all did. */
+  int code;
+  unsigned int retry_after_ms;
+};
+
+struct link_cancel
+{
+  unsigned hyper home;
+  unsigned hyper number;
+};
+
+struct link_cancel_job
+{
+  link_name job;
+};
+
+struct link_fetch
+{
+  unsigned hyper have_version;
+};
+
+/* Configuration as the store gave it. */
+struct link_snapshot
+{
+  unsigned hyper config_version;
+  unsigned hyper store_version;
+  opaque config<LINK_SNAPSHOT_MAX>;
+};
+
+program SNIPE_LINK
+{
+  version SNIPE_LINK_V1
+  {
+    void LINK_SEND_HELLO (link_hello) = 1;
+    void LINK_SEND_LOAD (link_load) = 2;
+    void LINK_SEND_BATCH (link_batch) = 3;
+    void LINK_SEND_RESULT (link_result) = 4;
+    void LINK_SEND_CANCEL (link_cancel) = 5;
+    void LINK_SEND_CANCEL_JOB (link_cancel_job) = 6;
+    void LINK_SEND_FETCH (link_fetch) = 7;
+    void LINK_SEND_SNAPSHOT (link_snapshot) = 8;
+  } = 1;
+} = 0x20534e4c;
--- /dev/null
+++ b/src/loop/loop.c
@@ -0,0 +1,207 @@
+#include "loop/loop.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "snipe/status.h"
+#include "util/mpsc.h"
+
+#define EVENTS_MAX 64
+
+struct posted
+{
+  ck_stack_entry_t link;
+  void (*function) (void *ctx);
+  void *ctx;
+};
+
+struct snipe_loop
+{
+  int epoll_fd;
+  int wake_fd;
+  bool stopped; /**< atomic */
+  ck_stack_t posted;
+  /* Events of the present round, so that a removed watch is not called. */
+  struct epoll_event events[EVENTS_MAX];
+  int event_count;
+  struct snipe_loop_watch wake;
+  snipe_time (*prepare) (void *ctx, snipe_time now);
+  void *prepare_ctx;
+};
+
+CK_STACK_CONTAINER (struct posted, link, posted_of)
+
+static void
+on_wake (void *ctx, uint32_t events)
+{
+  struct snipe_loop *loop = ctx;
+  uint64_t value;
+  ck_stack_entry_t *entry;
+
+  (void)events;
+  while (read (loop->wake_fd, &value, sizeof value) < 0 && errno == EINTR)
+    continue;
+  entry = snipe_mpsc_take (&loop->posted);
+  while (entry != NULL)
+    {
+      struct posted *posted = posted_of (entry);
+
+      entry = entry->next;
+      posted->function (posted->ctx);
+      free (posted);
+    }
+}
+
+int
+snipe_loop_new (struct snipe_loop **out)
+{
+  struct snipe_loop *loop = g_new0 (struct snipe_loop, 1);
+
+  ck_stack_init (&loop->posted);
+  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  loop->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  loop->wake = (struct snipe_loop_watch){ .fd = loop->wake_fd,
+                                          .ready = on_wake,
+                                          .ctx = loop };
+  if (loop->epoll_fd < 0 || loop->wake_fd < 0
+      || snipe_loop_add (loop, &loop->wake, EPOLLIN) < 0)
+    {
+      snipe_loop_free (loop);
+      return snipe_status_set (SNIPE_E_INTERNAL,
+                               "no descriptors for the event loop");
+    }
+  *out = loop;
+  return SNIPE_OK;
+}
+
+void
+snipe_loop_free (struct snipe_loop *loop)
+{
+  if (loop == NULL)
+    return;
+  if (loop->epoll_fd >= 0)
+    close (loop->epoll_fd);
+  if (loop->wake_fd >= 0)
+    close (loop->wake_fd);
+  g_free (loop);
+}
+
+void
+snipe_loop_set_prepare (struct snipe_loop *loop,
+                        snipe_time (*prepare) (void *ctx, snipe_time now),
+                        void *ctx)
+{
+  loop->prepare = prepare;
+  loop->prepare_ctx = ctx;
+}
+
+static int
+control (struct snipe_loop *loop, int operation,
+         struct snipe_loop_watch *watch, uint32_t events)
+{
+  struct epoll_event event = { .events = events, .data = { .ptr = watch } };
+
+  if (epoll_ctl (loop->epoll_fd, operation, watch->fd, &event) < 0)
+    return snipe_status_set (SNIPE_E_INTERNAL,
+                             "descriptor %d cannot be watched: %s", watch->fd,
+                             g_strerror (errno));
+  return SNIPE_OK;
+}
+
+int
+snipe_loop_add (struct snipe_loop *loop, struct snipe_loop_watch *watch,
+                uint32_t events)
+{
+  return control (loop, EPOLL_CTL_ADD, watch, events);
+}
+
+int
+snipe_loop_change (struct snipe_loop *loop, struct snipe_loop_watch *watch,
+                   uint32_t events)
+{
+  return control (loop, EPOLL_CTL_MOD, watch, events);
+}
+
+void
+snipe_loop_remove (struct snipe_loop *loop, struct snipe_loop_watch *watch)
+{
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watch->fd, NULL);
+  for (int i = 0; i < loop->event_count; i++)
+    if (loop->events[i].data.ptr == watch)
+      loop->events[i].data.ptr = NULL;
+}
+
+static void
+wake (struct snipe_loop *loop)
+{
+  uint64_t one = 1;
+
+  /* A full counter means that the loop is awake already. */
+  if (write (loop->wake_fd, &one, sizeof one) < 0)
+    return;
+}
+
+void
+snipe_loop_post (struct snipe_loop *loop, void (*function) (void *ctx),
+                 void *ctx)
+{
+  struct posted *posted = calloc (1, sizeof *posted);
+
+  if (posted == NULL)
+    abort ();
+  posted->function = function;
+  posted->ctx = ctx;
+  snipe_mpsc_push (&loop->posted, &posted->link);
+  wake (loop);
+}
+
+void
+snipe_loop_stop (struct snipe_loop *loop)
+{
+  __atomic_store_n (&loop->stopped, true, __ATOMIC_RELEASE);
+  wake (loop);
+}
+
+static void
+run_events (struct snipe_loop *loop)
+{
+  for (int i = 0; i < loop->event_count; i++)
+    {
+      struct snipe_loop_watch *watch = loop->events[i].data.ptr;
+
+      if (watch != NULL)
+        watch->ready (watch->ctx, loop->events[i].events);
+    }
+  loop->event_count = 0;
+}
+
+void
+snipe_loop_run (struct snipe_loop *loop,
+                void (*tick) (void *ctx, snipe_time now), void *ctx,
+                snipe_time interval)
+{
+  snipe_time next = snipe_clock_now ();
+
+  while (!__atomic_load_n (&loop->stopped, __ATOMIC_ACQUIRE))
+    {
+      snipe_time now = snipe_clock_now ();
+      snipe_time due
+          = loop->prepare == NULL ? 0 : loop->prepare (loop->prepare_ctx, now);
+      snipe_time left = (due > 0 && due < next ? due : next) - now;
+      int wait = left <= 0 ? 0 : (int)((left + SNIPE_MS - 1) / SNIPE_MS);
+      int count
+          = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait);
+
+      loop->event_count = count < 0 ? 0 : count;
+      run_events (loop);
+      if (snipe_clock_now () < next)
+        continue;
+      next = snipe_clock_now () + interval;
+      tick (ctx, snipe_clock_now ());
+    }
+}
--- /dev/null
+++ b/src/loop/web.c
@@ -0,0 +1,300 @@
+#include "loop/web.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "snipe/status.h"
+
+#define BODY_MAX (16U * 1024 * 1024)
+#define CONNECT_TIMEOUT_MS 300L
+/* Idle easy handles that are kept; making one costs some 10 us. */
+#define IDLE_MAX 64
+/* Bounds the work between two waits for events. */
+#define ROUNDS_MAX 16
+
+struct call
+{
+  struct snipe_web *web;
+  CURL *easy;
+  struct curl_slist *headers;
+  struct snipe_str body;
+  GString *answer;
+  snipe_web_done done;
+  void *ctx;
+};
+
+/** A socket of libcurl's in the loop. */
+struct socket
+{
+  struct snipe_web *web;
+  struct snipe_loop_watch watch;
+};
+
+struct snipe_web
+{
+  struct snipe_loop *loop;
+  CURLM *multi;
+  snipe_time due; /**< of libcurl's timeout, 0: none */
+  GPtrArray *idle; /**< CURL handles */
+  GHashTable *calls;
+};
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *ctx)
+{
+  struct call *call = ctx;
+  size_t len = size * count;
+
+  if (call->answer->len + len > BODY_MAX)
+    return 0;
+  g_string_append_len (call->answer, data, (gssize)len);
+  return len;
+}
+
+static void
+finish (struct call *call, int http)
+{
+  struct snipe_web *web = call->web;
+  struct snipe_str body
+      = { .data = call->answer->str, .len = call->answer->len };
+
+  g_hash_table_remove (web->calls, call);
+  curl_multi_remove_handle (web->multi, call->easy);
+  if (web->idle->len < IDLE_MAX)
+    {
+      curl_easy_reset (call->easy);
+      g_ptr_array_add (web->idle, call->easy);
+    }
+  else
+    {
+      curl_easy_cleanup (call->easy);
+    }
+  call->done (call->ctx, http, &body);
+  curl_slist_free_all (call->headers);
+  g_string_free (call->answer, TRUE);
+  snipe_str_clear (&call->body);
+  g_free (call);
+}
+
+static void
+collect (struct snipe_web *web)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (web->multi, &left)) != NULL)
+    {
+      struct call *call = NULL;
+      long http = 0;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      if (message->data.result == CURLE_OK)
+        curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE,
+                           &http);
+      else if (message->data.result == CURLE_COULDNT_CONNECT)
+        http = SNIPE_WEB_UNREACHED;
+      finish (call, (int)http);
+    }
+}
+
+static void
+run (struct snipe_web *web, curl_socket_t fd, int flags)
+{
+  int running;
+
+  curl_multi_socket_action (web->multi, fd, flags, &running);
+  collect (web);
+}
+
+static void
+on_ready (void *ctx, uint32_t events)
+{
+  struct socket *socket = ctx;
+  int flags = 0;
+
+  if (events & (EPOLLIN | EPOLLHUP))
+    flags |= CURL_CSELECT_IN;
+  if (events & EPOLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & EPOLLERR)
+    flags |= CURL_CSELECT_ERR;
+  run (socket->web, socket->watch.fd, flags);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *state)
+{
+  struct snipe_web *web = ctx;
+  struct socket *socket = state;
+  uint32_t events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (socket != NULL)
+        {
+          snipe_loop_remove (web->loop, &socket->watch);
+          curl_multi_assign (web->multi, fd, NULL);
+          g_free (socket);
+        }
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= EPOLLOUT;
+  if (socket != NULL)
+    {
+      snipe_loop_change (web->loop, &socket->watch, events);
+      return 0;
+    }
+  socket = g_new0 (struct socket, 1);
+  socket->web = web;
+  socket->watch = (struct snipe_loop_watch){ .fd = fd,
+                                             .ready = on_ready,
+                                             .ctx = socket };
+  snipe_loop_add (web->loop, &socket->watch, events);
+  curl_multi_assign (web->multi, fd, socket);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *ctx)
+{
+  struct snipe_web *web = ctx;
+
+  (void)multi;
+  web->due = timeout_ms < 0 ? 0 : snipe_clock_now () + timeout_ms * SNIPE_MS;
+  return 0;
+}
+
+/* Carries out libcurl's timeouts. New calls set one that is due at once. */
+static snipe_time
+on_prepare (void *ctx, snipe_time now)
+{
+  struct snipe_web *web = ctx;
+
+  for (int i = 0; i < ROUNDS_MAX && web->due > 0 && web->due <= now; i++)
+    {
+      web->due = 0;
+      run (web, CURL_SOCKET_TIMEOUT, 0);
+    }
+  return web->due;
+}
+
+int
+snipe_web_new (struct snipe_web **out, struct snipe_loop *loop,
+               uint32_t connections_max)
+{
+  struct snipe_web *web = g_new0 (struct snipe_web, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  web->loop = loop;
+  web->idle = g_ptr_array_new ();
+  web->calls = g_hash_table_new (NULL, NULL);
+  web->multi = curl_multi_init ();
+  if (web->multi == NULL)
+    {
+      snipe_web_free (web);
+      return snipe_status_set (SNIPE_E_NOMEM, "no memory for HTTP calls");
+    }
+  curl_multi_setopt (web->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (web->multi, CURLMOPT_SOCKETDATA, web);
+  curl_multi_setopt (web->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (web->multi, CURLMOPT_TIMERDATA, web);
+  curl_multi_setopt (web->multi, CURLMOPT_MAXCONNECTS, (long)connections_max);
+  snipe_loop_set_prepare (loop, on_prepare, web);
+  *out = web;
+  return SNIPE_OK;
+}
+
+void
+snipe_web_free (struct snipe_web *web)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (web == NULL)
+    return;
+  g_hash_table_iter_init (&iter, web->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      finish (key, 0);
+      g_hash_table_iter_init (&iter, web->calls);
+    }
+  for (guint i = 0; i < web->idle->len; i++)
+    curl_easy_cleanup (g_ptr_array_index (web->idle, i));
+  if (web->multi != NULL)
+    curl_multi_cleanup (web->multi);
+  g_ptr_array_free (web->idle, TRUE);
+  g_hash_table_destroy (web->calls);
+  g_free (web);
+}
+
+static CURL *
+take_handle (struct snipe_web *web)
+{
+  if (web->idle->len > 0)
+    return g_ptr_array_steal_index_fast (web->idle, web->idle->len - 1);
+  return curl_easy_init ();
+}
+
+static void
+add_header (struct call *call, const char *header)
+{
+  struct curl_slist *list = curl_slist_append (call->headers, header);
+
+  if (list != NULL)
+    call->headers = list;
+}
+
+void
+snipe_web_call (struct snipe_web *web, struct snipe_web_request *request)
+{
+  struct call *call = g_new0 (struct call, 1);
+  char url[1024];
+
+  call->web = web;
+  call->done = request->done;
+  call->ctx = request->ctx;
+  call->body = request->body;
+  call->answer = g_string_new (NULL);
+  call->easy = take_handle (web);
+  g_assert (call->easy != NULL);
+  snprintf (url, sizeof url, "http://%s%s", request->address, request->path);
+  /* Without this, libcurl waits for "100 Continue" with larger bodies. */
+  add_header (call, "Expect:");
+  if (call->body.len > 0)
+    add_header (call, "Content-Type: application/json");
+  for (size_t i = 0; i < G_N_ELEMENTS (request->headers)
+                     && request->headers[i] != NULL;
+       i++)
+    add_header (call, request->headers[i]);
+  curl_easy_setopt (call->easy, CURLOPT_URL, url);
+  curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
+                    (long)(request->timeout / SNIPE_MS));
+  if (strcmp (request->method, "GET") != 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS,
+                        snipe_str_c (&call->body));
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)call->body.len);
+      curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, request->method);
+    }
+  g_hash_table_add (web->calls, call);
+  curl_multi_add_handle (web->multi, call->easy);
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,551 @@
+#include "node/private.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "snipe/counter.h"
+#include "snipe/status.h"
+#include "util/log.h"
+
+/* Four heartbeats may be missed before a host counts as lost. Its jobs have to
+ * be stopped before their callers send them again. */
+#define HELLO_INTERVAL (150 * SNIPE_MS)
+/* Ownership is decided this often; a takeover waits for it. */
+#define OWNER_INTERVAL (20 * SNIPE_MS)
+/* Shortest time between two reports of a pool's load to a host. */
+#define LOAD_INTERVAL (30 * SNIPE_MS)
+/* Hosts that the store lists and nobody hears are greeted this often. */
+#define GREET_INTERVAL (1 * SNIPE_S)
+/* Results are kept for hosts that ask for a batch again. */
+#define RESULT_TIME (3 * SNIPE_S)
+/* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
+ * 2^53, which leaves 33 bits for the epoch. */
+#define SLOT_BITS 20
+
+int
+snipe_node_new (struct snipe_node **out,
+                const struct snipe_node_options *options, snipe_time now)
+{
+  struct snipe_members_options members = SNIPE_MEMBERS_OPTIONS_INIT;
+  struct snipe_home_options home = SNIPE_HOME_OPTIONS_INIT;
+  struct snipe_link_options link = SNIPE_LINK_OPTIONS_INIT;
+  struct snipe_node *node = g_new0 (struct snipe_node, 1);
+  const char *colon = strrchr (options->listen, ':');
+  int status;
+
+  node->options = *options;
+  if (getrandom (&node->incarnation, sizeof node->incarnation, 0) < 0
+      || colon == NULL)
+    {
+      g_free (node);
+      return snipe_status_set (SNIPE_E_INVALID, "\"%s\" is no address",
+                               options->listen);
+    }
+  node->slot = node->incarnation & ((1U << SLOT_BITS) - 1);
+  node->last_tick = now;
+  node->pools = g_ptr_array_new_with_free_func (snipe_held_pool_free);
+  node->directory
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  node->known_pools = g_ptr_array_new_with_free_func (g_free);
+  g_queue_init (&node->pending);
+  node->results = g_ptr_array_new_with_free_func (snipe_kept_result_free);
+  link.loop = options->loop;
+  link.listen = options->listen;
+  link.received = snipe_node_received;
+  link.closed = snipe_node_link_closed;
+  link.ctx = node;
+  status = snipe_link_new (&node->link, &link);
+  if (status < 0)
+    goto on_error;
+  snprintf (node->address, sizeof node->address, "%.*s:%u",
+            (int)(colon - options->listen), options->listen,
+            snipe_link_port (node->link));
+  members.self.incarnation = node->incarnation;
+  g_strlcpy (members.self.name, options->name, sizeof members.self.name);
+  g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
+  g_strlcpy (members.self.address, node->address,
+             sizeof members.self.address);
+  node->silence = members.silence;
+  home.incarnation = node->incarnation;
+  home.domain = options->domain;
+  home.port = (struct snipe_home_port){ .ctx = node,
+                                        .submit = snipe_node_send_batch,
+                                        .cancel = snipe_node_send_cancel,
+                                        .answer = snipe_node_answer };
+  status = snipe_members_new (&node->members, &members, now);
+  if (status == SNIPE_OK)
+    status = snipe_home_new (&node->home, &home);
+  if (status < 0)
+    goto on_error;
+  *out = node;
+  return SNIPE_OK;
+
+on_error:
+  snipe_node_free (node);
+  return status;
+}
+
+void
+snipe_node_free (struct snipe_node *node)
+{
+  struct pending *item;
+
+  if (node == NULL)
+    return;
+  while ((item = g_queue_pop_head (&node->pending)) != NULL)
+    snipe_pending_free (item);
+  snipe_link_free (node->link);
+  snipe_home_free (node->home);
+  snipe_members_free (node->members);
+  g_ptr_array_free (node->pools, TRUE);
+  g_hash_table_destroy (node->directory);
+  g_hash_table_destroy (node->listed);
+  g_ptr_array_free (node->known_pools, TRUE);
+  g_ptr_array_free (node->results, TRUE);
+  g_free (node);
+}
+
+uint64_t
+snipe_node_incarnation (const struct snipe_node *node)
+{
+  return node->incarnation;
+}
+
+void
+snipe_node_log (const struct snipe_node *node, const char *format, ...)
+{
+  char line[512];
+  va_list args;
+
+  if (!snipe_log_decisions_enabled ())
+    return;
+  va_start (args, format);
+  vsnprintf (line, sizeof line, format, args);
+  va_end (args);
+  snipe_log_decision (node->options.name, line);
+}
+
+void
+snipe_node_host_listed (struct snipe_node *node, const char *address,
+                        snipe_time now)
+{
+  (void)now;
+  if (strcmp (address, node->address) != 0
+      && g_hash_table_add (node->listed, g_strdup (address)))
+    g_message ("host: event=listed address=%s", address);
+}
+
+void
+snipe_node_store_version (struct snipe_node *node, uint64_t version,
+                          bool registered)
+{
+  node->store_version = MAX (node->store_version, version);
+  if (registered)
+    node->slot = version & ((1U << SLOT_BITS) - 1);
+}
+
+void
+snipe_node_config_changed (struct snipe_node *node, uint64_t version)
+{
+  node->config_version = version;
+  node->hello_due = 0;
+}
+
+static void
+note_pool (struct snipe_node *node, const char *service, const char *domain)
+{
+  struct pool_key *key;
+
+  for (guint i = 0; i < node->known_pools->len; i++)
+    {
+      key = g_ptr_array_index (node->known_pools, i);
+      if (strcmp (key->service, service) == 0
+          && strcmp (key->domain, domain) == 0)
+        return;
+    }
+  key = g_new0 (struct pool_key, 1);
+  g_strlcpy (key->service, service, sizeof key->service);
+  g_strlcpy (key->domain, domain, sizeof key->domain);
+  g_ptr_array_add (node->known_pools, key);
+}
+
+void
+snipe_node_endpoint_set (struct snipe_node *node,
+                         const struct snipe_endpoint_entry *entry,
+                         snipe_time now)
+{
+  struct snipe_endpoint_entry *copy
+      = g_memdup2 (entry, sizeof *entry);
+  const struct snipe_endpoint_entry *old
+      = g_hash_table_lookup (node->directory, entry->id);
+  struct held_pool *pool;
+
+  if (old == NULL || old->draining != entry->draining
+      || old->born_ms != entry->born_ms)
+    snipe_node_log (node,
+                    "event=endpoint id=%s state=%s address=%s domain=%s "
+                    "cpu=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
+                    entry->id, entry->draining ? "draining" : "ready",
+                    entry->address, entry->domain, entry->capacity.cpu,
+                    entry->born_ms);
+  if (old != NULL
+      && (strcmp (old->service, entry->service) != 0
+          || strcmp (old->domain, entry->domain) != 0))
+    snipe_node_endpoint_remove (node, entry->id, now);
+  g_hash_table_replace (node->directory, copy->id, copy);
+  note_pool (node, entry->service, entry->domain);
+  pool = snipe_node_find_pool (node, entry->service, entry->domain);
+  if (pool != NULL)
+    snipe_pool_endpoint_set (pool->pool, entry, now);
+  snipe_node_drain_pending (node, now);
+}
+
+void
+snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
+                            snipe_time now)
+{
+  const struct snipe_endpoint_entry *entry
+      = g_hash_table_lookup (node->directory, id);
+  struct held_pool *pool;
+
+  if (entry == NULL)
+    return;
+  snipe_node_log (node, "event=endpoint id=%s state=removed", id);
+  pool = snipe_node_find_pool (node, entry->service, entry->domain);
+  if (pool != NULL)
+    snipe_pool_endpoint_remove (pool->pool, id, now);
+  g_hash_table_remove (node->directory, id);
+  snipe_node_drain_pending (node, now);
+}
+
+/* Whether some endpoint could ever run a task of the job. */
+static bool
+can_ever_run (const struct snipe_node *node, const struct snipe_home_job *job)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_endpoint_entry *entry = value;
+
+      if (strcmp (entry->service, job->service) == 0
+          && job->each.cpu <= entry->capacity.cpu
+          && job->each.mem_mb <= entry->capacity.mem_mb
+          && job->each.gpu <= entry->capacity.gpu
+          && (*job->label == '\0' || strcmp (job->label, entry->kind) == 0
+              || strcmp (job->label, entry->rack) == 0))
+        return true;
+    }
+  return false;
+}
+
+void
+snipe_node_submit (struct snipe_node *node, const struct snipe_home_job *job,
+                   snipe_time now)
+{
+  snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
+  snipe_node_log (node,
+                  "event=job job=%s route=%s config=%" G_GUINT64_FORMAT
+                  " service=%s tasks=%u cpu=%" G_GINT64_FORMAT
+                  " estimate_ms=%" G_GINT64_FORMAT " priority=%u",
+                  job->id, job->route, job->rules_version, job->service,
+                  job->count, job->each.cpu, job->estimate / SNIPE_MS,
+                  job->priority);
+  if (can_ever_run (node, job))
+    snipe_home_submit (node->home, job, now);
+  else
+    {
+      struct snipe_home_answer answer
+          = { .outcome = SNIPE_HOME_FAILED, .code = SNIPE_E_UNFIT };
+
+      snipe_node_answer (node, job->ctx, &answer);
+    }
+  snipe_node_drain_pending (node, now);
+}
+
+void
+snipe_node_abandon (struct snipe_node *node, void *job_ctx, snipe_time now)
+{
+  snipe_home_abandon (node->home, job_ctx, now);
+  snipe_node_drain_pending (node, now);
+}
+
+bool
+snipe_node_has_job (const struct snipe_node *node, const char *id)
+{
+  return snipe_home_has (node->home, id);
+}
+
+uint32_t
+snipe_node_pending (const struct snipe_node *node, const char *route)
+{
+  return snipe_home_pending (node->home, route);
+}
+
+/* The pool that sent an order; NULL if this host owns it no longer. */
+static struct held_pool *
+pool_by_token (struct snipe_node *node, uint64_t token, const char *endpoint)
+{
+  for (guint i = 0; i < node->pools->len; i++)
+    {
+      struct held_pool *pool = g_ptr_array_index (node->pools, i);
+
+      if (pool->token == token && snipe_pool_has (pool->pool, endpoint))
+        return pool;
+    }
+  return NULL;
+}
+
+void
+snipe_node_on_start (struct snipe_node *node, uint64_t token,
+                     const char *endpoint, const char *task, uint32_t run,
+                     enum snipe_endpoint_answer answer,
+                     const struct snipe_endpoint_report *report,
+                     snipe_time now)
+{
+  struct held_pool *pool = pool_by_token (node, token, endpoint);
+
+  if (answer != SNIPE_ANSWER_OK)
+    snipe_node_log (node, "event=start_failed task=%s run=%u endpoint=%s "
+                          "token=%" G_GUINT64_FORMAT " answer=%d",
+                    task, run, endpoint, token, (int)answer);
+  if (pool != NULL)
+    snipe_pool_on_start (pool->pool, endpoint, task, run, answer, report, now);
+  snipe_node_drain_pending (node, now);
+}
+
+void
+snipe_node_on_stop (struct snipe_node *node, uint64_t token,
+                    const char *endpoint, const char *task, uint32_t run,
+                    enum snipe_endpoint_answer answer,
+                    const struct snipe_endpoint_report *report, snipe_time now)
+{
+  struct held_pool *pool = pool_by_token (node, token, endpoint);
+
+  if (pool != NULL)
+    snipe_pool_on_stop (pool->pool, endpoint, task, run, answer, report, now);
+  snipe_node_drain_pending (node, now);
+}
+
+void
+snipe_node_on_hold (struct snipe_node *node, uint64_t token,
+                    const char *endpoint, enum snipe_endpoint_answer answer,
+                    const struct snipe_endpoint_report *report, snipe_time now)
+{
+  struct held_pool *pool = pool_by_token (node, token, endpoint);
+
+  if (answer != SNIPE_ANSWER_OK)
+    snipe_node_log (node, "event=hold_failed endpoint=%s answer=%d", endpoint,
+                    (int)answer);
+  for (uint32_t i = 0; report != NULL && i < report->end_count; i++)
+    snipe_node_log (node, "event=end task=%s run=%u endpoint=%s how=%d",
+                    report->ends[i].task, report->ends[i].run, endpoint,
+                    (int)report->ends[i].end);
+  if (pool != NULL)
+    snipe_pool_on_hold (pool->pool, endpoint, answer, report, now);
+  snipe_node_drain_pending (node, now);
+}
+
+struct greeting
+{
+  struct snipe_node *node;
+  snipe_time now;
+};
+
+static void
+greet (void *ctx, const struct snipe_member *member)
+{
+  struct greeting *greeting = ctx;
+
+  snipe_node_send_hello (greeting->node, member->address,
+                         member->incarnation, greeting->now);
+}
+
+/* Greets the hosts that are heard, and now and then those that are listed. */
+static void
+send_hellos (struct snipe_node *node, snipe_time now)
+{
+  struct greeting greeting = { .node = node, .now = now };
+  GHashTableIter iter;
+  gpointer key;
+
+  if (now < node->hello_due)
+    return;
+  node->hello_due = now + HELLO_INTERVAL;
+  snipe_members_each (node->members, greet, &greeting);
+  if (now < node->greet_due)
+    return;
+  node->greet_due = now + GREET_INTERVAL;
+  g_hash_table_iter_init (&iter, node->listed);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!snipe_node_address_live (node, key))
+      snipe_node_send_hello (node, key, 0, now);
+}
+
+static void
+drop_lost (struct snipe_node *node, snipe_time now)
+{
+  uint64_t lost;
+
+  while ((lost = snipe_members_lost (node->members, now)) != 0)
+    {
+      g_message ("host: event=lost incarnation=%016" G_GINT64_MODIFIER "x",
+                 lost);
+      snipe_home_owner_lost (node->home, lost, now);
+      for (guint i = 0; i < node->pools->len; i++)
+        snipe_pool_home_lost (
+            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool,
+            lost, now);
+    }
+}
+
+static void
+claim (struct snipe_node *node, const struct pool_key *key, uint64_t epoch,
+       snipe_time now)
+{
+  struct snipe_pool_options options = SNIPE_POOL_OPTIONS_INIT;
+  struct held_pool *held = g_new0 (struct held_pool, 1);
+  GHashTableIter iter;
+  gpointer value;
+
+  held->node = node;
+  held->key = *key;
+  held->epoch = epoch;
+  held->token = epoch << SLOT_BITS | node->slot;
+  options.service = key->service;
+  options.domain = key->domain;
+  options.token = held->token;
+  options.epoch = epoch;
+  options.lease_max = node->options.lease_max;
+  options.stop_max = node->options.stop_max;
+  options.port = (struct snipe_pool_port){ .ctx = held,
+                                           .start = snipe_held_start,
+                                           .stop = snipe_held_stop,
+                                           .hold = snipe_held_hold,
+                                           .result = snipe_held_result };
+  if (snipe_pool_new (&held->pool, &options, now) < 0)
+    {
+      g_warning ("pool: %s", snipe_status_last ());
+      g_free (held);
+      return;
+    }
+  g_message ("pool: event=claimed service=%s domain=%s epoch=%" G_GUINT64_FORMAT
+             " token=%" G_GUINT64_FORMAT,
+             key->service, key->domain, epoch, held->token);
+  g_ptr_array_add (node->pools, held);
+  g_hash_table_iter_init (&iter, node->directory);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_endpoint_entry *entry = value;
+
+      if (strcmp (entry->service, key->service) == 0
+          && strcmp (entry->domain, key->domain) == 0)
+        snipe_pool_endpoint_set (held->pool, entry, now);
+    }
+  node->hello_due = 0;
+  snipe_home_owner (node->home, key->service, key->domain, node->incarnation,
+                    epoch, now);
+}
+
+static void
+release (struct snipe_node *node, struct held_pool *pool, const char *why)
+{
+  g_message ("pool: event=released service=%s domain=%s epoch=%" G_GUINT64_FORMAT
+             " reason=%s",
+             pool->key.service, pool->key.domain, pool->epoch, why);
+  g_ptr_array_remove (node->pools, pool);
+  node->hello_due = 0;
+}
+
+static void
+decide_owners (struct snipe_node *node, snipe_time now)
+{
+  if (now < node->owner_due)
+    return;
+  node->owner_due = now + OWNER_INTERVAL;
+  for (guint i = 0; i < node->known_pools->len; i++)
+    {
+      const struct pool_key *key = g_ptr_array_index (node->known_pools, i);
+      struct held_pool *held
+          = snipe_node_find_pool (node, key->service, key->domain);
+      struct snipe_ownership_result result = snipe_members_decide (
+          node->members, key->service, key->domain,
+          held == NULL ? 0 : held->epoch, node->store_version, now);
+
+      if (result.what == SNIPE_OWN_YIELD)
+        release (node, held, "another host has claimed it");
+      else if (result.what == SNIPE_OWN_CLAIM && !node->leaving)
+        claim (node, key, result.epoch, now);
+      else if (result.what == SNIPE_OWN_KEEP
+               && snipe_pool_fenced (held->pool))
+        {
+          /* Nobody is heard who has a higher token: one that was lost, or
+           * that is cut off from this host only. */
+          uint64_t epoch = MAX (held->epoch, node->store_version) + 1;
+
+          release (node, held, "a higher token was seen");
+          if (!node->leaving)
+            claim (node, key, epoch, now);
+        }
+      if (result.owner != 0 && result.what != SNIPE_OWN_CLAIM)
+        snipe_home_owner (node->home, key->service, key->domain, result.owner,
+                          result.epoch, now);
+    }
+}
+
+/* After a stop of this process, others may have taken over: nothing that was
+ * decided before it is carried out. */
+static void
+recover_from_stop (struct snipe_node *node, snipe_time gap, snipe_time now)
+{
+  g_warning ("host: event=stopped gap_ms=%" G_GINT64_FORMAT
+             " pools=%u jobs=%u",
+             gap / SNIPE_MS, node->pools->len, snipe_home_jobs (node->home));
+  g_ptr_array_set_size (node->pools, 0);
+  snipe_members_restart (node->members, now);
+  snipe_home_fail_all (node->home, now);
+  node->hello_due = 0;
+  node->greet_due = 0;
+}
+
+void
+snipe_node_tick (struct snipe_node *node, snipe_time now)
+{
+  snipe_time gap = now - node->last_tick;
+
+  node->last_tick = now;
+  if (gap > node->silence)
+    recover_from_stop (node, gap, now);
+  drop_lost (node, now);
+  send_hellos (node, now);
+  decide_owners (node, now);
+  for (guint i = 0; i < node->pools->len; i++)
+    {
+      struct held_pool *pool = g_ptr_array_index (node->pools, i);
+
+      snipe_pool_tick (pool->pool, now);
+    }
+  snipe_home_tick (node->home, now);
+  snipe_node_drain_pending (node, now);
+  snipe_node_send_loads (node, LOAD_INTERVAL, now);
+  snipe_node_forget_results (node, now - RESULT_TIME);
+}
+
+void
+snipe_node_leave (struct snipe_node *node)
+{
+  node->leaving = true;
+  snipe_members_leave (node->members);
+  node->hello_due = 0;
+}
+
+bool
+snipe_node_idle (const struct snipe_node *node)
+{
+  return snipe_home_jobs (node->home) == 0 && node->pools->len == 0;
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,110 @@
+/**
+ * @file node.h
+ * One host of the dispatcher by pools: puts together the job keeper, the
+ * pools that this host owns, the view of the other hosts and the messages
+ * between them. Runs on the thread of its event loop.
+ *
+ * Callers, endpoints and the store are reached through struct snipe_node_port,
+ * which an adapter provides.
+ */
+#ifndef SNIPE_NODE_NODE_H
+#define SNIPE_NODE_NODE_H
+
+#include "loop/loop.h"
+#include "snipe/home.h"
+#include "snipe/member.h"
+#include "snipe/pool.h"
+
+struct snipe_node;
+
+struct snipe_node_port
+{
+  void *ctx;
+  /** Orders to endpoints; each is answered by snipe_node_on_start (),
+   * ..._on_stop () or ..._on_hold () with the order's token, never at once. */
+  void (*start) (void *ctx, const struct snipe_pool_start *order);
+  void (*stop) (void *ctx, const struct snipe_pool_stop *order);
+  void (*hold) (void *ctx, const struct snipe_pool_hold *order);
+  /** The answer to a job, never from within snipe_node_submit (). */
+  void (*answer) (void *ctx, void *job_ctx,
+                  const struct snipe_home_answer *answer);
+  /** The configuration in force as a peer can take it over; empty: none. */
+  void (*config) (void *ctx, uint64_t *version, struct snipe_str *text);
+  /** A peer has a newer configuration. */
+  void (*take_config) (void *ctx, uint64_t version,
+                       const struct snipe_str *text);
+};
+
+struct snipe_node_options
+{
+  unsigned int version;
+  const char *name;
+  const char *domain;
+  const char *listen; /**< of the link, "ip:port" */
+  struct snipe_loop *loop;
+  snipe_time lease_max;    /**< longest lease of an endpoint */
+  snipe_time stop_max;     /**< longest time that a stop takes */
+  snipe_time resend_after; /**< callers send a job again no sooner */
+  struct snipe_node_port port;
+};
+#define SNIPE_NODE_OPTIONS_VERSION 1
+#define SNIPE_NODE_OPTIONS_INIT                                               \
+  {                                                                           \
+    .version = SNIPE_NODE_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
+    .stop_max = 50 * SNIPE_MS, .resend_after = 1300 * SNIPE_MS                \
+  }
+
+int snipe_node_new (struct snipe_node **out,
+                    const struct snipe_node_options *options, snipe_time now);
+void snipe_node_free (struct snipe_node *node);
+uint64_t snipe_node_incarnation (const struct snipe_node *node);
+
+/** A host that the store lists. */
+void snipe_node_host_listed (struct snipe_node *node, const char *address,
+                             snipe_time now);
+/** The store's newest version; its first one makes the tokens of this host
+ * different from those of all others. */
+void snipe_node_store_version (struct snipe_node *node, uint64_t version,
+                               bool registered);
+void snipe_node_endpoint_set (struct snipe_node *node,
+                              const struct snipe_endpoint_entry *entry,
+                              snipe_time now);
+void snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
+                                 snipe_time now);
+void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
+
+void snipe_node_submit (struct snipe_node *node,
+                        const struct snipe_home_job *job, snipe_time now);
+void snipe_node_abandon (struct snipe_node *node, void *job_ctx,
+                         snipe_time now);
+/** Cancels a job at whichever host keeps it. @return whether it runs here */
+bool snipe_node_cancel (struct snipe_node *node, const char *id,
+                        snipe_time now);
+bool snipe_node_has_job (const struct snipe_node *node, const char *id);
+uint32_t snipe_node_pending (const struct snipe_node *node, const char *route);
+
+void snipe_node_on_start (struct snipe_node *node, uint64_t token,
+                          const char *endpoint, const char *task, uint32_t run,
+                          enum snipe_endpoint_answer answer,
+                          const struct snipe_endpoint_report *report,
+                          snipe_time now);
+void snipe_node_on_stop (struct snipe_node *node, uint64_t token,
+                         const char *endpoint, const char *task, uint32_t run,
+                         enum snipe_endpoint_answer answer,
+                         const struct snipe_endpoint_report *report,
+                         snipe_time now);
+void snipe_node_on_hold (struct snipe_node *node, uint64_t token,
+                         const char *endpoint,
+                         enum snipe_endpoint_answer answer,
+                         const struct snipe_endpoint_report *report,
+                         snipe_time now);
+/** Call it every SNIPE_NODE_TICK. */
+void snipe_node_tick (struct snipe_node *node, snipe_time now);
+#define SNIPE_NODE_TICK (10 * SNIPE_MS)
+
+/** Starts to hand over pools to other hosts. */
+void snipe_node_leave (struct snipe_node *node);
+/** @return whether nothing is left that this host is needed for. */
+bool snipe_node_idle (const struct snipe_node *node);
+
+#endif
--- /dev/null
+++ b/src/node/private.h
@@ -0,0 +1,141 @@
+/**
+ * @file private.h
+ * Types shared by the files of the node.
+ */
+#ifndef SNIPE_NODE_PRIVATE_H
+#define SNIPE_NODE_PRIVATE_H
+
+#include <glib.h>
+#include "link/link.h"
+#include "node/node.h"
+
+/** A peer that has not heard this host for so long needs a new connection. */
+#define SNIPE_NODE_UNHEARD_MS 400U
+
+struct pool_key
+{
+  char service[SNIPE_POOL_NAME_BYTES];
+  char domain[SNIPE_POOL_NAME_BYTES];
+};
+
+/** A pool that this host owns. */
+struct held_pool
+{
+  struct snipe_node *node;
+  struct pool_key key;
+  uint64_t epoch;
+  uint64_t token;
+  struct snipe_pool *pool;
+  snipe_time load_sent;
+  uint64_t load_digest; /**< of the load that was sent last */
+};
+
+/** Something for this host itself. It waits until the call that caused it has
+ * returned, because the pure modules are not entered twice. */
+struct pending
+{
+  enum
+  {
+    PENDING_BATCH,
+    PENDING_CANCEL,
+    PENDING_RESULT,
+    PENDING_ANSWER,
+  } kind;
+  union
+  {
+    struct
+    {
+      struct pool_key key;
+      struct snipe_pool_batch order; /**< its texts are owned */
+    } batch;
+    struct
+    {
+      uint64_t home;
+      uint64_t number;
+    } cancel;
+    struct snipe_pool_result result; /**< its arrays are owned */
+    struct
+    {
+      void *job_ctx;
+      struct snipe_home_answer value;
+    } answer;
+  } u;
+};
+
+/** A result that its home may not have received. */
+struct kept_result
+{
+  struct snipe_pool_result result;
+  snipe_time when;
+};
+
+struct snipe_node
+{
+  struct snipe_node_options options;
+  uint64_t incarnation;
+  uint64_t slot; /**< lowest bits of this host's tokens */
+  char address[64];
+  bool leaving;
+  uint64_t store_version;
+  uint64_t config_version;
+  struct snipe_link *link;
+  struct snipe_members *members;
+  struct snipe_home *home;
+  GPtrArray *pools;       /**< struct held_pool */
+  GPtrArray *known_pools; /**< struct pool_key */
+  GHashTable *directory;  /**< id -> struct snipe_endpoint_entry */
+  GHashTable *listed;     /**< addresses of hosts in the store */
+  GQueue pending;
+  GPtrArray *results; /**< struct kept_result, oldest first */
+  snipe_time silence;
+  snipe_time last_tick;
+  snipe_time hello_due;
+  snipe_time greet_due;
+  snipe_time owner_due;
+  snipe_time reset_at; /**< last connection that was given up as silent */
+};
+
+/* node.c */
+void snipe_node_log (const struct snipe_node *node, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* local.c */
+void snipe_pending_free (struct pending *item);
+/** Carries out what this host has for itself. */
+void snipe_node_drain_pending (struct snipe_node *node, snipe_time now);
+struct held_pool *snipe_node_find_pool (struct snipe_node *node,
+                                        const char *service,
+                                        const char *domain);
+void snipe_held_pool_free (gpointer pool);
+void snipe_held_start (void *ctx, const struct snipe_pool_start *order);
+void snipe_held_stop (void *ctx, const struct snipe_pool_stop *order);
+void snipe_held_hold (void *ctx, const struct snipe_pool_hold *order);
+void snipe_held_result (void *ctx, const struct snipe_pool_result *result);
+void snipe_node_answer (void *ctx, void *job_ctx,
+                        const struct snipe_home_answer *answer);
+void snipe_kept_result_free (gpointer kept);
+void snipe_node_forget_results (struct snipe_node *node, snipe_time before);
+/** Gives a batch to the pool of this host that it is for. */
+void snipe_node_take_batch (struct snipe_node *node, const char *service,
+                            const char *domain,
+                            const struct snipe_pool_batch *batch,
+                            snipe_time now);
+
+/* wire.c */
+int snipe_node_send_batch (void *ctx, uint64_t owner, const char *service,
+                           const char *domain,
+                           const struct snipe_pool_batch *batch);
+void snipe_node_send_cancel (void *ctx, uint64_t owner, uint64_t number);
+void snipe_node_send_result (struct snipe_node *node,
+                             const struct snipe_pool_result *result);
+void snipe_node_send_hello (struct snipe_node *node, const char *address,
+                            uint64_t incarnation, snipe_time now);
+void snipe_node_send_loads (struct snipe_node *node, snipe_time interval,
+                            snipe_time now);
+void snipe_node_received (void *ctx, uint64_t incarnation,
+                          const struct snipe_link_message *message);
+void snipe_node_link_closed (void *ctx, uint64_t incarnation);
+bool snipe_node_address_live (const struct snipe_node *node,
+                              const char *address);
+
+#endif
--- /dev/null
+++ b/src/node/wire.c
@@ -0,0 +1,505 @@
+/* Messages between this host and the others. */
+#include "node/private.h"
+
+#include <string.h>
+
+#include "snipe/status.h"
+
+#define FREE_MAX 512
+
+static int32_t
+ms_left (snipe_time when, snipe_time now)
+{
+  return (int32_t)CLAMP ((when - now) / SNIPE_MS, INT32_MIN, INT32_MAX);
+}
+
+struct search
+{
+  uint64_t incarnation;
+  const char *address;
+  char found[64];
+};
+
+static void
+match_member (void *ctx, const struct snipe_member *member)
+{
+  struct search *search = ctx;
+
+  if (member->incarnation == search->incarnation
+      || (search->address != NULL
+          && strcmp (search->address, member->address) == 0))
+    g_strlcpy (search->found, member->address, sizeof search->found);
+}
+
+static bool
+address_of (const struct snipe_node *node, uint64_t incarnation, char *out,
+            size_t size)
+{
+  struct search search = { .incarnation = incarnation };
+
+  snipe_members_each (node->members, match_member, &search);
+  g_strlcpy (out, search.found, size);
+  return *search.found != '\0';
+}
+
+bool
+snipe_node_address_live (const struct snipe_node *node, const char *address)
+{
+  struct search search = { .address = address };
+
+  snipe_members_each (node->members, match_member, &search);
+  return *search.found != '\0';
+}
+
+static int
+send_to (struct snipe_node *node, uint64_t incarnation,
+         const struct snipe_link_message *message)
+{
+  char address[64];
+
+  if (!address_of (node, incarnation, address, sizeof address))
+    return snipe_status_set (SNIPE_E_UNREACHABLE, "host is not heard");
+  return snipe_link_send (node->link, address, message);
+}
+
+static int
+queue_batch (struct snipe_node *node, const char *service, const char *domain,
+             const struct snipe_pool_batch *batch)
+{
+  struct pending *item = g_new0 (struct pending, 1);
+  struct snipe_pool_batch *order = &item->u.batch.order;
+
+  item->kind = PENDING_BATCH;
+  g_strlcpy (item->u.batch.key.service, service,
+             sizeof item->u.batch.key.service);
+  g_strlcpy (item->u.batch.key.domain, domain,
+             sizeof item->u.batch.key.domain);
+  *order = *batch;
+  order->job = g_strdup (batch->job);
+  order->route = g_strdup (batch->route);
+  order->label = g_strdup (batch->label);
+  order->rack = g_strdup (batch->rack);
+  order->indexes
+      = g_memdup2 (batch->indexes, batch->count * sizeof *batch->indexes);
+  order->spec = (struct snipe_str)SNIPE_STR_INIT;
+  snipe_str_set (&order->spec, batch->spec.data, batch->spec.len);
+  g_queue_push_tail (&node->pending, item);
+  return SNIPE_OK;
+}
+
+int
+snipe_node_send_batch (void *ctx, uint64_t owner, const char *service,
+                       const char *domain,
+                       const struct snipe_pool_batch *batch)
+{
+  struct snipe_node *node = ctx;
+  snipe_time now = snipe_clock_now ();
+  struct snipe_link_message message = {
+    .procedure = LINK_SEND_BATCH,
+    .args.batch = {
+      .home = batch->home,
+      .number = batch->number,
+      .service = (char *)service,
+      .domain = (char *)domain,
+      .job = (char *)batch->job,
+      .step = batch->step,
+      .route = (char *)batch->route,
+      .spec = { .spec_len = (u_int)batch->spec.len,
+                .spec_val = batch->spec.data },
+      .indexes = { .indexes_len = batch->count,
+                   .indexes_val = (u_int *)batch->indexes },
+      .cpu = (u_int)batch->each.cpu,
+      .mem_mb = (u_int)batch->each.mem_mb,
+      .gpu = (u_int)batch->each.gpu,
+      .label = (char *)batch->label,
+      .rack = (char *)batch->rack,
+      .max_per_endpoint = batch->max_per_endpoint,
+      .priority = batch->priority,
+      .attempts = batch->attempts,
+      .estimate_ms = (u_int)(batch->estimate / SNIPE_MS),
+      .due_ms = ms_left (batch->due, now),
+      .late_ms = ms_left (batch->late, now),
+      .give_up_ms = ms_left (batch->give_up, now),
+      .resent = batch->resent,
+    },
+  };
+
+  snipe_node_log (node,
+                  "event=route job=%s batch=%" G_GUINT64_FORMAT
+                  " tasks=%u domain=%s owner=%016" G_GINT64_MODIFIER
+                  "x due_ms=%d late_ms=%d resent=%d",
+                  batch->job, batch->number, batch->count, domain, owner,
+                  message.args.batch.due_ms, message.args.batch.late_ms,
+                  (int)batch->resent);
+  if (owner == node->incarnation)
+    return queue_batch (node, service, domain, batch);
+  return send_to (node, owner, &message);
+}
+
+void
+snipe_node_send_cancel (void *ctx, uint64_t owner, uint64_t number)
+{
+  struct snipe_node *node = ctx;
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL,
+          .args.cancel = { .home = node->incarnation, .number = number } };
+  struct pending *item;
+
+  if (owner != node->incarnation)
+    {
+      /* If it cannot be sent, the pool stops the batch when it does not hear
+       * this host. */
+      send_to (node, owner, &message);
+      return;
+    }
+  item = g_new0 (struct pending, 1);
+  item->kind = PENDING_CANCEL;
+  item->u.cancel.home = node->incarnation;
+  item->u.cancel.number = number;
+  g_queue_push_tail (&node->pending, item);
+}
+
+void
+snipe_node_send_result (struct snipe_node *node,
+                        const struct snipe_pool_result *result)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_RESULT,
+          .args.result
+          = { .home = result->home,
+              .number = result->number,
+              .ends = { .ends_len = result->count,
+                        .ends_val = (u_int *)result->ends },
+              .code = result->code,
+              .retry_after_ms = (u_int)(result->retry_after / SNIPE_MS) } };
+
+  if (send_to (node, result->home, &message) < 0)
+    snipe_node_log (node, "event=result_unsent job=%s reason=\"%s\"",
+                    result->job, snipe_status_last ());
+}
+
+void
+snipe_node_send_hello (struct snipe_node *node, const char *address,
+                       uint64_t incarnation, snipe_time now)
+{
+  link_claim *claims = g_new0 (link_claim, node->pools->len + 1);
+  snipe_time silence
+      = snipe_members_silence (node->members, incarnation, now);
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_HELLO,
+          .args.hello
+          = { .incarnation = node->incarnation,
+              .name = (char *)node->options.name,
+              .address = node->address,
+              .domain = (char *)node->options.domain,
+              .leaving = node->leaving,
+              .config_version = node->config_version,
+              .store_version = node->store_version,
+              .silence_ms = (u_int)MIN (silence / SNIPE_MS, UINT32_MAX),
+              .claims = { .claims_len = node->pools->len,
+                          .claims_val = claims } } };
+
+  for (guint i = 0; i < node->pools->len; i++)
+    {
+      struct held_pool *pool = g_ptr_array_index (node->pools, i);
+
+      claims[i] = (link_claim){ .service = pool->key.service,
+                                .domain = pool->key.domain,
+                                .epoch = pool->epoch };
+    }
+  snipe_link_send (node->link, address, &message);
+  g_free (claims);
+}
+
+struct broadcast
+{
+  struct snipe_node *node;
+  const struct snipe_link_message *message;
+};
+
+static void
+send_one (void *ctx, const struct snipe_member *member)
+{
+  struct broadcast *broadcast = ctx;
+
+  snipe_link_send (broadcast->node->link, member->address,
+                   broadcast->message);
+}
+
+static void
+send_load (struct snipe_node *node, struct held_pool *pool,
+           snipe_time interval, snipe_time now)
+{
+  uint32_t free_cpu[FREE_MAX];
+  struct snipe_pool_load load;
+  uint32_t count = snipe_pool_load (pool->pool, &load, free_cpu, FREE_MAX, now);
+  struct snipe_home_load own = { .service = pool->key.service,
+                                 .domain = pool->key.domain,
+                                 .owner = node->incarnation,
+                                 .epoch = pool->epoch,
+                                 .free_cpu = free_cpu,
+                                 .free_count = count,
+                                 .total_cpu = load.total_cpu,
+                                 .backlog = load.backlog,
+                                 .slowness = load.slowness };
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_LOAD,
+          .args.load = { .incarnation = node->incarnation,
+                         .service = pool->key.service,
+                         .domain = pool->key.domain,
+                         .epoch = pool->epoch,
+                         .free_cpu = { .free_cpu_len = count,
+                                       .free_cpu_val = free_cpu },
+                         .total_cpu = (u_quad_t)load.total_cpu,
+                         .backlog = (u_quad_t)load.backlog,
+                         .slowness = (u_int)(load.slowness * 1000) } };
+  struct broadcast broadcast = { .node = node, .message = &message };
+  uint64_t digest = (uint64_t)load.backlog + (uint64_t)load.total_cpu;
+
+  snipe_home_load (node->home, &own, now);
+  for (uint32_t i = 0; i < count; i++)
+    digest = digest * 31 + free_cpu[i];
+  if (digest == pool->load_digest || now - pool->load_sent < interval)
+    return;
+  pool->load_digest = digest;
+  pool->load_sent = now;
+  snipe_members_each (node->members, send_one, &broadcast);
+}
+
+void
+snipe_node_send_loads (struct snipe_node *node, snipe_time interval,
+                       snipe_time now)
+{
+  for (guint i = 0; i < node->pools->len; i++)
+    send_load (node, g_ptr_array_index (node->pools, i), interval, now);
+}
+
+bool
+snipe_node_cancel (struct snipe_node *node, const char *id, snipe_time now)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = (char *)id } };
+  struct broadcast broadcast = { .node = node, .message = &message };
+  bool here = snipe_home_cancel (node->home, id, now);
+
+  if (!here)
+    snipe_members_each (node->members, send_one, &broadcast);
+  snipe_node_drain_pending (node, now);
+  return here;
+}
+
+/* A connection to the host was lost with what was on it, though the host
+ * lives: batches that may not have arrived are sent again. */
+static void
+resend_batches (struct snipe_node *node, uint64_t incarnation)
+{
+  snipe_home_resend (node->home, incarnation);
+}
+
+static void
+on_hello (struct snipe_node *node, const link_hello *hello, snipe_time now)
+{
+  struct snipe_member member = { .incarnation = hello->incarnation,
+                                 .leaving = hello->leaving,
+                                 .claim_count = hello->claims.claims_len };
+  struct snipe_claim *claims
+      = g_new0 (struct snipe_claim, hello->claims.claims_len + 1);
+
+  if (hello->incarnation == node->incarnation)
+    {
+      g_free (claims);
+      return;
+    }
+  g_strlcpy (member.name, hello->name, sizeof member.name);
+  g_strlcpy (member.address, hello->address, sizeof member.address);
+  g_strlcpy (member.domain, hello->domain, sizeof member.domain);
+  for (u_int i = 0; i < hello->claims.claims_len; i++)
+    {
+      const link_claim *claim = &hello->claims.claims_val[i];
+
+      g_strlcpy (claims[i].service, claim->service, sizeof claims[i].service);
+      g_strlcpy (claims[i].domain, claim->domain, sizeof claims[i].domain);
+      claims[i].epoch = claim->epoch;
+    }
+  member.claims = claims;
+  node->store_version = MAX (node->store_version, hello->store_version);
+  if (snipe_members_heard (node->members, &member, now))
+    {
+      g_message ("host: event=heard name=%s domain=%s "
+                 "incarnation=%016" G_GINT64_MODIFIER "x",
+                 member.name, member.domain, member.incarnation);
+      snipe_node_send_hello (node, member.address, member.incarnation, now);
+    }
+  for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
+    snipe_home_owner (node->home, claims[i].service, claims[i].domain,
+                      member.incarnation, claims[i].epoch, now);
+  if (hello->silence_ms > SNIPE_NODE_UNHEARD_MS
+      && hello->silence_ms != UINT32_MAX && now - node->reset_at > SNIPE_S)
+    {
+      node->reset_at = now;
+      snipe_link_reset (node->link, member.address);
+      resend_batches (node, member.incarnation);
+    }
+  if (hello->config_version > node->config_version)
+    {
+      struct snipe_link_message fetch
+          = { .procedure = LINK_SEND_FETCH,
+              .args.fetch = { .have_version = node->config_version } };
+
+      snipe_link_send (node->link, member.address, &fetch);
+    }
+  g_free (claims);
+}
+
+static void
+on_load (struct snipe_node *node, const link_load *load, snipe_time now)
+{
+  struct snipe_home_load view
+      = { .service = load->service,
+          .domain = load->domain,
+          .owner = load->incarnation,
+          .epoch = load->epoch,
+          .free_cpu = load->free_cpu.free_cpu_val,
+          .free_count = load->free_cpu.free_cpu_len,
+          .total_cpu = (int64_t)load->total_cpu,
+          .backlog = (int64_t)load->backlog,
+          .slowness = load->slowness / 1000.0 };
+
+  if (snipe_members_live (node->members, load->incarnation))
+    snipe_home_load (node->home, &view, now);
+}
+
+static void
+on_batch (struct snipe_node *node, const link_batch *from, snipe_time now)
+{
+  struct snipe_pool_batch batch
+      = { .home = from->home,
+          .number = from->number,
+          .job = from->job,
+          .step = from->step,
+          .route = from->route,
+          .spec = { .data = from->spec.spec_val, .len = from->spec.spec_len },
+          .indexes = from->indexes.indexes_val,
+          .count = from->indexes.indexes_len,
+          .each = { .cpu = from->cpu, .mem_mb = from->mem_mb,
+                    .gpu = from->gpu },
+          .label = from->label,
+          .rack = from->rack,
+          .max_per_endpoint = from->max_per_endpoint,
+          .priority = from->priority,
+          .attempts = from->attempts,
+          .estimate = from->estimate_ms * SNIPE_MS,
+          .due = now + from->due_ms * SNIPE_MS,
+          .late = now + from->late_ms * SNIPE_MS,
+          .give_up = now + from->give_up_ms * SNIPE_MS,
+          .resent = from->resent };
+
+  snipe_node_take_batch (node, from->service, from->domain, &batch, now);
+}
+
+static void
+on_result (struct snipe_node *node, const link_result *from, snipe_time now)
+{
+  struct snipe_pool_result result
+      = { .home = from->home,
+          .number = from->number,
+          .job = "",
+          .ends = from->ends.ends_val,
+          .count = from->ends.ends_len,
+          .code = from->code,
+          .retry_after = from->retry_after_ms * SNIPE_MS };
+
+  if (from->home == node->incarnation)
+    snipe_home_result (node->home, &result, now);
+}
+
+static void
+on_fetch (struct snipe_node *node, uint64_t incarnation,
+          const link_fetch *fetch)
+{
+  struct snipe_str text = SNIPE_STR_INIT;
+  uint64_t version = 0;
+
+  node->options.port.config (node->options.port.ctx, &version, &text);
+  if (version > fetch->have_version && text.len > 0)
+    {
+      struct snipe_link_message message
+          = { .procedure = LINK_SEND_SNAPSHOT,
+              .args.snapshot = { .config_version = version,
+                                 .store_version = node->store_version,
+                                 .config = { .config_len = (u_int)text.len,
+                                             .config_val = text.data } } };
+
+      send_to (node, incarnation, &message);
+    }
+  snipe_str_clear (&text);
+}
+
+void
+snipe_node_received (void *ctx, uint64_t incarnation,
+                     const struct snipe_link_message *message)
+{
+  struct snipe_node *node = ctx;
+  snipe_time now = snipe_clock_now ();
+
+  /* A message of a host that was given up would revive what it has lost; its
+   * heartbeat comes first. */
+  if (message->procedure != LINK_SEND_HELLO
+      && !snipe_members_live (node->members, incarnation))
+    return;
+  /* After a stop, the tick finds out what has become of this host first. */
+  if (now - node->last_tick > node->silence)
+    snipe_node_tick (node, now);
+  snipe_members_sign (node->members, incarnation, now);
+  switch (message->procedure)
+    {
+    case LINK_SEND_HELLO:
+      on_hello (node, &message->args.hello, now);
+      break;
+    case LINK_SEND_LOAD:
+      on_load (node, &message->args.load, now);
+      break;
+    case LINK_SEND_BATCH:
+      on_batch (node, &message->args.batch, now);
+      break;
+    case LINK_SEND_RESULT:
+      on_result (node, &message->args.result, now);
+      break;
+    case LINK_SEND_CANCEL:
+      for (guint i = 0; i < node->pools->len; i++)
+        snipe_pool_cancel (
+            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool,
+            message->args.cancel.home, message->args.cancel.number, now);
+      break;
+    case LINK_SEND_CANCEL_JOB:
+      snipe_home_cancel (node->home, message->args.cancel_job.job, now);
+      break;
+    case LINK_SEND_FETCH:
+      on_fetch (node, incarnation, &message->args.fetch);
+      break;
+    case LINK_SEND_SNAPSHOT:
+      {
+        const link_snapshot *from = &message->args.snapshot;
+        struct snipe_str text
+            = { .data = from->config.config_val, .len = from->config.config_len };
+
+        node->options.port.take_config (node->options.port.ctx,
+                                        from->config_version, &text);
+        break;
+      }
+    default:
+      break;
+    }
+  snipe_node_drain_pending (node, now);
+}
+
+void
+snipe_node_link_closed (void *ctx, uint64_t incarnation)
+{
+  struct snipe_node *node = ctx;
+
+  snipe_members_suspect (node->members, incarnation, snipe_clock_now ());
+  resend_batches (node, incarnation);
+  snipe_node_drain_pending (node, snipe_clock_now ());
+}
--- /dev/null
+++ b/src/pool/endpoint.c
@@ -0,0 +1,162 @@
+#include "pool/private.h"
+
+#include <string.h>
+
+/* Weight of the newest observation in a smoothed speed; about the last ten
+ * tasks decide. */
+#define SPEED_WEIGHT 0.15
+/* Bounds of a learned speed: the given sites' endpoints differ up to sevenfold
+ * while disturbed; beyond that an observation says more about the estimate. */
+#define SPEED_MIN 0.2
+#define SPEED_MAX 10.0
+/* Failures in a row after which an endpoint gets single trial tasks only. A
+ * task that fails by its own fault (1 in 500 at the given sites) must not
+ * reach it. */
+#define FAILURES_MAX 2
+#define SUSPEND_MIN (400 * SNIPE_MS)
+#define SUSPEND_MAX (6 * SNIPE_S)
+
+struct snipe_pool_endpoint *
+snipe_pool_endpoint_new (const struct snipe_endpoint_entry *entry,
+                         snipe_time lease_max, snipe_time now)
+{
+  struct snipe_pool_endpoint *endpoint
+      = g_new0 (struct snipe_pool_endpoint, 1);
+
+  endpoint->entry = *entry;
+  endpoint->listed = true;
+  endpoint->runs = g_ptr_array_new_with_free_func (g_free);
+  endpoint->speed_ratio = 1.0;
+  /* The lease is measured on a clock that may be 2 % slow. */
+  endpoint->claim_deadline = now + lease_max + lease_max / 20;
+  return endpoint;
+}
+
+void
+snipe_pool_endpoint_free (struct snipe_pool_endpoint *endpoint)
+{
+  g_ptr_array_free (endpoint->runs, TRUE);
+  g_free (endpoint);
+}
+
+bool
+snipe_pool_endpoint_usable (const struct snipe_pool_endpoint *endpoint,
+                            snipe_time now)
+{
+  return endpoint->listed && endpoint->claim == CLAIM_HELD
+         && !endpoint->entry.draining && endpoint->suspended_until <= now
+         && (endpoint->failures < FAILURES_MAX || endpoint->runs->len == 0);
+}
+
+bool
+snipe_pool_endpoint_fits (const struct snipe_pool_endpoint *endpoint,
+                          const struct snipe_capacity *size)
+{
+  const struct snipe_capacity *room = &endpoint->entry.capacity;
+  const struct snipe_capacity *used = &endpoint->used;
+
+  return used->cpu + size->cpu <= room->cpu
+         && used->mem_mb + size->mem_mb <= room->mem_mb
+         && used->gpu + size->gpu <= room->gpu;
+}
+
+int64_t
+snipe_pool_endpoint_clock (const struct snipe_pool_endpoint *endpoint,
+                           snipe_time now)
+{
+  return endpoint->clock_base + (now - endpoint->clock_at) / SNIPE_MS;
+}
+
+struct run *
+snipe_pool_run_add (struct snipe_pool_endpoint *endpoint, const char *task,
+                    uint32_t number, const struct snipe_capacity *size)
+{
+  struct run *run = g_new0 (struct run, 1);
+
+  g_strlcpy (run->task, task, sizeof run->task);
+  run->number = number;
+  run->endpoint = endpoint;
+  run->size = *size;
+  endpoint->used.cpu += size->cpu;
+  endpoint->used.mem_mb += size->mem_mb;
+  endpoint->used.gpu += size->gpu;
+  g_ptr_array_add (endpoint->runs, run);
+  return run;
+}
+
+void
+snipe_pool_run_remove (struct run *run)
+{
+  struct snipe_pool_endpoint *endpoint = run->endpoint;
+
+  endpoint->used.cpu -= run->size.cpu;
+  endpoint->used.mem_mb -= run->size.mem_mb;
+  endpoint->used.gpu -= run->size.gpu;
+  g_ptr_array_remove_fast (endpoint->runs, run);
+}
+
+struct run *
+snipe_pool_run_find (struct snipe_pool_endpoint *endpoint, const char *task,
+                     uint32_t number)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (run->number == number && strcmp (run->task, task) == 0)
+        return run;
+    }
+  return NULL;
+}
+
+static double
+smooth (double old, double seen)
+{
+  return CLAMP (old + SPEED_WEIGHT * (seen - old), SPEED_MIN, SPEED_MAX);
+}
+
+void
+snipe_pool_endpoint_failed (struct snipe_pool_endpoint *endpoint,
+                            snipe_time now)
+{
+  snipe_time pause = SUSPEND_MIN;
+
+  endpoint->failures++;
+  if (endpoint->failures < FAILURES_MAX)
+    return;
+  for (uint32_t i = FAILURES_MAX; i < endpoint->failures && pause < SUSPEND_MAX;
+       i++)
+    pause *= 2;
+  endpoint->suspended_until = now + MIN (pause, SUSPEND_MAX);
+}
+
+void
+snipe_pool_endpoint_ended (struct snipe_pool *pool,
+                           struct snipe_pool_endpoint *endpoint,
+                           const struct run *run, enum snipe_run_end end,
+                           snipe_time now)
+{
+  double ratio;
+
+  switch (end)
+    {
+    case SNIPE_RUN_FAILED:
+      snipe_pool_endpoint_failed (endpoint, now);
+      return;
+    case SNIPE_RUN_STOPPED:
+    case SNIPE_RUN_LAPSED:
+      return;
+    case SNIPE_RUN_DONE:
+      break;
+    }
+  endpoint->failures = 0;
+  if (run->batch == NULL || run->ordered == 0 || run->expected <= 0)
+    return;
+  ratio = (double)(now - run->ordered) / (double)run->expected;
+  endpoint->speed_ratio = smooth (endpoint->speed_ratio,
+                                  ratio * endpoint->speed_ratio);
+  pool->slowness
+      = smooth (pool->slowness, (double)(now - run->ordered)
+                                    / (double)run->batch->estimate
+                                    / endpoint->speed_ratio);
+}
--- /dev/null
+++ b/src/pool/place.c
@@ -0,0 +1,189 @@
+/* Order of waiting batches, choice of an endpoint, and refusal. Pure.
+ *
+ * The load patterns that each rule answers:
+ * - a burst over the capacity: batches that can still end in time go before
+ *   those that cannot, the most urgent first, so that a backlog costs the
+ *   batches that are late anyway and not all that follow them;
+ * - wide batches under load: a batch of which a task runs goes first, because
+ *   its job is worth nothing until its last task has ended;
+ * - tasks of a third to a half of an endpoint: the endpoint with the least
+ *   room left is filled first, so that whole gaps stay for large tasks. */
+#include "pool/private.h"
+
+#include <string.h>
+
+#include "snipe/status.h"
+
+/* Declared durations are off by tens of percent; a batch counts as on time
+ * only if a task 20 % longer than predicted would still be. */
+#define DURATION_MARGIN 1.2
+/* Two endpoints within this factor of speed count as equally fast. */
+#define SPEED_STEP 1.3
+
+snipe_time
+snipe_pool_predict (const struct snipe_pool *pool,
+                    const struct snipe_pool_endpoint *endpoint,
+                    const struct batch *batch)
+{
+  double ratio = endpoint == NULL ? 1.0 : endpoint->speed_ratio;
+
+  return (snipe_time)((double)batch->estimate * pool->slowness * ratio);
+}
+
+static uint32_t
+runs_of (const struct snipe_pool_endpoint *endpoint, const struct batch *batch)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (run->batch == batch)
+        count++;
+    }
+  return count;
+}
+
+static bool
+has_label (const struct snipe_endpoint_entry *entry, const char *label)
+{
+  return *label == '\0' || strcmp (entry->kind, label) == 0
+         || strcmp (entry->rack, label) == 0;
+}
+
+/* How much worse a choice is: first out of the wanted rack, then too slow to
+ * end in time, then the room that it leaves. */
+static double
+penalty (const struct snipe_pool *pool,
+         const struct snipe_pool_endpoint *endpoint, const struct batch *batch,
+         snipe_time now)
+{
+  const struct snipe_endpoint_entry *entry = &endpoint->entry;
+  double room = (double)(entry->capacity.cpu - endpoint->used.cpu
+                         - batch->each.cpu)
+                / (double)MAX (entry->capacity.cpu, 1);
+  double value = room;
+  snipe_time end = now + snipe_pool_predict (pool, endpoint, batch);
+
+  if (endpoint->speed_ratio > SPEED_STEP)
+    value += endpoint->speed_ratio;
+  if (end > batch->due)
+    value += 10.0 * (double)(end - now) / (double)MAX (batch->estimate, 1);
+  if (*batch->rack != '\0' && strcmp (batch->rack, entry->rack) != 0)
+    value += 1000.0;
+  return value;
+}
+
+struct snipe_pool_endpoint *
+snipe_pool_choose (const struct snipe_pool *pool, const struct batch *batch,
+                   snipe_time now)
+{
+  struct snipe_pool_endpoint *best = NULL;
+  double best_penalty = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct snipe_pool_endpoint *endpoint = value;
+      double cost;
+
+      if (!snipe_pool_endpoint_fits (endpoint, &batch->each)
+          || !snipe_pool_endpoint_usable (endpoint, now)
+          || !has_label (&endpoint->entry, batch->label)
+          || (batch->max_per_endpoint > 0
+              && runs_of (endpoint, batch) >= batch->max_per_endpoint))
+        continue;
+      cost = penalty (pool, endpoint, batch, now);
+      if (best == NULL || cost < best_penalty)
+        {
+          best = endpoint;
+          best_penalty = cost;
+        }
+    }
+  return best;
+}
+
+bool
+snipe_pool_can_ever_run (const struct snipe_pool *pool,
+                         const struct batch *batch)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+      const struct snipe_capacity *room = &endpoint->entry.capacity;
+
+      if (endpoint->listed && has_label (&endpoint->entry, batch->label)
+          && batch->each.cpu <= room->cpu && batch->each.mem_mb <= room->mem_mb
+          && batch->each.gpu <= room->gpu)
+        return true;
+    }
+  return false;
+}
+
+struct rank
+{
+  const struct snipe_pool *pool;
+  snipe_time now;
+};
+
+/* 0: has begun; 1: can end in time; 2: can end before it is worthless. */
+static int
+tier (const struct rank *rank, const struct batch *batch)
+{
+  snipe_time length = (snipe_time)(DURATION_MARGIN
+                                   * (double)snipe_pool_predict (
+                                       rank->pool, NULL, batch));
+
+  if (batch->started)
+    return 0;
+  return rank->now + length <= batch->due ? 1 : 2;
+}
+
+static gint
+compare (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const struct rank *rank = ctx;
+  const struct batch *one = *(struct batch *const *)a;
+  const struct batch *two = *(struct batch *const *)b;
+  int one_tier = tier (rank, one);
+  int two_tier = tier (rank, two);
+  snipe_time one_start;
+  snipe_time two_start;
+
+  if (one_tier != two_tier)
+    return one_tier - two_tier;
+  if (one_tier == 2 && one->priority != two->priority)
+    return one->priority < two->priority ? -1 : 1;
+  one_start = one->due - snipe_pool_predict (rank->pool, NULL, one);
+  two_start = two->due - snipe_pool_predict (rank->pool, NULL, two);
+  return (one_start > two_start) - (one_start < two_start);
+}
+
+void
+snipe_pool_sort (const struct snipe_pool *pool, GPtrArray *order,
+                 snipe_time now)
+{
+  struct rank rank = { .pool = pool, .now = now };
+
+  g_ptr_array_sort_with_data (order, compare, &rank);
+}
+
+int
+snipe_pool_refusal (const struct snipe_pool *pool, const struct batch *batch,
+                    snipe_time now)
+{
+  snipe_time end = MIN (batch->late, batch->give_up);
+
+  if (batch->started)
+    return SNIPE_OK;
+  if (now + snipe_pool_predict (pool, NULL, batch) > end)
+    return SNIPE_E_OVERLOAD;
+  return SNIPE_OK;
+}
