Count a lease from the last order that extends it

Cause: an endpoint that was idle for longer than a lease counted as lapsed when its first task was started, so that the task was started again.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -178,6 +178,7 @@
 {
   int64_t clock_ms; /**< endpoint clock; 0 if not told */
   int64_t born_ms;  /**< 0 if not told */
+  bool leaving;     /**< it says that it gets no new work */
   const struct snipe_endpoint_run *running;
   uint32_t running_count;
   const struct snipe_endpoint_end *ends;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -549,3 +549,9 @@
 {
   return snipe_home_jobs (node->home) == 0 && node->pools->len == 0;
 }
+
+bool
+snipe_node_owns_pool (const struct snipe_node *node)
+{
+  return node->pools->len > 0;
+}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -102,6 +102,8 @@
 void snipe_node_tick (struct snipe_node *node, snipe_time now);
 #define SNIPE_NODE_TICK (10 * SNIPE_MS)
 
+/** @return whether this host schedules a pool. */
+bool snipe_node_owns_pool (const struct snipe_node *node);
 /** Starts to hand over pools to other hosts. */
 void snipe_node_leave (struct snipe_node *node);
 /** @return whether nothing is left that this host is needed for. */
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -103,7 +103,10 @@
 
   if (endpoint->hold_in_flight || endpoint->claim == CLAIM_FENCED)
     return;
-  if (endpoint->clock_at > 0)
+  /* A silent endpoint is only asked: its lease has to end for certain. */
+  if (endpoint->clock_at > 0 && (wait || endpoint->heard >= endpoint->hold_sent))
+    endpoint->extended = now;
+  if (endpoint->extended == now)
     order.valid_until = snipe_pool_endpoint_clock (endpoint, now)
                         + pool->lease_max / SNIPE_MS;
   order.timeout = order.wait + HOLD_SLACK;
@@ -128,7 +131,7 @@
 
   g_strlcpy (order.task, run->task, sizeof order.task);
   run->orders++;
-  run->valid_until = order.valid_until;
+  endpoint->extended = now;
   pool->port.start (pool->port.ctx, &order);
 }
 
@@ -197,7 +200,10 @@
   if (endpoint != NULL && endpoint->entry.born_ms == entry->born_ms
       && strcmp (endpoint->entry.address, entry->address) == 0)
     {
+      bool leaving = endpoint->entry.draining;
+
       endpoint->entry = *entry;
+      endpoint->entry.draining |= leaving;
       endpoint->listed = true;
       return;
     }
@@ -237,6 +243,8 @@
   if (report != NULL)
     {
       endpoint->heard = now;
+      if (report->leaving)
+        endpoint->entry.draining = true;
       if (report->clock_ms > 0)
         {
           endpoint->clock_base = report->clock_ms;
@@ -288,8 +296,11 @@
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
-      if (run->state != RUN_STOPPING)
-        run->state = RUN_ACTIVE;
+      if (run->state == RUN_ORDERED || run->state == RUN_UNSURE)
+        {
+          run->state = RUN_ACTIVE;
+          run->confirmed = now;
+        }
       send_hold (pool, endpoint, true, now);
       return;
     case SNIPE_ANSWER_NONE:
@@ -389,6 +400,7 @@
                                         &endpoint->entry.capacity);
 
   run->state = RUN_ACTIVE;
+  run->confirmed = now;
   run->found = now;
   for (guint i = 0; i < pool->batches->len; i++)
     if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
@@ -435,12 +447,16 @@
       if (run == NULL)
         found_running (pool, endpoint, found, now);
       else if (run->state == RUN_ORDERED || run->state == RUN_UNSURE)
-        run->state = RUN_ACTIVE;
+        {
+          run->state = RUN_ACTIVE;
+          run->confirmed = now;
+        }
     }
 }
 
 /* A run that a hold sent after its confirmation neither lists as running nor
- * as ended has ended; an earlier owner noted its end. */
+ * as ended has ended; an earlier owner noted its end. A hold sent before may
+ * have been answered before the start was carried out. */
 static void
 note_missing (struct snipe_pool *pool, struct snipe_pool_endpoint *endpoint,
               const struct snipe_endpoint_report *report, snipe_time sent,
@@ -451,7 +467,7 @@
       struct run *run = g_ptr_array_index (endpoint->runs, i - 1);
       bool settled = run->state == RUN_STOPPING
                          ? run->stop_done && run->stop_sent < sent
-                         : run->state == RUN_ACTIVE && run->ordered < sent;
+                         : run->state == RUN_ACTIVE && run->confirmed < sent;
 
       if (settled && !listed_as_running (report, run))
         end_run (pool, run, SNIPE_RUN_LAPSED, now);
@@ -610,14 +626,15 @@
 }
 
 /* Whether the lease that any order could have given has run out, also on a
- * clock that is 2 % slow. */
+ * clock that is 2 % slow, and nothing was heard since that order. */
 static bool
 surely_lapsed (const struct snipe_pool *pool,
                const struct snipe_pool_endpoint *endpoint, snipe_time now)
 {
-  snipe_time silent = now - MAX (endpoint->heard, pool->created);
+  snipe_time lease = pool->lease_max + pool->lease_max / 20 + HOLD_SLACK;
 
-  return silent > pool->lease_max + pool->lease_max / 2 + HOLD_SLACK;
+  return endpoint->heard < endpoint->extended
+         && now - endpoint->extended > lease;
 }
 
 static void
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -34,9 +34,9 @@
   bool stop_in_flight;
   bool stop_done;         /**< the endpoint has confirmed the stop */
   snipe_time ordered;     /**< first start order sent */
+  snipe_time confirmed;   /**< when it became RUN_ACTIVE */
   snipe_time expected;    /**< duration that was predicted */
   snipe_time found;       /**< when it became nobody's */
-  int64_t valid_until;    /**< of the last start order, endpoint clock */
   snipe_time stop_sent;
 };
 
@@ -102,7 +102,8 @@
   double speed_ratio; /**< actual over predicted duration, smoothed */
   uint32_t failures;  /**< in a row */
   snipe_time suspended_until;
-  snipe_time heard; /**< last answer */
+  snipe_time heard;    /**< last answer */
+  snipe_time extended; /**< last order sent that extends the lease */
 };
 
 struct snipe_pool
