--- a/src/loop/web.c
+++ b/src/loop/web.c
@@ -26,6 +26,7 @@
   GString *answer;
   snipe_web_done done;
   void *ctx;
+  bool written; /**< on some connection; libcurl may have tried a second */
 };
 
 /** A socket of libcurl's in the loop. */
@@ -56,6 +57,21 @@
   return len;
 }
 
+/* Called when a connection stands, before the request is written. */
+static int
+on_connected (void *ctx, char *remote_ip, char *local_ip, int remote_port,
+              int local_port)
+{
+  struct call *call = ctx;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  call->written = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 finish (struct call *call, int http)
 {
@@ -98,7 +114,8 @@
       if (message->data.result == CURLE_OK)
         curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE,
                            &http);
-      else if (message->data.result == CURLE_COULDNT_CONNECT)
+      else if (message->data.result == CURLE_COULDNT_CONNECT
+               && !call->written)
         http = SNIPE_WEB_UNREACHED;
       finish (call, (int)http);
     }
@@ -284,6 +301,8 @@
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_connected);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long)(request->timeout / SNIPE_MS));
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -17,8 +17,16 @@
 #define LOAD_INTERVAL (30 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
 #define GREET_INTERVAL (1 * SNIPE_S)
+/* Endpoints whose entries lapsed with the store are listed again within two
+ * seconds of its return. */
+#define DIRECTORY_SETTLE (3 * SNIPE_S)
 /* Results are kept for hosts that ask for a batch again. */
 #define RESULT_TIME (3 * SNIPE_S)
+/* Calls that ask whether a pool of another domain can be reached. */
+#define PROBE_TOKEN 1
+#define PROBES 3U
+#define PROBE_INTERVAL (150 * SNIPE_MS)
+#define REACHED_TIME (300 * SNIPE_MS)
 /* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
  * 2^53, which leaves 33 bits for the epoch. */
 #define SLOT_BITS 20
@@ -128,6 +136,14 @@
   snipe_log_decision (node->options.name, line);
 }
 
+/* After a stop, the tick finds out first what has become of this host. */
+static void
+enter (struct snipe_node *node, snipe_time now)
+{
+  if (now - node->last_tick > node->silence)
+    snipe_node_tick (node, now);
+}
+
 void
 snipe_node_host_listed (struct snipe_node *node, const char *address,
                         snipe_time now)
@@ -221,6 +237,15 @@
   snipe_node_drain_pending (node, now);
 }
 
+void
+snipe_node_directory_read (struct snipe_node *node, bool whole, snipe_time now)
+{
+  if (!whole)
+    node->directory_read = 0;
+  else if (node->directory_read == 0)
+    node->directory_read = now;
+}
+
 /* Whether some endpoint could ever run a task of the job. */
 static bool
 can_ever_run (const struct snipe_node *node, const struct snipe_home_job *job)
@@ -248,6 +273,7 @@
 snipe_node_submit (struct snipe_node *node, const struct snipe_home_job *job,
                    snipe_time now)
 {
+  enter (node, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
                   "event=job job=%s route=%s config=%" G_GUINT64_FORMAT
@@ -260,8 +286,14 @@
     snipe_home_submit (node->home, job, now);
   else
     {
+      /* The list of endpoints may miss some for a while after the store or
+       * this host was away. */
+      bool certain = node->directory_read > 0
+                     && now - node->directory_read >= DIRECTORY_SETTLE;
       struct snipe_home_answer answer
-          = { .outcome = SNIPE_HOME_FAILED, .code = SNIPE_E_UNFIT };
+          = { .outcome = certain ? SNIPE_HOME_FAILED : SNIPE_HOME_NOT_RUN,
+              .code = certain ? SNIPE_E_UNFIT : SNIPE_E_NOT_READY,
+              .retry_after = SNIPE_S };
 
       snipe_node_answer (node, job->ctx, &answer);
     }
@@ -287,6 +319,22 @@
   return snipe_home_pending (node->home, route);
 }
 
+static void
+note_probe (struct snipe_node *node, const char *endpoint,
+            enum snipe_endpoint_answer answer, snipe_time now)
+{
+  const struct snipe_endpoint_entry *entry
+      = g_hash_table_lookup (node->directory, endpoint);
+
+  if (entry == NULL || answer == SNIPE_ANSWER_NONE
+      || answer == SNIPE_ANSWER_UNREACHED)
+    return;
+  g_strlcpy (node->reached.service, entry->service,
+             sizeof node->reached.service);
+  g_strlcpy (node->reached.domain, entry->domain, sizeof node->reached.domain);
+  node->reached_at = now;
+}
+
 /* The pool that sent an order; NULL if this host owns it no longer. */
 static struct held_pool *
 pool_by_token (struct snipe_node *node, uint64_t token, const char *endpoint)
@@ -308,8 +356,10 @@
                      const struct snipe_endpoint_report *report,
                      snipe_time now)
 {
-  struct held_pool *pool = pool_by_token (node, token, endpoint);
+  struct held_pool *pool;
 
+  enter (node, now);
+  pool = pool_by_token (node, token, endpoint);
   if (answer != SNIPE_ANSWER_OK)
     snipe_node_log (node, "event=start_failed task=%s run=%u endpoint=%s "
                           "token=%" G_GUINT64_FORMAT " answer=%d",
@@ -325,8 +375,10 @@
                     enum snipe_endpoint_answer answer,
                     const struct snipe_endpoint_report *report, snipe_time now)
 {
-  struct held_pool *pool = pool_by_token (node, token, endpoint);
+  struct held_pool *pool;
 
+  enter (node, now);
+  pool = pool_by_token (node, token, endpoint);
   if (pool != NULL)
     snipe_pool_on_stop (pool->pool, endpoint, task, run, answer, report, now);
   snipe_node_drain_pending (node, now);
@@ -337,8 +389,15 @@
                     const char *endpoint, enum snipe_endpoint_answer answer,
                     const struct snipe_endpoint_report *report, snipe_time now)
 {
-  struct held_pool *pool = pool_by_token (node, token, endpoint);
+  struct held_pool *pool;
 
+  enter (node, now);
+  pool = pool_by_token (node, token, endpoint);
+  if (token == PROBE_TOKEN)
+    {
+      note_probe (node, endpoint, answer, now);
+      return;
+    }
   if (answer != SNIPE_ANSWER_OK)
     snipe_node_log (node, "event=hold_failed endpoint=%s answer=%d", endpoint,
                     (int)answer);
@@ -452,6 +511,43 @@
                     epoch, now);
 }
 
+/* Whether the endpoints of a pool can be reached. A domain of which no host is
+ * heard may only be cut off, and a claim from outside would take its pool from
+ * the host that serves it as soon as the cut heals. */
+static bool
+can_reach (struct snipe_node *node, const struct pool_key *key, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t sent = 0;
+
+  if (strcmp (key->domain, node->options.domain) == 0)
+    return true;
+  if (strcmp (node->reached.domain, key->domain) == 0
+      && strcmp (node->reached.service, key->service) == 0
+      && now - node->reached_at < REACHED_TIME)
+    return true;
+  if (now < node->probe_due)
+    return false;
+  node->probe_due = now + PROBE_INTERVAL;
+  g_hash_table_iter_init (&iter, node->directory);
+  while (sent < PROBES && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_endpoint_entry *entry = value;
+      /* No endpoint obeys a token this low; its refusal is the answer. */
+      struct snipe_pool_hold probe = { .endpoint = entry,
+                                       .token = PROBE_TOKEN,
+                                       .timeout = PROBE_INTERVAL };
+
+      if (strcmp (entry->service, key->service) != 0
+          || strcmp (entry->domain, key->domain) != 0)
+        continue;
+      node->options.port.hold (node->options.port.ctx, &probe);
+      sent++;
+    }
+  return false;
+}
+
 static void
 release (struct snipe_node *node, struct held_pool *pool, const char *why)
 {
@@ -479,7 +575,8 @@
 
       if (result.what == SNIPE_OWN_YIELD)
         release (node, held, "another host has claimed it");
-      else if (result.what == SNIPE_OWN_CLAIM && !node->leaving)
+      else if (result.what == SNIPE_OWN_CLAIM && !node->leaving
+               && can_reach (node, key, now))
         claim (node, key, result.epoch, now);
       else if (result.what == SNIPE_OWN_KEEP
                && snipe_pool_fenced (held->pool))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -71,6 +71,9 @@
                               snipe_time now);
 void snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
                                  snipe_time now);
+/** The list of endpoints was read as a whole, or can no longer be read. */
+void snipe_node_directory_read (struct snipe_node *node, bool whole,
+                                snipe_time now);
 void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
 
 void snipe_node_submit (struct snipe_node *node,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -92,6 +92,10 @@
   snipe_time hello_due;
   snipe_time greet_due;
   snipe_time owner_due;
+  snipe_time directory_read; /**< since when the list of endpoints is whole */
+  struct pool_key reached;   /**< pool whose endpoints have answered */
+  snipe_time reached_at;
+  snipe_time probe_due;
   snipe_time reset_at; /**< last connection that was given up as silent */
 };
 
