Order claims by their token; start nothing with a fenced pool

Change: the claim is ordered by its fencing token; a fenced pool places nothing and claims again only if no higher claim is heard for 300 ms; a claim from another domain waits until that domain's hosts would have been heard.

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -101,14 +101,14 @@
 /** @return jobs that are not answered. */
 uint32_t snipe_home_jobs (const struct snipe_home *home);
 
-/** State of a pool, as its owner told it at @p now. A higher epoch than
+/** State of a pool, as its owner told it at @p now. A higher token than
  * before means that the pool has a new owner. */
 struct snipe_home_load
 {
   const char *service;
   const char *domain;
   uint64_t owner;
-  uint64_t epoch;
+  uint64_t token;
   const uint32_t *free_cpu; /**< of each endpoint with room, thousandths */
   uint32_t free_count;
   int64_t total_cpu;
@@ -119,7 +119,7 @@
                       const struct snipe_home_load *load, snipe_time now);
 /** An owner is claimed without a load yet. */
 void snipe_home_owner (struct snipe_home *home, const char *service,
-                       const char *domain, uint64_t owner, uint64_t epoch,
+                       const char *domain, uint64_t owner, uint64_t token,
                        snipe_time now);
 /** A host is not heard any more. */
 void snipe_home_owner_lost (struct snipe_home *home, uint64_t owner,
--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -4,8 +4,9 @@
  * a view is built from heartbeats and from the store's list of hosts.
  *
  * No agreement is needed for safety: an endpoint obeys the highest fencing
- * token it has seen, and a token grows with the epoch of its claim. Views that
- * differ for a moment cost orders that are refused, never a second start.
+ * token it has seen. Each claim of a pool has a token of its own, and the
+ * highest one owns the pool here too, so that views which differ for a moment
+ * cost orders that are refused, never a second start.
  */
 #ifndef SNIPE_MEMBER_H
 #define SNIPE_MEMBER_H
@@ -22,7 +23,7 @@
 {
   char service[SNIPE_MEMBER_NAME_BYTES];
   char domain[SNIPE_MEMBER_NAME_BYTES];
-  uint64_t epoch;
+  uint64_t token; /**< fencing token of the claim */
 };
 
 /** What a host says of itself. */
@@ -88,7 +89,7 @@
 enum snipe_ownership
 {
   SNIPE_OWN_NONE,  /**< another host owns it, or should */
-  SNIPE_OWN_CLAIM, /**< this host should claim it, with @c epoch */
+  SNIPE_OWN_CLAIM, /**< this host should claim it, with a token above @c token */
   SNIPE_OWN_KEEP,  /**< this host owns it */
   SNIPE_OWN_YIELD, /**< this host owns it and has to let go */
 };
@@ -97,15 +98,12 @@
 {
   enum snipe_ownership what;
   uint64_t owner; /**< incarnation of the host that has it, 0: none known */
-  uint64_t epoch; /**< of that claim; of the new one for SNIPE_OWN_CLAIM */
+  uint64_t token; /**< of that claim; the highest known for SNIPE_OWN_CLAIM */
 };
 
-/** Decides who owns a pool. @param own_epoch of this host's claim, 0: none
- * @param store_version newest version that this host has seen in the store;
- *   a new epoch is above it, so that epochs grow over restarts of all hosts */
+/** Decides who owns a pool. @param own_token of this host's claim, 0: none */
 struct snipe_ownership_result
 snipe_members_decide (const struct snipe_members *members, const char *service,
-                      const char *domain, uint64_t own_epoch,
-                      uint64_t store_version, snipe_time now);
+                      const char *domain, uint64_t own_token, snipe_time now);
 
 #endif
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -191,7 +191,6 @@
   const char *service;
   const char *domain;
   uint64_t token;         /**< for every endpoint of the pool */
-  uint64_t epoch;         /**< of the claim, for log lines */
   snipe_time lease_max;   /**< longest lease that an endpoint grants */
   snipe_time stop_max;    /**< longest time that a stop takes */
   snipe_time home_silence; /**< a home not heard for this long is lost */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -20,7 +20,7 @@
   struct job *job;
   struct pool_view *pool;
   uint64_t owner; /**< host that it was sent to last, 0: none yet */
-  uint64_t epoch;
+  uint64_t token;
   uint32_t *indexes;
   uint32_t count;
 };
@@ -185,7 +185,7 @@
   if (status == SNIPE_OK)
     {
       batch->owner = batch->pool->owner;
-      batch->epoch = batch->pool->epoch;
+      batch->token = batch->pool->token;
     }
   return status;
 }
@@ -374,12 +374,12 @@
 /* The pool has a new owner: what may run in it goes on there. */
 static void
 change_owner (struct snipe_home *home, struct pool_view *pool, uint64_t owner,
-              uint64_t epoch)
+              uint64_t token)
 {
   GPtrArray *batches;
 
   pool->owner = owner;
-  pool->epoch = epoch;
+  pool->token = token;
   pool->lost = 0;
   batches = batches_of (home, pool);
   for (guint i = 0; i < batches->len; i++)
@@ -389,15 +389,15 @@
 
 void
 snipe_home_owner (struct snipe_home *home, const char *service,
-                  const char *domain, uint64_t owner, uint64_t epoch,
+                  const char *domain, uint64_t owner, uint64_t token,
                   snipe_time now)
 {
   struct pool_view *pool = find_pool (home, service, domain);
 
   (void)now;
-  if (epoch > pool->epoch)
-    change_owner (home, pool, owner, epoch);
-  else if (epoch == pool->epoch && pool->owner == 0)
+  if (token > pool->token)
+    change_owner (home, pool, owner, token);
+  else if (token == pool->token && pool->owner == 0)
     {
       /* The owner was silent for a while and has come back. */
       pool->owner = owner;
@@ -411,10 +411,10 @@
 {
   struct pool_view *pool = find_pool (home, load->service, load->domain);
 
-  if (load->epoch < pool->epoch)
+  if (load->token < pool->token)
     return;
   snipe_home_owner (home, load->service, load->domain, load->owner,
-                    load->epoch, now);
+                    load->token, now);
   g_array_set_size (pool->free_cpu, 0);
   g_array_append_vals (pool->free_cpu, load->free_cpu, load->free_count);
   pool->total_cpu = load->total_cpu;
--- a/src/home/private.h
+++ b/src/home/private.h
@@ -14,7 +14,7 @@
   char service[SNIPE_POOL_NAME_BYTES];
   char domain[SNIPE_POOL_NAME_BYTES];
   uint64_t owner; /**< 0: none is known */
-  uint64_t epoch;
+  uint64_t token;
   GArray *free_cpu; /**< uint32_t, less what was sent since the report */
   int64_t total_cpu;
   int64_t backlog;
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -25,7 +25,7 @@
 struct link_claim {
 	link_name service;
 	link_name domain;
-	u_quad_t epoch;
+	u_quad_t token;
 };
 typedef struct link_claim link_claim;
 
@@ -49,7 +49,7 @@
 	u_quad_t incarnation;
 	link_name service;
 	link_name domain;
-	u_quad_t epoch;
+	u_quad_t token;
 	struct {
 		u_int free_cpu_len;
 		u_int *free_cpu_val;
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -18,7 +18,7 @@
 {
   link_name service;
   link_name domain;
-  unsigned hyper epoch;
+  unsigned hyper token;
 };
 
 /* Heartbeat; also introduces the sender after a connection was made. */
@@ -42,7 +42,7 @@
   unsigned hyper incarnation;
   link_name service;
   link_name domain;
-  unsigned hyper epoch;
+  unsigned hyper token;
   /* Free cores of each usable endpoint, in thousandths. */
   unsigned int free_cpu<LINK_ENDPOINTS_MAX>;
   /* Cores of all usable endpoints, in thousandths. */
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -24,7 +24,7 @@
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->domain))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
 	return TRUE;
 }
@@ -67,7 +67,7 @@
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->domain))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->free_cpu.free_cpu_val, (u_int *) &objp->free_cpu.free_cpu_len, LINK_ENDPOINTS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -180,13 +180,13 @@
 }
 
 static uint64_t
-claimed_epoch (const struct snipe_member *member, const char *service,
+claimed_token (const struct snipe_member *member, const char *service,
                const char *domain)
 {
   for (uint32_t i = 0; i < member->claim_count; i++)
     if (strcmp (member->claims[i].service, service) == 0
         && strcmp (member->claims[i].domain, domain) == 0)
-      return member->claims[i].epoch;
+      return member->claims[i].token;
   return 0;
 }
 
@@ -211,35 +211,35 @@
 /** What the view says of a pool. */
 struct standing
 {
-  const struct snipe_member *owner; /**< live host with the highest epoch */
-  uint64_t epoch;                   /**< of the owner */
+  const struct snipe_member *owner; /**< live host with the highest token */
+  uint64_t token;                   /**< of the owner */
   uint64_t highest;                 /**< of any claim, also of lost hosts */
 };
 
 static struct standing
 find_standing (const struct snipe_members *members, const char *service,
-               const char *domain, uint64_t own_epoch)
+               const char *domain, uint64_t own_token)
 {
-  struct standing standing = { .highest = own_epoch };
+  struct standing standing = { .highest = own_token };
   GHashTableIter iter;
   gpointer value;
 
-  if (own_epoch > 0)
+  if (own_token > 0)
     {
       standing.owner = &members->self;
-      standing.epoch = own_epoch;
+      standing.token = own_token;
     }
   g_hash_table_iter_init (&iter, members->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct peer *peer = value;
-      uint64_t epoch = claimed_epoch (&peer->said, service, domain);
+      uint64_t token = claimed_token (&peer->said, service, domain);
 
-      standing.highest = MAX (standing.highest, epoch);
-      if (!peer->live || epoch <= standing.epoch)
+      standing.highest = MAX (standing.highest, token);
+      if (!peer->live || token <= standing.token)
         continue;
       standing.owner = &peer->said;
-      standing.epoch = epoch;
+      standing.token = token;
     }
   return standing;
 }
@@ -280,11 +280,10 @@
 
 struct snipe_ownership_result
 snipe_members_decide (const struct snipe_members *members, const char *service,
-                      const char *domain, uint64_t own_epoch,
-                      uint64_t store_version, snipe_time now)
+                      const char *domain, uint64_t own_token, snipe_time now)
 {
   struct standing standing
-      = find_standing (members, service, domain, own_epoch);
+      = find_standing (members, service, domain, own_token);
   struct snipe_ownership_result result = { .what = SNIPE_OWN_NONE };
   bool domain_has_host;
   uint64_t heir = find_heir (members, service, domain, &domain_has_host);
@@ -296,14 +295,14 @@
   if (standing.owner != NULL)
     {
       result.owner = standing.owner->incarnation;
-      result.epoch = standing.epoch;
+      result.token = standing.token;
     }
-  if (own_epoch > 0 && result.owner != self)
+  if (own_token > 0 && result.owner != self)
     {
       result.what = SNIPE_OWN_YIELD;
       return result;
     }
-  if (own_epoch > 0)
+  if (own_token > 0)
     {
       /* A host that should let go keeps the pool until its heir has claimed
        * it, so that it is never without an owner. */
@@ -313,6 +312,6 @@
   if (owner_stays || heir != self || now < members->settled)
     return result;
   result.what = SNIPE_OWN_CLAIM;
-  result.epoch = MAX (standing.highest, store_version) + 1;
+  result.token = standing.highest;
   return result;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,7 +16,7 @@
 /* Shortest time between two reports of a pool's load to a host. */
 #define LOAD_INTERVAL (30 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
-#define GREET_INTERVAL (1 * SNIPE_S)
+#define GREET_INTERVAL (300 * SNIPE_MS)
 /* Endpoints whose entries lapsed with the store are listed again within two
  * seconds of its return. */
 #define DIRECTORY_SETTLE (3 * SNIPE_S)
@@ -26,7 +26,12 @@
 #define PROBE_TOKEN 1
 #define PROBES 3U
 #define PROBE_INTERVAL (150 * SNIPE_MS)
-#define REACHED_TIME (300 * SNIPE_MS)
+#define REACHED_TIME (400 * SNIPE_MS)
+/* From the first answer to the claim: the hosts of a domain that was only cut
+ * off are heard by then. */
+#define REACHED_SETTLE (500 * SNIPE_MS)
+/* The owner with the higher token is heard within this time if it lives. */
+#define FENCED_WAIT (300 * SNIPE_MS)
 /* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
  * 2^53, which leaves 33 bits for the epoch. */
 #define SLOT_BITS 20
@@ -329,6 +334,10 @@
   if (entry == NULL || answer == SNIPE_ANSWER_NONE
       || answer == SNIPE_ANSWER_UNREACHED)
     return;
+  if (strcmp (node->reached.domain, entry->domain) != 0
+      || strcmp (node->reached.service, entry->service) != 0
+      || now - node->reached_at >= REACHED_TIME)
+    node->reached_since = now;
   g_strlcpy (node->reached.service, entry->service,
              sizeof node->reached.service);
   g_strlcpy (node->reached.domain, entry->domain, sizeof node->reached.domain);
@@ -463,8 +472,18 @@
     }
 }
 
+/* A token above @p highest, and above those from before all hosts restarted:
+ * the store's version only grows. */
+static uint64_t
+next_token (const struct snipe_node *node, uint64_t highest)
+{
+  uint64_t epoch = MAX (highest >> SLOT_BITS, node->store_version) + 1;
+
+  return epoch << SLOT_BITS | node->slot;
+}
+
 static void
-claim (struct snipe_node *node, const struct pool_key *key, uint64_t epoch,
+claim (struct snipe_node *node, const struct pool_key *key, uint64_t token,
        snipe_time now)
 {
   struct snipe_pool_options options = SNIPE_POOL_OPTIONS_INIT;
@@ -474,12 +493,10 @@
 
   held->node = node;
   held->key = *key;
-  held->epoch = epoch;
-  held->token = epoch << SLOT_BITS | node->slot;
+  held->token = token;
   options.service = key->service;
   options.domain = key->domain;
   options.token = held->token;
-  options.epoch = epoch;
   options.lease_max = node->options.lease_max;
   options.stop_max = node->options.stop_max;
   options.port = (struct snipe_pool_port){ .ctx = held,
@@ -493,9 +510,9 @@
       g_free (held);
       return;
     }
-  g_message ("pool: event=claimed service=%s domain=%s epoch=%" G_GUINT64_FORMAT
-             " token=%" G_GUINT64_FORMAT,
-             key->service, key->domain, epoch, held->token);
+  g_message ("pool: event=claimed service=%s domain=%s "
+             "token=%" G_GUINT64_FORMAT,
+             key->service, key->domain, held->token);
   g_ptr_array_add (node->pools, held);
   g_hash_table_iter_init (&iter, node->directory);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -508,7 +525,7 @@
     }
   node->hello_due = 0;
   snipe_home_owner (node->home, key->service, key->domain, node->incarnation,
-                    epoch, now);
+                    token, now);
 }
 
 /* Whether the endpoints of a pool can be reached. A domain of which no host is
@@ -525,7 +542,8 @@
     return true;
   if (strcmp (node->reached.domain, key->domain) == 0
       && strcmp (node->reached.service, key->service) == 0
-      && now - node->reached_at < REACHED_TIME)
+      && now - node->reached_at < REACHED_TIME
+      && now - node->reached_since >= REACHED_SETTLE)
     return true;
   if (now < node->probe_due)
     return false;
@@ -551,13 +569,32 @@
 static void
 release (struct snipe_node *node, struct held_pool *pool, const char *why)
 {
-  g_message ("pool: event=released service=%s domain=%s epoch=%" G_GUINT64_FORMAT
-             " reason=%s",
-             pool->key.service, pool->key.domain, pool->epoch, why);
+  g_message ("pool: event=released service=%s domain=%s "
+             "token=%" G_GUINT64_FORMAT " reason=%s",
+             pool->key.service, pool->key.domain, pool->token, why);
   g_ptr_array_remove (node->pools, pool);
   node->hello_due = 0;
 }
 
+/* A higher token was met, and nobody is heard who has it: a host that was
+ * lost, or that only this host does not hear. */
+static void
+check_fence (struct snipe_node *node, struct held_pool *held, snipe_time now)
+{
+  struct pool_key key = held->key;
+  uint64_t token = next_token (node, held->token);
+
+  if (!snipe_pool_fenced (held->pool))
+    return;
+  if (held->fenced_at == 0)
+    held->fenced_at = now;
+  if (now - held->fenced_at < FENCED_WAIT)
+    return;
+  release (node, held, "a higher token was met");
+  if (!node->leaving)
+    claim (node, &key, token, now);
+}
+
 static void
 decide_owners (struct snipe_node *node, snipe_time now)
 {
@@ -571,27 +608,18 @@
           = snipe_node_find_pool (node, key->service, key->domain);
       struct snipe_ownership_result result = snipe_members_decide (
           node->members, key->service, key->domain,
-          held == NULL ? 0 : held->epoch, node->store_version, now);
+          held == NULL ? 0 : held->token, now);
 
       if (result.what == SNIPE_OWN_YIELD)
         release (node, held, "another host has claimed it");
       else if (result.what == SNIPE_OWN_CLAIM && !node->leaving
                && can_reach (node, key, now))
-        claim (node, key, result.epoch, now);
-      else if (result.what == SNIPE_OWN_KEEP
-               && snipe_pool_fenced (held->pool))
-        {
-          /* Nobody is heard who has a higher token: one that was lost, or
-           * that is cut off from this host only. */
-          uint64_t epoch = MAX (held->epoch, node->store_version) + 1;
-
-          release (node, held, "a higher token was seen");
-          if (!node->leaving)
-            claim (node, key, epoch, now);
-        }
+        claim (node, key, next_token (node, result.token), now);
+      else if (result.what == SNIPE_OWN_KEEP)
+        check_fence (node, held, now);
       if (result.owner != 0 && result.what != SNIPE_OWN_CLAIM)
         snipe_home_owner (node->home, key->service, key->domain, result.owner,
-                          result.epoch, now);
+                          result.token, now);
     }
 }
 
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -23,9 +23,9 @@
 {
   struct snipe_node *node;
   struct pool_key key;
-  uint64_t epoch;
   uint64_t token;
   struct snipe_pool *pool;
+  snipe_time fenced_at; /**< when a higher token was first met, 0: never */
   snipe_time load_sent;
   uint64_t load_digest; /**< of the load that was sent last */
 };
@@ -94,6 +94,7 @@
   snipe_time owner_due;
   snipe_time directory_read; /**< since when the list of endpoints is whole */
   struct pool_key reached;   /**< pool whose endpoints have answered */
+  snipe_time reached_since;
   snipe_time reached_at;
   snipe_time probe_due;
   snipe_time reset_at; /**< last connection that was given up as silent */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -205,7 +205,7 @@
 
       claims[i] = (link_claim){ .service = pool->key.service,
                                 .domain = pool->key.domain,
-                                .epoch = pool->epoch };
+                                .token = pool->token };
     }
   snipe_link_send (node->link, address, &message);
   g_free (claims);
@@ -236,7 +236,7 @@
   struct snipe_home_load own = { .service = pool->key.service,
                                  .domain = pool->key.domain,
                                  .owner = node->incarnation,
-                                 .epoch = pool->epoch,
+                                 .token = pool->token,
                                  .free_cpu = free_cpu,
                                  .free_count = count,
                                  .total_cpu = load.total_cpu,
@@ -247,7 +247,7 @@
           .args.load = { .incarnation = node->incarnation,
                          .service = pool->key.service,
                          .domain = pool->key.domain,
-                         .epoch = pool->epoch,
+                         .token = pool->token,
                          .free_cpu = { .free_cpu_len = count,
                                        .free_cpu_val = free_cpu },
                          .total_cpu = (u_quad_t)load.total_cpu,
@@ -320,7 +320,7 @@
 
       g_strlcpy (claims[i].service, claim->service, sizeof claims[i].service);
       g_strlcpy (claims[i].domain, claim->domain, sizeof claims[i].domain);
-      claims[i].epoch = claim->epoch;
+      claims[i].token = claim->token;
     }
   member.claims = claims;
   node->store_version = MAX (node->store_version, hello->store_version);
@@ -333,7 +333,7 @@
     }
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_home_owner (node->home, claims[i].service, claims[i].domain,
-                      member.incarnation, claims[i].epoch, now);
+                      member.incarnation, claims[i].token, now);
   if (hello->silence_ms > SNIPE_NODE_UNHEARD_MS
       && hello->silence_ms != UINT32_MAX && now - node->reset_at > SNIPE_S)
     {
@@ -359,7 +359,7 @@
       = { .service = load->service,
           .domain = load->domain,
           .owner = load->incarnation,
-          .epoch = load->epoch,
+          .token = load->token,
           .free_cpu = load->free_cpu.free_cpu_val,
           .free_count = load->free_cpu.free_cpu_len,
           .total_cpu = (int64_t)load->total_cpu,
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -37,7 +37,6 @@
   g_strlcpy (pool->service, options->service, sizeof pool->service);
   g_strlcpy (pool->domain, options->domain, sizeof pool->domain);
   pool->token = options->token;
-  pool->epoch = options->epoch;
   pool->lease_max = options->lease_max;
   pool->stop_max = options->stop_max;
   pool->port = options->port;
@@ -584,6 +583,13 @@
   GPtrArray *order = g_ptr_array_sized_new (pool->batches->len);
   bool all = settled (pool, now);
 
+  /* Another owner has a higher token somewhere. What this one would start at
+   * the endpoints that still obey it, the other may start elsewhere. */
+  if (pool->fenced)
+    {
+      g_ptr_array_free (order, TRUE);
+      return;
+    }
   for (guint i = 0; i < pool->batches->len; i++)
     {
       struct batch *batch = g_ptr_array_index (pool->batches, i);
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -111,7 +111,6 @@
   char service[SNIPE_POOL_NAME_BYTES];
   char domain[SNIPE_POOL_NAME_BYTES];
   uint64_t token;
-  uint64_t epoch;
   snipe_time lease_max;
   snipe_time stop_max;
   struct snipe_pool_port port;
