--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -215,6 +215,11 @@
 void snipe_pool_endpoint_remove (struct snipe_pool *pool, const char *id,
                                  snipe_time now);
 
+/** All endpoints that were listed at some time after the pool was claimed are
+ * set. Until then a batch that may run already is not started: it may run at
+ * an endpoint that this owner does not know yet. */
+void snipe_pool_directory_known (struct snipe_pool *pool);
+
 /** Takes a batch; its end comes through the port, maybe at once. */
 void snipe_pool_submit (struct snipe_pool *pool,
                         const struct snipe_pool_batch *batch, snipe_time now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -243,12 +243,20 @@
 }
 
 void
-snipe_node_directory_read (struct snipe_node *node, bool whole, snipe_time now)
+snipe_node_directory_read (struct snipe_node *node, bool whole,
+                           snipe_time asked, snipe_time now)
 {
   if (!whole)
     node->directory_read = 0;
   else if (node->directory_read == 0)
     node->directory_read = now;
+  for (guint i = 0; whole && i < node->pools->len; i++)
+    {
+      struct held_pool *pool = g_ptr_array_index (node->pools, i);
+
+      if (pool->claimed <= asked)
+        snipe_pool_directory_known (pool->pool);
+    }
 }
 
 /* Whether some endpoint could ever run a task of the job. */
@@ -494,6 +502,7 @@
   held->node = node;
   held->key = *key;
   held->token = token;
+  held->claimed = now;
   options.service = key->service;
   options.domain = key->domain;
   options.token = held->token;
@@ -524,6 +533,7 @@
         snipe_pool_endpoint_set (held->pool, entry, now);
     }
   node->hello_due = 0;
+  node->options.port.refresh_directory (node->options.port.ctx);
   snipe_home_owner (node->home, key->service, key->domain, node->incarnation,
                     token, now);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -28,6 +28,8 @@
   /** The answer to a job, never from within snipe_node_submit (). */
   void (*answer) (void *ctx, void *job_ctx,
                   const struct snipe_home_answer *answer);
+  /** The list of endpoints is needed anew: a pool was claimed. */
+  void (*refresh_directory) (void *ctx);
   /** The configuration in force as a peer can take it over; empty: none. */
   void (*config) (void *ctx, uint64_t *version, struct snipe_str *text);
   /** A peer has a newer configuration. */
@@ -71,9 +73,10 @@
                               snipe_time now);
 void snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
                                  snipe_time now);
-/** The list of endpoints was read as a whole, or can no longer be read. */
+/** All changes of the list of endpoints up to @p asked were passed on, or
+ * (@p whole is false) the list can no longer be read. */
 void snipe_node_directory_read (struct snipe_node *node, bool whole,
-                                snipe_time now);
+                                snipe_time asked, snipe_time now);
 void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
 
 void snipe_node_submit (struct snipe_node *node,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -24,6 +24,7 @@
   struct snipe_node *node;
   struct pool_key key;
   uint64_t token;
+  snipe_time claimed;
   struct snipe_pool *pool;
   snipe_time fenced_at; /**< when a higher token was first met, 0: never */
   snipe_time load_sent;
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -240,6 +240,46 @@
   return false;
 }
 
+/* Ends the tasks of a batch that ended before it came.
+ * @return whether the batch is finished and freed */
+static bool
+take_done (struct snipe_pool *pool, struct batch *batch, snipe_time now)
+{
+  char name[SNIPE_TASK_NAME_BYTES];
+
+  for (uint32_t i = 0; i < batch->count; i++)
+    {
+      struct task *task = &batch->tasks[i];
+
+      if (task->run != NULL || task->end != SNIPE_TASK_OPEN)
+        continue;
+      snipe_batch_task_name (batch, i, name, sizeof name);
+      if (!g_hash_table_remove (pool->done, name))
+        continue;
+      task->end = SNIPE_TASK_DONE;
+      batch->waiting--;
+      batch->open--;
+    }
+  if (batch->open > 0)
+    return false;
+  snipe_batch_finish (pool, batch, SNIPE_OK, 0, now);
+  return true;
+}
+
+void
+snipe_batch_note_done (struct snipe_pool *pool, const char *name,
+                       snipe_time now)
+{
+  g_hash_table_add (pool->done, g_strdup (name));
+  for (guint i = pool->batches->len; i > 0; i--)
+    {
+      struct batch *batch = g_ptr_array_index (pool->batches, i - 1);
+
+      if (batch->resent)
+        take_done (pool, batch, now);
+    }
+}
+
 void
 snipe_batch_run_ended (struct snipe_pool *pool, struct run *run,
                        enum snipe_run_end end, snipe_time now)
@@ -297,6 +337,8 @@
   take_over (pool, batch, from, now);
   g_ptr_array_add (pool->batches, batch);
   adopt (pool, batch);
+  if (batch->resent)
+    take_done (pool, batch, now);
   snipe_pool_tick (pool, now);
 }
 
--- a/src/pool/batch.h
+++ b/src/pool/batch.h
@@ -31,6 +31,9 @@
 /** Removes the batch without a result; what runs of it is stopped. */
 void snipe_batch_drop (struct snipe_pool *pool, struct batch *batch,
                        snipe_time now);
+/** A task has ended well under an earlier owner; its batch may come later. */
+void snipe_batch_note_done (struct snipe_pool *pool, const char *task,
+                            snipe_time now);
 /** Orders the end of a run. */
 void snipe_pool_run_stop (struct snipe_pool *pool, struct run *run,
                           snipe_time now);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -45,6 +45,7 @@
   pool->endpoints = g_hash_table_new_full (
       g_str_hash, g_str_equal, NULL,
       (GDestroyNotify)snipe_pool_endpoint_free);
+  pool->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pool->batches
       = g_ptr_array_new_with_free_func ((GDestroyNotify)snipe_batch_free);
   *out = pool;
@@ -58,6 +59,7 @@
     return;
   g_ptr_array_free (pool->batches, TRUE);
   g_hash_table_destroy (pool->endpoints);
+  g_hash_table_destroy (pool->done);
   g_free (pool);
 }
 
@@ -67,6 +69,12 @@
   return pool->fenced;
 }
 
+void
+snipe_pool_directory_known (struct snipe_pool *pool)
+{
+  pool->directory_known = true;
+}
+
 bool
 snipe_pool_has (const struct snipe_pool *pool, const char *endpoint)
 {
@@ -419,17 +427,10 @@
         continue;
       endpoint->last_seen = end->number;
       run = snipe_pool_run_find (endpoint, end->task, end->run);
-      if (run == NULL && endpoint->claim == CLAIM_ASKED)
-        {
-          /* Ended under an earlier owner: counts if its batch is here. */
-          struct snipe_endpoint_run found = { .run = end->run };
-
-          g_strlcpy (found.task, end->task, sizeof found.task);
-          found_running (pool, endpoint, &found, now);
-          run = snipe_pool_run_find (endpoint, end->task, end->run);
-        }
       if (run != NULL)
         end_run (pool, run, end->end, now);
+      else if (end->end == SNIPE_RUN_DONE && endpoint->claim == CLAIM_ASKED)
+        snipe_batch_note_done (pool, end->task, now);
     }
 }
 
@@ -531,6 +532,12 @@
   GHashTableIter iter;
   gpointer value;
 
+  /* The earlier owner may use endpoints that are not in this list yet; it
+   * extends no lease after it has heard of the claim. */
+  if (!pool->directory_known
+      && now < pool->created + pool->lease_max + pool->lease_max / 20)
+    return false;
+
   g_hash_table_iter_init (&iter, pool->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -118,7 +118,9 @@
   GHashTable *endpoints; /**< id -> struct snipe_pool_endpoint */
   GPtrArray *batches;    /**< struct batch, in order of arrival */
   double slowness;       /**< actual over estimated duration, smoothed */
+  bool directory_known;
   bool fenced;
+  GHashTable *done; /**< names of tasks that ended under an earlier owner */
 };
 
 /* endpoint.c */
