--- /dev/null
+++ b/tests/pool/model.h
@@ -0,0 +1,658 @@
+/**
+ * @file model.h
+ * Endpoints in virtual time for tests of the pool scheduler: they obey tokens,
+ * grant leases, run tasks and list their ends. They record every start that
+ * exceeds their capacity, and every task that runs twice at the same time.
+ */
+#ifndef TESTS_POOL_MODEL_H
+#define TESTS_POOL_MODEL_H
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "snipe/pool.h"
+#include "snipe/status.h"
+
+#define MODEL_ENDPOINTS 24
+#define MODEL_OWNERS 2
+#define MODEL_RUNS 16
+#define MODEL_LEASE (1000 * SNIPE_MS)
+/* One way, as between hosts of one domain at the given sites. */
+#define MODEL_DELAY (SNIPE_MS / 2)
+
+struct model_run
+{
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  int64_t cpu;
+  snipe_time until;
+  bool fails;
+};
+
+struct model_endpoint
+{
+  struct snipe_endpoint_entry entry;
+  uint64_t token;
+  struct model_run runs[MODEL_RUNS];
+  uint32_t run_count;
+  GArray *ends; /**< struct snipe_endpoint_end */
+  uint64_t next_end;
+  snipe_time lease; /**< until when, on the model's clock */
+  double slowness;  /**< actual over nominal duration */
+  bool silent;      /**< carries nothing out and answers nothing */
+  bool fails;       /**< every task fails after a few ms */
+  bool mute_starts; /**< carries starts out without an answer */
+  snipe_time start_delay; /**< added to the way of a start */
+  snipe_time hold_delay;  /**< added to the way back of a hold's answer */
+  /* The hold that waits. */
+  bool holding;
+  uint32_t holder;
+  uint64_t hold_token;
+  uint64_t hold_seen;
+  snipe_time hold_until;
+};
+
+enum model_kind
+{
+  MODEL_START,
+  MODEL_STOP,
+  MODEL_HOLD,
+  MODEL_START_ANSWER,
+  MODEL_STOP_ANSWER,
+  MODEL_HOLD_ANSWER,
+};
+
+struct model_event
+{
+  snipe_time when;
+  uint64_t order;
+  enum model_kind kind;
+  uint32_t owner;
+  uint32_t endpoint;
+  uint64_t token;
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  uint64_t last_seen;
+  int64_t valid_until; /**< ms */
+  snipe_time wait;
+  enum snipe_endpoint_answer answer;
+  bool told; /**< the answer comes from the endpoint */
+  struct snipe_endpoint_run *runs;
+  uint32_t run_count;
+  struct snipe_endpoint_end *ends;
+  uint32_t end_count;
+};
+
+struct model_result
+{
+  uint64_t number;
+  int code;
+  uint32_t done;
+  uint32_t unrun;
+  snipe_time when;
+};
+
+struct model
+{
+  snipe_time now;
+  uint64_t order;
+  struct model_endpoint endpoints[MODEL_ENDPOINTS];
+  uint32_t endpoint_count;
+  struct
+  {
+    struct model *model;
+    struct snipe_pool *pool;
+  } owners[MODEL_OWNERS];
+  GQueue events; /**< struct model_event, by time */
+  GArray *results;
+  /** Nominal duration and size of a task, from its name. */
+  snipe_time (*duration) (const char *task);
+  int64_t cpu; /**< of every task */
+  int64_t (*size) (const char *task); /**< if it is not the same for all */
+  uint32_t starts;
+  uint32_t holds;
+  uint32_t over_capacity;
+  uint32_t twice;
+};
+
+static gint
+model_compare (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  const struct model_event *one = a;
+  const struct model_event *two = b;
+
+  (void)ctx;
+  if (one->when != two->when)
+    return one->when < two->when ? -1 : 1;
+  return one->order < two->order ? -1 : one->order > two->order;
+}
+
+static void
+model_push (struct model *model, const struct model_event *event)
+{
+  struct model_event *copy = g_memdup2 (event, sizeof *event);
+
+  copy->order = ++model->order;
+  g_queue_insert_sorted (&model->events, copy, model_compare, NULL);
+}
+
+static uint32_t
+model_index (const struct model *model, const char *id)
+{
+  for (uint32_t i = 0; i < model->endpoint_count; i++)
+    if (strcmp (model->endpoints[i].entry.id, id) == 0)
+      return i;
+  g_assert_not_reached ();
+}
+
+struct model_owner
+{
+  struct model *model;
+  struct snipe_pool *pool;
+};
+
+static uint32_t
+model_owner_index (const struct model *model, void *ctx)
+{
+  return (void *)&model->owners[0] == ctx ? 0 : 1;
+}
+
+static void
+model_on_start (void *ctx, const struct snipe_pool_start *order)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+  struct model_event event = { .kind = MODEL_START,
+                               .owner = model_owner_index (model, ctx),
+                               .token = order->token,
+                               .run = order->run,
+                               .valid_until = order->valid_until };
+
+  event.endpoint = model_index (model, order->endpoint->id);
+  event.when = model->now + MODEL_DELAY
+               + model->endpoints[event.endpoint].start_delay;
+  g_strlcpy (event.task, order->task, sizeof event.task);
+  model_push (model, &event);
+  /* The answer that no one gives: the caller's timeout. */
+  if (model->endpoints[event.endpoint].silent
+      || model->endpoints[event.endpoint].mute_starts)
+    {
+      event.kind = MODEL_START_ANSWER;
+      event.answer = SNIPE_ANSWER_NONE;
+      event.when = model->now + order->timeout;
+      model_push (model, &event);
+    }
+}
+
+static void
+model_on_stop (void *ctx, const struct snipe_pool_stop *order)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+  struct model_event event = { .kind = MODEL_STOP,
+                               .owner = model_owner_index (model, ctx),
+                               .token = order->token,
+                               .run = order->run,
+                               .when = model->now + MODEL_DELAY };
+
+  event.endpoint = model_index (model, order->endpoint->id);
+  g_strlcpy (event.task, order->task, sizeof event.task);
+  if (model->endpoints[event.endpoint].silent)
+    {
+      event.kind = MODEL_STOP_ANSWER;
+      event.answer = SNIPE_ANSWER_NONE;
+      event.when = model->now + order->timeout;
+    }
+  model_push (model, &event);
+}
+
+static void
+model_on_hold (void *ctx, const struct snipe_pool_hold *order)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+  struct model_event event = { .kind = MODEL_HOLD,
+                               .owner = model_owner_index (model, ctx),
+                               .token = order->token,
+                               .last_seen = order->last_seen,
+                               .valid_until = order->valid_until,
+                               .wait = order->wait,
+                               .when = model->now + MODEL_DELAY };
+
+  model->holds++;
+  event.endpoint = model_index (model, order->endpoint->id);
+  if (model->endpoints[event.endpoint].silent)
+    {
+      event.kind = MODEL_HOLD_ANSWER;
+      event.answer = SNIPE_ANSWER_NONE;
+      event.when = model->now + order->timeout;
+    }
+  model_push (model, &event);
+}
+
+static void
+model_on_result (void *ctx, const struct snipe_pool_result *result)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+  struct model_result row = { .number = result->number,
+                              .code = result->code,
+                              .when = model->now };
+
+  for (uint32_t i = 0; i < result->count; i++)
+    {
+      row.done += result->ends[i] == SNIPE_TASK_DONE;
+      row.unrun += result->ends[i] == SNIPE_TASK_UNRUN;
+    }
+  g_array_append_val (model->results, row);
+}
+
+static int64_t
+model_clock (const struct model *model)
+{
+  return 5000 + model->now / SNIPE_MS;
+}
+
+static int64_t
+model_size (const struct model *model, const char *task)
+{
+  return model->size == NULL ? model->cpu : model->size (task);
+}
+
+/* Lists what runs and what has ended in an answer. */
+static void
+model_report (struct model *model, struct model_endpoint *endpoint,
+              struct model_event *event, uint64_t last_seen)
+{
+  event->told = true;
+  event->runs = g_new0 (struct snipe_endpoint_run, endpoint->run_count + 1);
+  event->run_count = endpoint->run_count;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    {
+      g_strlcpy (event->runs[i].task, endpoint->runs[i].task,
+                 sizeof event->runs[i].task);
+      event->runs[i].run = endpoint->runs[i].run;
+    }
+  event->ends
+      = g_new0 (struct snipe_endpoint_end, endpoint->ends->len + 1);
+  for (guint i = 0; i < endpoint->ends->len; i++)
+    {
+      const struct snipe_endpoint_end *end
+          = &g_array_index (endpoint->ends, struct snipe_endpoint_end, i);
+
+      if (end->number > last_seen)
+        event->ends[event->end_count++] = *end;
+    }
+  (void)model;
+}
+
+static void
+model_answer_hold (struct model *model, uint32_t index)
+{
+  struct model_endpoint *endpoint = &model->endpoints[index];
+  struct model_event event = { .kind = MODEL_HOLD_ANSWER,
+                               .owner = endpoint->holder,
+                               .token = endpoint->hold_token,
+                               .endpoint = index,
+                               .answer = SNIPE_ANSWER_OK,
+                               .when = model->now + MODEL_DELAY
+                                       + endpoint->hold_delay };
+
+  endpoint->holding = false;
+  model_report (model, endpoint, &event, endpoint->hold_seen);
+  model_push (model, &event);
+}
+
+static void
+model_end_run (struct model *model, uint32_t index, uint32_t slot,
+               enum snipe_run_end how)
+{
+  struct model_endpoint *endpoint = &model->endpoints[index];
+  struct snipe_endpoint_end end
+      = { .number = ++endpoint->next_end,
+          .run = endpoint->runs[slot].run,
+          .end = endpoint->runs[slot].fails && how == SNIPE_RUN_DONE
+                     ? SNIPE_RUN_FAILED
+                     : how };
+
+  g_strlcpy (end.task, endpoint->runs[slot].task, sizeof end.task);
+  g_array_append_val (endpoint->ends, end);
+  endpoint->runs[slot] = endpoint->runs[--endpoint->run_count];
+  if (endpoint->holding)
+    model_answer_hold (model, index);
+}
+
+static void
+model_note_start (struct model *model, struct model_endpoint *endpoint,
+                  const struct model_event *event)
+{
+  int64_t used = 0;
+
+  model->starts++;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    used += endpoint->runs[i].cpu;
+  if (used > endpoint->entry.capacity.cpu)
+    model->over_capacity++;
+  for (uint32_t k = 0; k < model->endpoint_count; k++)
+    for (uint32_t i = 0; i < model->endpoints[k].run_count; i++)
+      {
+        const struct model_run *run = &model->endpoints[k].runs[i];
+
+        if (strcmp (run->task, event->task) == 0
+            && !(k == event->endpoint && run->run == event->run))
+          model->twice++;
+      }
+}
+
+static enum snipe_endpoint_answer
+model_start (struct model *model, const struct model_event *event)
+{
+  struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
+  struct model_run *run;
+
+  if (event->token < endpoint->token)
+    return SNIPE_ANSWER_FENCED;
+  endpoint->token = event->token;
+  if (event->valid_until < model_clock (model))
+    return SNIPE_ANSWER_TOO_LATE;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    if (strcmp (endpoint->runs[i].task, event->task) == 0
+        && endpoint->runs[i].run == event->run)
+      return SNIPE_ANSWER_OK;
+  for (guint i = 0; i < endpoint->ends->len; i++)
+    {
+      const struct snipe_endpoint_end *end
+          = &g_array_index (endpoint->ends, struct snipe_endpoint_end, i);
+
+      if (strcmp (end->task, event->task) == 0 && end->run >= event->run)
+        return SNIPE_ANSWER_OLD_RUN;
+    }
+  g_assert (endpoint->run_count < MODEL_RUNS);
+  run = &endpoint->runs[endpoint->run_count++];
+  *run = (struct model_run){ .run = event->run,
+                             .cpu = model_size (model, event->task),
+                             .fails = endpoint->fails };
+  g_strlcpy (run->task, event->task, sizeof run->task);
+  run->until = model->now
+               + (endpoint->fails
+                      ? 2 * SNIPE_MS
+                      : (snipe_time)((double)model->duration (event->task)
+                                     * endpoint->slowness));
+  endpoint->lease
+      = MAX (endpoint->lease, model->now
+                                  + MIN (MODEL_LEASE, (event->valid_until
+                                                       - model_clock (model))
+                                                          * SNIPE_MS));
+  model_note_start (model, endpoint, event);
+  return SNIPE_ANSWER_OK;
+}
+
+static void
+model_hold (struct model *model, const struct model_event *event)
+{
+  struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
+  struct model_event answer = *event;
+
+  answer.kind = MODEL_HOLD_ANSWER;
+  answer.when = model->now + MODEL_DELAY;
+  answer.answer = SNIPE_ANSWER_FENCED;
+  answer.told = true;
+  if (event->token < endpoint->token)
+    {
+      model_push (model, &answer);
+      return;
+    }
+  endpoint->token = event->token;
+  if (event->valid_until > 0)
+    endpoint->lease
+        = MAX (endpoint->lease, model->now
+                                    + MIN (MODEL_LEASE, (event->valid_until
+                                                         - model_clock (model))
+                                                            * SNIPE_MS));
+  if (endpoint->holding)
+    model_answer_hold (model, event->endpoint);
+  endpoint->holding = true;
+  endpoint->holder = event->owner;
+  endpoint->hold_token = event->token;
+  endpoint->hold_seen = event->last_seen;
+  endpoint->hold_until = model->now + event->wait;
+  if (event->wait == 0
+      || (endpoint->ends->len > 0 && endpoint->next_end > event->last_seen))
+    model_answer_hold (model, event->endpoint);
+}
+
+static void
+model_deliver (struct model *model, struct model_event *event)
+{
+  struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
+  struct snipe_pool *pool = model->owners[event->owner].pool;
+  struct snipe_endpoint_report report = { .clock_ms = model_clock (model),
+                                          .running = event->runs,
+                                          .running_count = event->run_count,
+                                          .ends = event->ends,
+                                          .end_count = event->end_count };
+  const struct snipe_endpoint_report *told = event->told ? &report : NULL;
+  struct model_event answer = *event;
+
+  answer.when = model->now + MODEL_DELAY;
+  answer.told = true;
+  if (event->kind <= MODEL_HOLD && endpoint->silent)
+    return;
+  switch (event->kind)
+    {
+    case MODEL_START:
+      answer.kind = MODEL_START_ANSWER;
+      answer.answer = model_start (model, event);
+      if (!endpoint->mute_starts)
+        model_push (model, &answer);
+      break;
+    case MODEL_STOP:
+      answer.kind = MODEL_STOP_ANSWER;
+      answer.answer = SNIPE_ANSWER_OK;
+      if (event->token < endpoint->token)
+        answer.answer = SNIPE_ANSWER_FENCED;
+      for (uint32_t i = endpoint->run_count;
+           i > 0 && answer.answer == SNIPE_ANSWER_OK; i--)
+        if (strcmp (endpoint->runs[i - 1].task, event->task) == 0
+            && endpoint->runs[i - 1].run == event->run)
+          model_end_run (model, event->endpoint, i - 1, SNIPE_RUN_STOPPED);
+      model_push (model, &answer);
+      break;
+    case MODEL_HOLD:
+      model_hold (model, event);
+      break;
+    case MODEL_START_ANSWER:
+      if (pool != NULL)
+        snipe_pool_on_start (pool, endpoint->entry.id, event->task,
+                             event->run, event->answer, told, model->now);
+      break;
+    case MODEL_STOP_ANSWER:
+      if (pool != NULL)
+        snipe_pool_on_stop (pool, endpoint->entry.id, event->task, event->run,
+                            event->answer, told, model->now);
+      break;
+    case MODEL_HOLD_ANSWER:
+      if (pool != NULL)
+        snipe_pool_on_hold (pool, endpoint->entry.id, event->answer, told,
+                            model->now);
+      break;
+    }
+}
+
+/* What happens at the endpoints without an order. */
+static void
+model_pass (struct model *model)
+{
+  for (uint32_t k = 0; k < model->endpoint_count; k++)
+    {
+      struct model_endpoint *endpoint = &model->endpoints[k];
+
+      for (uint32_t i = endpoint->run_count; i > 0; i--)
+        if (endpoint->runs[i - 1].until <= model->now)
+          model_end_run (model, k, i - 1, SNIPE_RUN_DONE);
+      while (endpoint->run_count > 0 && endpoint->lease < model->now)
+        model_end_run (model, k, 0, SNIPE_RUN_LAPSED);
+      if (endpoint->holding && endpoint->hold_until <= model->now)
+        model_answer_hold (model, k);
+    }
+}
+
+/** Lets time pass in steps of a quarter of a millisecond. */
+static inline void
+model_run (struct model *model, snipe_time until)
+{
+  for (; model->now < until; model->now += SNIPE_MS / 4)
+    {
+      struct model_event *event;
+
+      model_pass (model);
+      while ((event = g_queue_peek_head (&model->events)) != NULL
+             && event->when <= model->now)
+        {
+          g_queue_pop_head (&model->events);
+          model_deliver (model, event);
+          g_free (event->runs);
+          g_free (event->ends);
+          g_free (event);
+        }
+      if (model->now % (10 * SNIPE_MS) == 0)
+        for (uint32_t i = 0; i < MODEL_OWNERS; i++)
+          if (model->owners[i].pool != NULL)
+            snipe_pool_tick (model->owners[i].pool, model->now);
+    }
+}
+
+static inline void
+model_init (struct model *model, uint32_t endpoints, int64_t cpu,
+            snipe_time (*duration) (const char *task))
+{
+  *model = (struct model){ .now = SNIPE_S,
+                           .endpoint_count = endpoints,
+                           .duration = duration,
+                           .cpu = cpu };
+  g_queue_init (&model->events);
+  model->results = g_array_new (FALSE, FALSE, sizeof (struct model_result));
+  for (uint32_t i = 0; i < MODEL_OWNERS; i++)
+    model->owners[i].model = model;
+  for (uint32_t i = 0; i < endpoints; i++)
+    {
+      struct model_endpoint *endpoint = &model->endpoints[i];
+
+      snprintf (endpoint->entry.id, sizeof endpoint->entry.id, "e%u", i);
+      g_strlcpy (endpoint->entry.service, "work",
+                 sizeof endpoint->entry.service);
+      g_strlcpy (endpoint->entry.domain, "a", sizeof endpoint->entry.domain);
+      endpoint->entry.capacity
+          = (struct snipe_capacity){ .cpu = 64000, .mem_mb = 65536 };
+      endpoint->slowness = 1.0;
+      endpoint->ends
+          = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_end));
+    }
+}
+
+/** Makes an owner claim the pool with its first @p known endpoints. */
+static inline void
+model_claim (struct model *model, uint32_t owner, uint64_t token,
+             uint32_t known)
+{
+  struct snipe_pool_options options = SNIPE_POOL_OPTIONS_INIT;
+
+  options.service = "work";
+  options.domain = "a";
+  options.token = token;
+  options.lease_max = MODEL_LEASE;
+  options.port = (struct snipe_pool_port){ .ctx = &model->owners[owner],
+                                           .start = model_on_start,
+                                           .stop = model_on_stop,
+                                           .hold = model_on_hold,
+                                           .result = model_on_result };
+  CU_ASSERT_EQUAL_FATAL (
+      snipe_pool_new (&model->owners[owner].pool, &options, model->now), 0);
+  for (uint32_t i = 0; i < known; i++)
+    snipe_pool_endpoint_set (model->owners[owner].pool,
+                             &model->endpoints[i].entry, model->now);
+}
+
+static inline void
+model_release (struct model *model, uint32_t owner)
+{
+  snipe_pool_free (model->owners[owner].pool);
+  model->owners[owner].pool = NULL;
+}
+
+static inline void
+model_clear (struct model *model)
+{
+  struct model_event *event;
+
+  for (uint32_t i = 0; i < MODEL_OWNERS; i++)
+    model_release (model, i);
+  while ((event = g_queue_pop_head (&model->events)) != NULL)
+    {
+      g_free (event->runs);
+      g_free (event->ends);
+      g_free (event);
+    }
+  g_array_free (model->results, TRUE);
+  for (uint32_t i = 0; i < model->endpoint_count; i++)
+    g_array_free (model->endpoints[i].ends, TRUE);
+}
+
+struct model_job
+{
+  uint64_t home;
+  uint64_t number;
+  const char *job;
+  uint32_t count;
+  snipe_time estimate;
+  snipe_time due;     /**< from now */
+  snipe_time late;    /**< from now */
+  snipe_time give_up; /**< from now */
+  bool resent;
+  int64_t cpu; /**< 0: the model's */
+  uint32_t priority;
+};
+
+static inline void
+model_submit (struct model *model, uint32_t owner,
+              const struct model_job *job)
+{
+  uint32_t indexes[64];
+  struct snipe_pool_batch batch
+      = { .home = job->home,
+          .number = job->number,
+          .job = job->job,
+          .route = "r",
+          .spec = { .data = (char *)"s", .len = 1 },
+          .indexes = indexes,
+          .count = job->count,
+          .each = { .cpu = job->cpu > 0 ? job->cpu : model->cpu,
+                    .mem_mb = 64 },
+          .label = "",
+          .rack = "",
+          .priority = job->priority,
+          .attempts = 3,
+          .estimate = job->estimate,
+          .due = model->now + job->due,
+          .late = model->now + job->late,
+          .give_up = model->now + job->give_up,
+          .resent = job->resent };
+
+  for (uint32_t i = 0; i < job->count; i++)
+    indexes[i] = i;
+  snipe_pool_submit (model->owners[owner].pool, &batch, model->now);
+}
+
+static inline const struct model_result *
+model_find_result (const struct model *model, uint64_t number)
+{
+  for (guint i = 0; i < model->results->len; i++)
+    {
+      const struct model_result *result
+          = &g_array_index (model->results, struct model_result, i);
+
+      if (result->number == number)
+        return result;
+    }
+  return NULL;
+}
+
+#endif
