Take a refusal only from the host that has the batch

Change: results that are not complete count only from the present owner; tests for the job keeper and the view of the hosts.

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -124,7 +124,9 @@
 /** A host is not heard any more. */
 void snipe_home_owner_lost (struct snipe_home *home, uint64_t owner,
                             snipe_time now);
-void snipe_home_result (struct snipe_home *home,
+/** A result from the host @p from. What a host says of a batch that another
+ * one has by now counts only if the batch is complete. */
+void snipe_home_result (struct snipe_home *home, uint64_t from,
                         const struct snipe_pool_result *result,
                         snipe_time now);
 /** Sends the open batches of a host's pools again: some may be lost. */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -438,7 +438,7 @@
 }
 
 void
-snipe_home_result (struct snipe_home *home,
+snipe_home_result (struct snipe_home *home, uint64_t from,
                    const struct snipe_pool_result *result, snipe_time now)
 {
   struct batch *batch = g_hash_table_lookup (home->batches, &result->number);
@@ -448,7 +448,8 @@
   bool broken = false;
   bool stopped = false;
 
-  if (batch == NULL || result->count != batch->count)
+  if (batch == NULL || result->count != batch->count
+      || (batch->owner != from && result->code != SNIPE_OK))
     return;
   job = batch->job;
   unrun = g_new (uint32_t, batch->count);
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -244,7 +244,7 @@
             item->u.cancel.home, item->u.cancel.number, now);
       break;
     case PENDING_RESULT:
-      snipe_home_result (node->home, &item->u.result, now);
+      snipe_home_result (node->home, node->incarnation, &item->u.result, now);
       break;
     case PENDING_ANSWER:
       node->options.port.answer (node->options.port.ctx,
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -399,7 +399,8 @@
 }
 
 static void
-on_result (struct snipe_node *node, const link_result *from, snipe_time now)
+on_result (struct snipe_node *node, uint64_t sender, const link_result *from,
+           snipe_time now)
 {
   struct snipe_pool_result result
       = { .home = from->home,
@@ -411,7 +412,7 @@
           .retry_after = from->retry_after_ms * SNIPE_MS };
 
   if (from->home == node->incarnation)
-    snipe_home_result (node->home, &result, now);
+    snipe_home_result (node->home, sender, &result, now);
 }
 
 static void
@@ -464,7 +465,7 @@
       on_batch (node, &message->args.batch, now);
       break;
     case LINK_SEND_RESULT:
-      on_result (node, &message->args.result, now);
+      on_result (node, incarnation, &message->args.result, now);
       break;
     case LINK_SEND_CANCEL:
       for (guint i = 0; i < node->pools->len; i++)
--- /dev/null
+++ b/tests/home/test_home.c
@@ -0,0 +1,390 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "snipe/home.h"
+#include "snipe/status.h"
+#include "suite.h"
+
+#define SELF 1
+#define OWNER_A 2
+#define OWNER_B 3
+#define NEXT_OWNER 4
+#define NOW SNIPE_S
+#define SENT_MAX 16
+
+/** What a home sent, and how it answered. */
+struct record
+{
+  struct
+  {
+    uint64_t owner;
+    uint64_t number;
+    char domain[8];
+    uint32_t count;
+    uint32_t indexes[64];
+    bool resent;
+  } sent[SENT_MAX];
+  uint32_t sent_count;
+  uint32_t cancels;
+  uint32_t answers;
+  struct snipe_home_answer answer;
+  bool unreachable;
+};
+
+static int
+on_submit (void *ctx, uint64_t owner, const char *service, const char *domain,
+           const struct snipe_pool_batch *batch)
+{
+  struct record *record = ctx;
+
+  (void)service;
+  if (record->unreachable)
+    return SNIPE_E_UNREACHABLE;
+  CU_ASSERT_FATAL (record->sent_count < SENT_MAX && batch->count <= 64);
+  record->sent[record->sent_count].owner = owner;
+  record->sent[record->sent_count].number = batch->number;
+  g_strlcpy (record->sent[record->sent_count].domain, domain, 8);
+  record->sent[record->sent_count].count = batch->count;
+  memcpy (record->sent[record->sent_count].indexes, batch->indexes,
+          batch->count * sizeof *batch->indexes);
+  record->sent[record->sent_count++].resent = batch->resent;
+  return 0;
+}
+
+static void
+on_cancel (void *ctx, uint64_t owner, uint64_t number)
+{
+  struct record *record = ctx;
+
+  (void)owner;
+  (void)number;
+  record->cancels++;
+}
+
+static void
+on_answer (void *ctx, void *job_ctx, const struct snipe_home_answer *answer)
+{
+  struct record *record = ctx;
+
+  (void)job_ctx;
+  record->answers++;
+  record->answer = *answer;
+}
+
+struct pool_case
+{
+  const char *domain; /**< NULL: none */
+  uint64_t owner;
+  uint32_t endpoints; /**< with free_cpu each */
+  uint32_t free_cpu;
+  uint32_t total_endpoints; /**< of 64000 */
+  int64_t backlog;
+  double slowness;
+};
+
+static void
+tell (struct snipe_home *home, const struct pool_case *pool, uint64_t token,
+      snipe_time now)
+{
+  uint32_t rooms[64];
+  struct snipe_home_load load = { .service = "work",
+                                  .domain = pool->domain,
+                                  .owner = pool->owner,
+                                  .token = token,
+                                  .free_cpu = rooms,
+                                  .free_count = pool->endpoints,
+                                  .total_cpu = pool->total_endpoints * 64000,
+                                  .backlog = pool->backlog,
+                                  .slowness = pool->slowness };
+
+  for (uint32_t i = 0; i < pool->endpoints; i++)
+    rooms[i] = pool->free_cpu;
+  snipe_home_load (home, &load, now);
+}
+
+static struct snipe_home *
+new_home (struct record *record)
+{
+  struct snipe_home_options options = SNIPE_HOME_OPTIONS_INIT;
+  struct snipe_home *home;
+
+  *record = (struct record){ 0 };
+  options.incarnation = SELF;
+  options.domain = "a";
+  options.port = (struct snipe_home_port){ .ctx = record,
+                                           .submit = on_submit,
+                                           .cancel = on_cancel,
+                                           .answer = on_answer };
+  CU_ASSERT_EQUAL_FATAL (snipe_home_new (&home, &options), 0);
+  return home;
+}
+
+static void
+submit (struct snipe_home *home, uint32_t count, snipe_time estimate,
+        snipe_time now)
+{
+  struct snipe_home_job job = { .id = "0123456789abcdef",
+                                .route = "r",
+                                .service = "work",
+                                .spec = { .data = (char *)"s", .len = 1 },
+                                .count = count,
+                                .each = { .cpu = 30000, .mem_mb = 64 },
+                                .label = "",
+                                .rack = "",
+                                .attempts = 3,
+                                .estimate = estimate,
+                                .slack_factor = 1.6,
+                                .slo = 60 * SNIPE_MS,
+                                .give_up = now + 1500 * SNIPE_MS };
+
+  snipe_home_submit (home, &job, now);
+}
+
+struct route_case
+{
+  const char *name;
+  struct pool_case pools[3];
+  uint32_t count;
+  snipe_time estimate;
+  bool refused;
+  const char *first; /**< domain of the first batch */
+  uint32_t batches;
+};
+
+/* Guards against jobs that wait in a full pool beside an empty one, long jobs
+ * in a pool that is too slow for them, jobs split without need, and jobs that
+ * wait although no pool can end them in time. */
+static void
+test_route (void)
+{
+  const struct route_case cases[] = {
+    { "own domain among equals",
+      { { "a", OWNER_A, 8, 64000, 8, 0, 1.0 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.0 } },
+      4, 200 * SNIPE_MS, false, "a", 1 },
+    { "the one with room",
+      { { "a", OWNER_A, 0, 0, 8, 0, 1.0 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.0 } },
+      4, 200 * SNIPE_MS, false, "b", 1 },
+    { "long job to the fast pool",
+      { { "a", OWNER_A, 8, 64000, 8, 0, 2.4 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.0 } },
+      4, 600 * SNIPE_MS, false, "b", 1 },
+    { "short job to the slow pool",
+      { { "a", OWNER_A, 8, 64000, 8, 0, 1.0 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.8 } },
+      4, 60 * SNIPE_MS, false, "b", 1 },
+    { "wide job over both",
+      { { "a", OWNER_A, 4, 64000, 8, 0, 1.0 },
+        { "b", OWNER_B, 4, 64000, 8, 0, 1.0 } },
+      16, 200 * SNIPE_MS, false, "a", 2 },
+    { "all full: the shorter queue",
+      { { "a", OWNER_A, 0, 0, 8, 8 * 64000 * 400, 1.0 },
+        { "b", OWNER_B, 0, 0, 8, 8 * 64000 * 100, 1.0 } },
+      2, 200 * SNIPE_MS, false, "b", 1 },
+    { "all full for longer than the caller waits",
+      { { "a", OWNER_A, 0, 0, 8, 8 * 64000 * 1800, 1.0 },
+        { "b", OWNER_B, 0, 0, 8, 8 * 64000 * 1700, 1.0 } },
+      2, 200 * SNIPE_MS, true, NULL, 0 },
+    { "no owner is known", { { 0 } }, 2, 200 * SNIPE_MS, true, NULL, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct route_case *row = &cases[i];
+      struct record record;
+      struct snipe_home *home = new_home (&record);
+
+      for (size_t k = 0; k < 3 && row->pools[k].domain != NULL; k++)
+        tell (home, &row->pools[k], k + 1, NOW);
+      submit (home, row->count, row->estimate, NOW);
+      if (record.sent_count != row->batches)
+        printf ("%s: %u batches, first to %s\n", row->name, record.sent_count,
+                record.sent[0].domain);
+      CU_ASSERT_EQUAL (record.sent_count, row->batches);
+      CU_ASSERT_EQUAL (record.answers, row->refused);
+      if (row->refused)
+        {
+          CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_NOT_RUN);
+          CU_ASSERT_TRUE (record.answer.retry_after >= SNIPE_S);
+        }
+      else
+        CU_ASSERT_STRING_EQUAL (record.sent[0].domain, row->first);
+      snipe_home_free (home);
+    }
+}
+
+static void
+result_from (struct snipe_home *home, uint64_t from,
+             const struct record *record, uint32_t sent,
+             enum snipe_task_end end, int code, snipe_time now)
+{
+  uint32_t ends[64];
+  struct snipe_pool_result value = { .home = SELF,
+                                     .number = record->sent[sent].number,
+                                     .job = "",
+                                     .ends = ends,
+                                     .count = record->sent[sent].count,
+                                     .code = code };
+
+  for (uint32_t i = 0; i < value.count; i++)
+    ends[i] = end;
+  snipe_home_result (home, from, &value, now);
+}
+
+static void
+result (struct snipe_home *home, const struct record *record, uint32_t sent,
+        enum snipe_task_end end, int code, snipe_time now)
+{
+  result_from (home, record->sent[sent].owner, record, sent, end, code, now);
+}
+
+struct end_case
+{
+  const char *name;
+  enum snipe_task_end ends[4]; /**< of the batches, in order */
+  int codes[4];
+  uint32_t results;
+  enum snipe_home_outcome outcome;
+  uint32_t answers;
+};
+
+/* Guards against a refusal that says "not run" although a task has run, a
+ * partial answer, and a job that hangs after a refusal by its pool. */
+static void
+test_ends (void)
+{
+  const struct end_case cases[] = {
+    { "all done", { SNIPE_TASK_DONE, SNIPE_TASK_DONE }, { 0 }, 2,
+      SNIPE_HOME_COMPLETE, 1 },
+    { "half done", { SNIPE_TASK_DONE }, { 0 }, 1, SNIPE_HOME_COMPLETE, 0 },
+    { "a task failed for the last time", { SNIPE_TASK_BROKEN },
+      { SNIPE_E_TASK_FAILED }, 1, SNIPE_HOME_FAILED, 1 },
+    { "stopped after it had begun", { SNIPE_TASK_STOPPED },
+      { SNIPE_E_DEADLINE }, 1, SNIPE_HOME_UNKNOWN, 1 },
+    { "goes on for another host", { SNIPE_TASK_UNRUN },
+      { SNIPE_E_CANCELLED }, 1, SNIPE_HOME_UNKNOWN, 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct end_case *row = &cases[i];
+      struct record record;
+      struct snipe_home *home = new_home (&record);
+
+      tell (home, &(struct pool_case){ "a", OWNER_A, 4, 64000, 8, 0, 1.0 }, 1,
+            NOW);
+      tell (home, &(struct pool_case){ "b", OWNER_B, 4, 64000, 8, 0, 1.0 }, 2,
+            NOW);
+      submit (home, 16, 200 * SNIPE_MS, NOW);
+      CU_ASSERT_EQUAL_FATAL (record.sent_count, 2);
+      for (uint32_t k = 0; k < row->results; k++)
+        result (home, &record, k, row->ends[k], row->codes[k], NOW);
+      if (record.answers != row->answers
+          || (row->answers > 0 && record.answer.outcome != row->outcome))
+        printf ("%s: %u answers, outcome %d\n", row->name, record.answers,
+                (int)record.answer.outcome);
+      CU_ASSERT_EQUAL (record.answers, row->answers);
+      if (row->answers > 0)
+        CU_ASSERT_EQUAL (record.answer.outcome, row->outcome);
+      snipe_home_free (home);
+    }
+}
+
+/* Guards against a job whose pool changes its owner being lost, being sent to
+ * another pool while it may run in this one, or being kept for ever when no
+ * new owner comes. */
+static void
+test_owner_change (void)
+{
+  const struct pool_case pool = { "a", OWNER_A, 4, 64000, 8, 0, 1.0 };
+  const struct pool_case other = { "b", OWNER_B, 4, 64000, 8, 0, 1.0 };
+  const struct pool_case next = { "a", NEXT_OWNER, 4, 64000, 8, 0, 1.0 };
+  struct record record;
+  struct snipe_home *home = new_home (&record);
+
+  tell (home, &pool, 1, NOW);
+  tell (home, &other, 2, NOW);
+  submit (home, 2, 200 * SNIPE_MS, NOW);
+  CU_ASSERT_EQUAL_FATAL (record.sent_count, 1);
+  CU_ASSERT_FALSE (record.sent[0].resent);
+  snipe_home_owner_lost (home, OWNER_A, NOW + 100 * SNIPE_MS);
+  snipe_home_tick (home, NOW + 400 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.sent_count, 1);
+  CU_ASSERT_EQUAL (record.answers, 0);
+  tell (home, &next, 3, NOW + 500 * SNIPE_MS);
+  CU_ASSERT_EQUAL_FATAL (record.sent_count, 2);
+  CU_ASSERT_TRUE (record.sent[1].resent);
+  CU_ASSERT_EQUAL (record.sent[1].owner, NEXT_OWNER);
+  CU_ASSERT_EQUAL (record.sent[1].number, record.sent[0].number);
+  snipe_home_owner_lost (home, NEXT_OWNER, NOW + 600 * SNIPE_MS);
+  snipe_home_tick (home, NOW + 1450 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.answers, 1);
+  CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_UNKNOWN);
+  snipe_home_free (home);
+}
+
+/* Guards against a refusal by a host that owned the pool before being taken
+ * for the answer of the one that owns it now, which starts the job (REFUSED on
+ * the grown site). */
+static void
+test_late_refusal (void)
+{
+  const struct pool_case pool = { "a", OWNER_A, 4, 64000, 8, 0, 1.0 };
+  const struct pool_case next = { "a", NEXT_OWNER, 4, 64000, 8, 0, 1.0 };
+  struct record record;
+  struct snipe_home *home = new_home (&record);
+
+  tell (home, &pool, 1, NOW);
+  submit (home, 2, 200 * SNIPE_MS, NOW);
+  tell (home, &next, 3, NOW + 10 * SNIPE_MS);
+  CU_ASSERT_EQUAL_FATAL (record.sent_count, 2);
+  result_from (home, OWNER_A, &record, 0, SNIPE_TASK_UNRUN,
+               SNIPE_E_UNREACHABLE, NOW + 20 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.answers, 0);
+  CU_ASSERT_EQUAL (record.sent_count, 2);
+  result_from (home, NEXT_OWNER, &record, 1, SNIPE_TASK_DONE, SNIPE_OK,
+               NOW + 300 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.answers, 1);
+  CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_COMPLETE);
+  snipe_home_free (home);
+}
+
+/* Guards against work that goes on for a caller that has gone, and answers to
+ * a request that was replaced by a later one with the same id. */
+static void
+test_callers (void)
+{
+  const struct pool_case pool = { "a", OWNER_A, 4, 64000, 8, 0, 1.0 };
+  struct record record;
+  struct snipe_home *home = new_home (&record);
+
+  tell (home, &pool, 1, NOW);
+  submit (home, 2, 200 * SNIPE_MS, NOW);
+  submit (home, 2, 200 * SNIPE_MS, NOW + 10 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.sent_count, 1);
+  CU_ASSERT_EQUAL (record.answers, 1);
+  CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_UNKNOWN);
+  snipe_home_abandon (home, NULL, NOW + 20 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.cancels, 1);
+  CU_ASSERT_EQUAL (record.answers, 1);
+  CU_ASSERT_EQUAL (snipe_home_jobs (home), 0);
+  snipe_home_free (home);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "route", test_route },
+    { "ends", test_ends },
+    { "owner change", test_owner_change },
+    { "late refusal", test_late_refusal },
+    { "callers", test_callers },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("home", tests);
+}
--- /dev/null
+++ b/tests/member/test_member.c
@@ -0,0 +1,195 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "snipe/member.h"
+#include "suite.h"
+
+#define SELF 10
+#define START SNIPE_S
+#define SETTLED (START + 2 * SNIPE_S)
+
+struct host_case
+{
+  uint64_t incarnation; /**< 0: none */
+  const char *domain;
+  bool leaving;
+  uint64_t token;      /**< of its claim of the pool, 0: none */
+  snipe_time silent;   /**< since it was last heard */
+};
+
+struct decide_case
+{
+  const char *name;
+  const char *own_domain;
+  bool leaving; /**< this host */
+  uint64_t own_token;
+  struct host_case hosts[3];
+  snipe_time now;
+  enum snipe_ownership what;
+  uint64_t owner; /**< 0: not checked */
+};
+
+static struct snipe_members *
+new_members (const char *domain)
+{
+  struct snipe_members_options options = SNIPE_MEMBERS_OPTIONS_INIT;
+  struct snipe_members *members;
+
+  options.self.incarnation = SELF;
+  g_strlcpy (options.self.name, "self", sizeof options.self.name);
+  g_strlcpy (options.self.domain, domain, sizeof options.self.domain);
+  CU_ASSERT_EQUAL_FATAL (snipe_members_new (&members, &options, START), 0);
+  return members;
+}
+
+static void
+hear (struct snipe_members *members, const struct host_case *host,
+      snipe_time when)
+{
+  struct snipe_claim claim = { .token = host->token };
+  struct snipe_member member = { .incarnation = host->incarnation,
+                                 .leaving = host->leaving,
+                                 .claims = &claim,
+                                 .claim_count = host->token > 0 };
+
+  g_strlcpy (claim.service, "work", sizeof claim.service);
+  g_strlcpy (claim.domain, "a", sizeof claim.domain);
+  g_strlcpy (member.domain, host->domain, sizeof member.domain);
+  snprintf (member.name, sizeof member.name, "h%u",
+            (unsigned int)host->incarnation);
+  snprintf (member.address, sizeof member.address, "127.0.0.%u:1",
+            (unsigned int)host->incarnation);
+  snipe_members_heard (members, &member, when);
+}
+
+/* Guards against two owners that both stay (claims with one number), a pool
+ * that is without an owner while its host leaves, a pool taken by a host of
+ * another domain, and a claim before the other hosts could be heard. */
+static void
+test_decide (void)
+{
+  const struct decide_case cases[] = {
+    { "alone", "a", false, 0, { { 0 } }, SETTLED, SNIPE_OWN_CLAIM, 0 },
+    { "alone, just started", "a", false, 0, { { 0 } }, START, SNIPE_OWN_NONE,
+      0 },
+    { "owner stays, though this host hashes higher or lower", "a", false, 0,
+      { { 1, "a", false, 5, 0 } }, SETTLED, SNIPE_OWN_NONE, 1 },
+    { "owner stays, a newcomer has joined", "a", false, 5,
+      { { 1, "a", false, 0, 0 } }, SETTLED, SNIPE_OWN_KEEP, SELF },
+    { "higher token wins", "a", false, 5, { { 1, "a", false, 6, 0 } },
+      SETTLED, SNIPE_OWN_YIELD, 1 },
+    { "lower token loses", "a", false, 7, { { 1, "a", false, 6, 0 } },
+      SETTLED, SNIPE_OWN_KEEP, SELF },
+    { "owner is lost", "a", false, 0,
+      { { 1, "a", false, 5, 700 * SNIPE_MS } }, SETTLED, SNIPE_OWN_CLAIM, 0 },
+    { "lost owner's token is not forgotten", "a", false, 4,
+      { { 1, "a", false, 5, 700 * SNIPE_MS } }, SETTLED, SNIPE_OWN_KEEP,
+      SELF },
+    { "owner leaves", "a", false, 0, { { 1, "a", true, 5, 0 } }, SETTLED,
+      SNIPE_OWN_CLAIM, 0 },
+    { "leaving host keeps until the heir has claimed", "a", true, 5,
+      { { 1, "a", false, 0, 0 } }, SETTLED, SNIPE_OWN_KEEP, SELF },
+    { "leaving host yields", "a", true, 5, { { 1, "a", false, 6, 0 } },
+      SETTLED, SNIPE_OWN_YIELD, 1 },
+    { "other domain has a host", "b", false, 0, { { 1, "a", false, 0, 0 } },
+      SETTLED, SNIPE_OWN_NONE, 0 },
+    { "other domain has no host left", "b", false, 0, { { 0 } }, SETTLED,
+      SNIPE_OWN_CLAIM, 0 },
+    { "owner from outside, domain has a host again", "a", false, 0,
+      { { 1, "b", false, 5, 0 } }, SETTLED, SNIPE_OWN_CLAIM, 0 },
+    { "owner from outside keeps until then", "b", false, 5,
+      { { 1, "a", false, 0, 0 } }, SETTLED, SNIPE_OWN_KEEP, SELF },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct decide_case *row = &cases[i];
+      struct snipe_members *members = new_members (row->own_domain);
+      struct snipe_ownership_result result;
+
+      for (size_t k = 0; k < G_N_ELEMENTS (row->hosts); k++)
+        if (row->hosts[k].incarnation != 0)
+          hear (members, &row->hosts[k], row->now - row->hosts[k].silent);
+      if (row->leaving)
+        snipe_members_leave (members);
+      while (snipe_members_lost (members, row->now) != 0)
+        continue;
+      result = snipe_members_decide (members, "work", "a", row->own_token,
+                                     row->now);
+      if (result.what != row->what
+          || (row->owner != 0 && result.owner != row->owner))
+        printf ("%s: %d, owner %u\n", row->name, (int)result.what,
+                (unsigned int)result.owner);
+      CU_ASSERT_EQUAL (result.what, row->what);
+      CU_ASSERT_TRUE (row->owner == 0 || result.owner == row->owner);
+      /* A new claim is above every token that was ever seen. */
+      if (result.what == SNIPE_OWN_CLAIM)
+        for (size_t k = 0; k < G_N_ELEMENTS (row->hosts); k++)
+          CU_ASSERT_TRUE (result.token >= row->hosts[k].token);
+      snipe_members_free (members);
+    }
+}
+
+/* Guards against every host or none of them claiming a pool without an owner:
+ * all views agree on one heir. */
+static void
+test_one_heir (void)
+{
+  uint32_t claims = 0;
+
+  for (uint64_t self = 1; self <= 5; self++)
+    {
+      struct snipe_members_options options = SNIPE_MEMBERS_OPTIONS_INIT;
+      struct snipe_members *members;
+
+      options.self.incarnation = self;
+      g_strlcpy (options.self.domain, "a", sizeof options.self.domain);
+      snprintf (options.self.name, sizeof options.self.name, "h%u",
+                (unsigned int)self);
+      CU_ASSERT_EQUAL_FATAL (snipe_members_new (&members, &options, START), 0);
+      for (uint64_t other = 1; other <= 5; other++)
+        if (other != self)
+          hear (members, &(struct host_case){ .incarnation = other,
+                                              .domain = "a" },
+                SETTLED);
+      claims += snipe_members_decide (members, "work", "a", 0, SETTLED).what
+                == SNIPE_OWN_CLAIM;
+      snipe_members_free (members);
+    }
+  CU_ASSERT_EQUAL (claims, 1);
+}
+
+/* Guards against a host whose connection was reset counting as lost at once,
+ * and against one whose process has ended counting as live for long. */
+static void
+test_suspect (void)
+{
+  struct snipe_members *members = new_members ("a");
+  const struct host_case host = { .incarnation = 1, .domain = "a" };
+
+  hear (members, &host, SETTLED);
+  snipe_members_suspect (members, 1, SETTLED);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 100 * SNIPE_MS), 0);
+  hear (members, &host, SETTLED + 150 * SNIPE_MS);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 500 * SNIPE_MS), 0);
+  snipe_members_suspect (members, 1, SETTLED + 500 * SNIPE_MS);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 760 * SNIPE_MS), 1);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 760 * SNIPE_MS), 0);
+  CU_ASSERT_FALSE (snipe_members_live (members, 1));
+  snipe_members_free (members);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "decide", test_decide },
+    { "one heir", test_one_heir },
+    { "suspect", test_suspect },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("member", tests);
+}
