Test the formats of the platform and the client of its store

Change: tests/adapter plays the store's answers from a stand-in; the case of a peer that is listed together with this host fails without its mend. Conclusion: bad rows, dropped history and refusals have cases too.

--- /dev/null
+++ b/tests/adapter/test_formats.c
@@ -0,0 +1,277 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "formats.h"
+#include "snipe/status.h"
+#include "suite.h"
+
+static struct snipe_str
+text (const char *value)
+{
+  return (struct snipe_str){ .data = (char *)value, .len = strlen (value) };
+}
+
+struct config_case
+{
+  const char *name;
+  const char *body;
+  bool good;
+  guint routes;
+};
+
+/* Guards against a configuration that cannot be read replacing a good one, and
+ * against one bad route hiding the others. */
+static void
+test_config (void)
+{
+  const struct config_case cases[] = {
+    { "whole",
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+      "\"path_prefix\":\"/a/\",\"service\":\"s\",\"priority\":1,"
+      "\"attempts\":3,\"slack_factor\":1.6,\"slo_ms\":60,"
+      "\"timeout_ms\":1500}],\"limits\":{\"max_body_bytes\":100}}",
+      true, 1 },
+    { "unknown fields", "{\"version\":7,\"routes\":[],\"x\":[1]}", true, 0 },
+    { "one bad route",
+      "{\"version\":7,\"routes\":[{\"name\":\"r\"},{\"host\":\"h\","
+      "\"path_prefix\":\"/a/\",\"service\":\"s\"}]}",
+      true, 1 },
+    { "no version", "{\"routes\":[]}", false, 0 },
+    { "version of another type", "{\"version\":\"7\",\"routes\":[]}", false,
+      0 },
+    { "routes of another type", "{\"version\":7,\"routes\":{}}", false, 0 },
+    { "cut off", "{\"version\":7,\"routes\":[", false, 0 },
+    { "empty", "", false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct platform_config *config = platform_config_decode (
+          cases[i].body, strlen (cases[i].body));
+
+      if ((config != NULL) != cases[i].good)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (config != NULL, cases[i].good);
+      if (config != NULL)
+        CU_ASSERT_EQUAL (config->routes->len, cases[i].routes);
+      platform_config_free (config);
+    }
+}
+
+struct find_case
+{
+  const char *host;
+  const char *path;
+  const char *service; /**< NULL: no route */
+};
+
+/* Guards against a route of another host, and a shorter prefix before a longer
+ * one. */
+static void
+test_find (void)
+{
+  const char *body
+      = "{\"version\":1,\"routes\":["
+        "{\"host\":\"h\",\"path_prefix\":\"/a/\",\"service\":\"s1\"},"
+        "{\"host\":\"h\",\"path_prefix\":\"/a/b/\",\"service\":\"s2\"},"
+        "{\"host\":\"g\",\"path_prefix\":\"/a/\",\"service\":\"s3\"}]}";
+  const struct find_case cases[] = {
+    { "h", "/a/1", "s1" }, { "h", "/a/b/1", "s2" }, { "g", "/a/b/1", "s3" },
+    { "h", "/b/1", NULL }, { "x", "/a/1", NULL },   { "h", "/a", NULL },
+  };
+  struct platform_config *config
+      = platform_config_decode (body, strlen (body));
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct platform_route *route
+          = platform_config_find (config, cases[i].host, cases[i].path);
+
+      CU_ASSERT_EQUAL (route != NULL, cases[i].service != NULL);
+      if (route != NULL && cases[i].service != NULL)
+        CU_ASSERT_STRING_EQUAL (route->service, cases[i].service);
+    }
+  platform_config_free (config);
+}
+
+struct endpoint_case
+{
+  const char *name;
+  const char *value;
+  bool good;
+  bool draining;
+};
+
+/* Guards against an entry with missing or foreign values being used. */
+static void
+test_endpoint (void)
+{
+  const struct endpoint_case cases[] = {
+    { "ready",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+      "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32},"
+      "\"labels\":[\"a\",\"r1-3\"],\"born\":17}",
+      true, false },
+    { "draining",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+      "\"state\":\"draining\",\"capacity\":{\"cpu\":16000}}",
+      true, true },
+    { "unknown state",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+      "\"state\":\"idle\",\"capacity\":{\"cpu\":16000}}",
+      false, false },
+    { "no capacity",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+      "\"state\":\"ready\"}",
+      false, false },
+    { "address of another type",
+      "{\"service\":\"s\",\"address\":1,\"zone\":\"z\",\"state\":\"ready\","
+      "\"capacity\":{\"cpu\":16000}}",
+      false, false },
+    { "not JSON", "\xff\xfe{", false, false },
+    { "empty", "", false, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct platform_row row = { .key = "i-1",
+                                  .value = (char *)cases[i].value,
+                                  .len = strlen (cases[i].value) };
+      struct snipe_endpoint_entry entry;
+      int status = platform_endpoint_decode (&entry, &row);
+
+      if ((status == 0) != cases[i].good)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (status == 0, cases[i].good);
+      if (status == 0)
+        CU_ASSERT_EQUAL (entry.draining, cases[i].draining);
+    }
+}
+
+struct report_case
+{
+  const char *name;
+  int http;
+  const char *body;
+  enum snipe_endpoint_answer answer;
+  uint32_t runs;
+  uint32_t ends;
+};
+
+/* Guards against an answer being taken for another one: a start that was
+ * refused counts as not carried out, one without an answer does not. */
+static void
+test_report (void)
+{
+  const struct report_case cases[] = {
+    { "lists", 200,
+      "{\"clock_ms\":5,\"born\":9,\"running\":[[\"t.0.0.1\",2,\"\",41]],"
+      "\"finished\":[[58,\"t.0.0.9\",1,\"done\",\"\"],"
+      "[59,\"t.0.0.8\",1,\"lapsed\",\"\"]]}",
+      SNIPE_ANSWER_OK, 1, 2 },
+    { "fenced", 409, "{\"clock_ms\":5,\"reason\":\"fence\"}",
+      SNIPE_ANSWER_FENCED, 0, 0 },
+    { "old run", 409, "{\"clock_ms\":5,\"reason\":\"old\"}",
+      SNIPE_ANSWER_OLD_RUN, 0, 0 },
+    { "late", 409, "{\"clock_ms\":5,\"reason\":\"late\"}",
+      SNIPE_ANSWER_TOO_LATE, 0, 0 },
+    { "no room", 409, "{\"clock_ms\":5,\"reason\":\"room\"}",
+      SNIPE_ANSWER_NO_ROOM, 0, 0 },
+    { "other life", 421, "", SNIPE_ANSWER_OTHER_LIFE, 0, 0 },
+    { "unhealthy", 503, "", SNIPE_ANSWER_UNHEALTHY, 0, 0 },
+    { "malformed", 400, "", SNIPE_ANSWER_REFUSED, 0, 0 },
+    { "no answer", 0, "", SNIPE_ANSWER_NONE, 0, 0 },
+    { "no connection", -1, "", SNIPE_ANSWER_UNREACHED, 0, 0 },
+    { "status that the interface does not name", 500, "", SNIPE_ANSWER_NONE,
+      0, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct snipe_endpoint_report report;
+      struct snipe_str body = text (cases[i].body);
+      enum snipe_endpoint_answer answer
+          = platform_report_decode (&report, cases[i].http, &body);
+
+      if (answer != cases[i].answer)
+        printf ("%s: %d\n", cases[i].name, (int)answer);
+      CU_ASSERT_EQUAL (answer, cases[i].answer);
+      CU_ASSERT_EQUAL (report.running_count, cases[i].runs);
+      CU_ASSERT_EQUAL (report.end_count, cases[i].ends);
+      if (report.end_count == 2)
+        {
+          CU_ASSERT_EQUAL (report.born_ms, 9);
+          CU_ASSERT_STRING_EQUAL (report.running[0].task, "t.0.0.1");
+          CU_ASSERT_EQUAL (report.ends[0].number, 58);
+          CU_ASSERT_EQUAL (report.ends[0].end, SNIPE_RUN_DONE);
+          CU_ASSERT_EQUAL (report.ends[1].end, SNIPE_RUN_LAPSED);
+        }
+      platform_report_clear (&report);
+    }
+}
+
+struct job_case
+{
+  const char *name;
+  const char *body;
+  int status;
+  uint32_t count;
+};
+
+/* Guards against a job that must be stored, or has several steps, being run as
+ * if it had one step only. */
+static void
+test_job (void)
+{
+  const struct job_case cases[] = {
+    { "one step",
+      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"count\":3,"
+      "\"cpu\":500,\"estimate_ms\":90}]}",
+      SNIPE_OK, 3 },
+    { "count left out",
+      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"cpu\":500}]}",
+      SNIPE_OK, 1 },
+    { "two steps",
+      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{},{}]}",
+      SNIPE_E_UNFIT, 0 },
+    { "to be stored", "{\"spec\":\"s\",\"steps\":[{\"count\":3}]}",
+      SNIPE_E_UNFIT, 0 },
+    { "gang",
+      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"gang\":true}]}",
+      SNIPE_E_UNFIT, 0 },
+    { "no steps", "{\"spec\":\"s\"}", SNIPE_E_INVALID, 0 },
+    { "no spec", "{\"steps\":[{}]}", SNIPE_E_INVALID, 0 },
+    { "not JSON", "[", SNIPE_E_INVALID, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct platform_job job;
+      int status = platform_job_decode (&job, cases[i].body,
+                                        strlen (cases[i].body));
+
+      if (status != cases[i].status)
+        printf ("%s: %d\n", cases[i].name, status);
+      CU_ASSERT_EQUAL (status, cases[i].status);
+      if (status == SNIPE_OK)
+        {
+          CU_ASSERT_EQUAL (job.count, cases[i].count);
+          json_decref (job.root);
+        }
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "config", test_config },     { "find", test_find },
+    { "endpoint", test_endpoint }, { "report", test_report },
+    { "job", test_job },           CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("formats", tests);
+}
--- /dev/null
+++ b/tests/adapter/test_store.c
@@ -0,0 +1,313 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "snipe/status.h"
+#include "store.h"
+#include "suite.h"
+
+#define CALLS_MAX 64
+#define CONTACT (400 * SNIPE_MS)
+
+/** A stand-in for the store: answers by a script and keeps what was asked. */
+struct store
+{
+  struct MHD_Daemon *daemon;
+  char address[32];
+  GMutex lock;
+  char calls[CALLS_MAX][160];
+  int count;
+  int http;             /**< of every answer, 0: 200 */
+  int feed_http;        /**< of the next call that follows a table */
+  const char *endpoint; /**< value of the entry i-1; NULL: no entry */
+  const char *config;
+  bool late_peer; /**< another host is listed once this one is */
+  bool registered;
+};
+
+/** What the client passed on. */
+struct seen
+{
+  struct store *store;
+  struct snipe_loop *loop;
+  struct platform_store *client;
+  snipe_time until;
+  int configs;
+  int endpoints;
+  int gone;
+  int hosts;
+  int reads;
+  int lost;
+  int registered;
+};
+
+static char *
+row (const char *key, const char *value)
+{
+  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+  char *text = g_strdup_printf ("{\"table\":\"t\",\"part\":\"\",\"key\":"
+                                "\"%s\",\"value\":\"%s\",\"ver\":5}",
+                                key, encoded);
+
+  g_free (encoded);
+  return text;
+}
+
+static char *
+rows_of (const struct store *store, const char *table)
+{
+  if (strcmp (table, PLATFORM_TABLE_OPERATOR) == 0 && store->config != NULL)
+    return row ("config", store->config);
+  if (strcmp (table, PLATFORM_TABLE_ENDPOINTS) == 0 && store->endpoint != NULL)
+    return row ("i-1", store->endpoint);
+  if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->late_peer
+      && store->registered)
+    return row ("h2", "{\"address\":\"127.0.0.2:1\",\"domain\":\"a\"}");
+  return g_strdup ("");
+}
+
+static enum MHD_Result
+on_request (void *ctx, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *data,
+            size_t *size, void **state)
+{
+  struct store *store = ctx;
+  const char *table
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
+                                     "table");
+  bool feed = strcmp (url, "/api/rows-feed") == 0;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+  char *rows;
+  char *body;
+  int http = 200;
+
+  (void)method;
+  (void)version;
+  (void)data;
+  if (*state == NULL)
+    {
+      *state = store;
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
+  /* The first read of the hosts is answered before this host is listed. */
+  if (strcmp (url, "/api/rows-tx") == 0)
+    g_usleep (100000);
+  g_mutex_lock (&store->lock);
+  if (store->count < CALLS_MAX)
+    snprintf (store->calls[store->count++], sizeof store->calls[0], "%s %s",
+              url, table == NULL ? "" : table);
+  if (store->http != 0)
+    http = store->http;
+  else if (feed && store->feed_http != 0)
+    {
+      http = store->feed_http;
+      store->feed_http = 0;
+    }
+  rows = rows_of (store, table == NULL ? "" : table);
+  if (http == 200 && strcmp (url, "/api/rows-tx") == 0)
+    store->registered = true;
+  body = g_strdup_printf ("{\"rows\":[%s],\"ver\":9,\"now_ms\":1}", rows);
+  g_mutex_unlock (&store->lock);
+  if (feed)
+    g_usleep (20000);
+  response = MHD_create_response_from_buffer (strlen (body), body,
+                                              MHD_RESPMEM_MUST_COPY);
+  result = MHD_queue_response (connection, (unsigned int)http, response);
+  MHD_destroy_response (response);
+  g_free (rows);
+  g_free (body);
+  return result;
+}
+
+static void
+start_store (struct store *store)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  g_mutex_init (&store->lock);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  store->daemon = MHD_start_daemon (
+      MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0, NULL,
+      NULL, on_request, store, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (store->daemon);
+  snprintf (store->address, sizeof store->address, "127.0.0.1:%u",
+            MHD_get_daemon_info (store->daemon, MHD_DAEMON_INFO_BIND_PORT)
+                ->port);
+}
+
+static void
+on_version (void *ctx, uint64_t version, bool registered)
+{
+  struct seen *seen = ctx;
+
+  CU_ASSERT_TRUE (version == 9);
+  seen->registered += registered;
+}
+
+static void
+on_config (void *ctx, const char *text, size_t len)
+{
+  (void)text;
+  (void)len;
+  ((struct seen *)ctx)->configs++;
+}
+
+static void
+on_endpoint (void *ctx, const struct snipe_endpoint_entry *entry)
+{
+  (void)entry;
+  ((struct seen *)ctx)->endpoints++;
+}
+
+static void
+on_gone (void *ctx, const char *id)
+{
+  (void)id;
+  ((struct seen *)ctx)->gone++;
+}
+
+static void
+on_host (void *ctx, const struct platform_host *host)
+{
+  (void)host;
+  ((struct seen *)ctx)->hosts++;
+}
+
+static void
+on_read (void *ctx, bool whole, snipe_time asked)
+{
+  struct seen *seen = ctx;
+
+  (void)asked;
+  seen->reads += whole;
+  seen->lost += !whole;
+}
+
+static bool
+owns_pool (void *ctx)
+{
+  (void)ctx;
+  return true;
+}
+
+static void
+on_tick (void *ctx, snipe_time now)
+{
+  struct seen *seen = ctx;
+
+  platform_store_tick (seen->client, now);
+  if (now >= seen->until)
+    snipe_loop_stop (seen->loop);
+}
+
+struct store_case
+{
+  const char *name;
+  struct store store;
+  snipe_time time;
+  int configs_min;
+  int endpoints_min;
+  int hosts_min;
+  int gone;
+  int whole_reads_min; /**< rows-get of the endpoints */
+};
+
+#define ENTRY                                                                 \
+  "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","            \
+  "\"state\":\"ready\",\"capacity\":{\"cpu\":16000}}"
+
+static int
+count_calls (const struct store *store, const char *call)
+{
+  int count = 0;
+
+  for (int i = 0; i < store->count; i++)
+    count += strcmp (store->calls[i], call) == 0;
+  return count;
+}
+
+/* Guards against two hosts that start together missing each other, a history
+ * that was dropped hiding later changes, and an entry that cannot be read
+ * stopping the others. */
+static void
+test_cases (void)
+{
+  const struct store_case cases[] = {
+    { "calm", { .endpoint = ENTRY, .config = "{}" }, 600 * SNIPE_MS, 2, 1, 0,
+      0, 1 },
+    { "peer listed together with this host", { .late_peer = true },
+      600 * SNIPE_MS, 0, 0, 1, 0, 1 },
+    { "history dropped", { .endpoint = ENTRY, .config = "{}",
+                           .feed_http = 410 },
+      600 * SNIPE_MS, 2, 1, 0, 0, 1 },
+    { "bad entry", { .endpoint = "\xff{", .config = "{}" }, 600 * SNIPE_MS, 2,
+      0, 0, 0, 1 },
+    { "store refuses", { .http = 503 }, 600 * SNIPE_MS, 0, 0, 0, 0, 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct store_case *row = &cases[i];
+      struct store store = row->store;
+      struct seen seen = { .store = &store };
+      struct snipe_web *web;
+      struct platform_store_options options
+          = { .address = store.address,
+              .self = { .name = "h1", .address = "127.0.0.1:1",
+                        .domain = "a" },
+              .contact = CONTACT,
+              .ctx = &seen,
+              .version = on_version,
+              .config = on_config,
+              .endpoint = on_endpoint,
+              .endpoint_gone = on_gone,
+              .host = on_host,
+              .endpoints_read = on_read,
+              .owns_pool = owns_pool };
+
+      start_store (&store);
+      CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
+      CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
+      options.web = web;
+      platform_store_new (&seen.client, &options);
+      seen.until = snipe_clock_now () + row->time;
+      snipe_loop_run (seen.loop, on_tick, &seen, 10 * SNIPE_MS);
+      snipe_web_free (web);
+      platform_store_free (seen.client);
+      snipe_loop_free (seen.loop);
+      MHD_stop_daemon (store.daemon);
+      if (seen.configs < row->configs_min
+          || seen.endpoints < row->endpoints_min
+          || seen.hosts < row->hosts_min || seen.gone != row->gone)
+        printf ("%s: %d configs, %d endpoints, %d hosts, %d gone\n", row->name,
+                seen.configs, seen.endpoints, seen.hosts, seen.gone);
+      CU_ASSERT_TRUE (seen.configs >= row->configs_min);
+      CU_ASSERT_TRUE (seen.endpoints >= row->endpoints_min);
+      CU_ASSERT_TRUE (seen.hosts >= row->hosts_min);
+      CU_ASSERT_EQUAL (seen.gone, row->gone);
+      CU_ASSERT_TRUE (count_calls (&store, "/api/rows-get servers")
+                      >= row->whole_reads_min);
+      CU_ASSERT_EQUAL (seen.registered, row->store.http == 0);
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "cases", test_cases },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("platform_store", tests);
+}
