Check the new modules with formatter and linters

Cause: check-source.sh knew one generated protocol and no folder platform/. Change: it checks both protocols and the adapter; findings are mended. Conclusion: no change of behaviour.

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -31,19 +31,19 @@
   uint32_t priority;
   uint32_t attempts;
   snipe_time estimate;
-  double slack_factor; /**< wanted duration over that of the longest task */
-  snipe_time slo;      /**< wanted duration beyond that */
-  snipe_time give_up;  /**< caller waits no longer */
+  double slack_factor;    /**< wanted duration over that of the longest task */
+  snipe_time slo;         /**< wanted duration beyond that */
+  snipe_time give_up;     /**< caller waits no longer */
   uint64_t rules_version; /**< configuration that admitted it, for the log */
-  void *ctx;           /**< of the answer */
+  void *ctx;              /**< of the answer */
 };
 
 enum snipe_home_outcome
 {
   SNIPE_HOME_COMPLETE,
-  SNIPE_HOME_FAILED,   /**< a task failed for the last time */
-  SNIPE_HOME_NOT_RUN,  /**< nothing has started, nothing will */
-  SNIPE_HOME_UNKNOWN,  /**< given up; something may have started */
+  SNIPE_HOME_FAILED,  /**< a task failed for the last time */
+  SNIPE_HOME_NOT_RUN, /**< nothing has started, nothing will */
+  SNIPE_HOME_UNKNOWN, /**< given up; something may have started */
 };
 
 struct snipe_home_answer
--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -88,7 +88,8 @@
 enum snipe_ownership
 {
   SNIPE_OWN_NONE,  /**< another host owns it, or should */
-  SNIPE_OWN_CLAIM, /**< this host should claim it, with a token above @c token */
+  SNIPE_OWN_CLAIM, /**< this host should claim it, with a token above @c token
+                    */
   SNIPE_OWN_KEEP,  /**< this host owns it */
   SNIPE_OWN_YIELD, /**< this host owns it and has to let go */
 };
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -19,7 +19,7 @@
 #include "snipe/pool_id.h"
 #include "snipe/str.h"
 
-#define SNIPE_TASK_NAME_BYTES 96  /**< "<job>.<occurrence>.<step>.<index>" */
+#define SNIPE_TASK_NAME_BYTES 96 /**< "<job>.<occurrence>.<step>.<index>" */
 
 struct snipe_pool;
 struct snipe_pool_endpoint;
@@ -39,8 +39,8 @@
   char address[64]; /**< "ip:port" */
   char service[SNIPE_NAME_BYTES];
   char domain[SNIPE_NAME_BYTES];
-  char kind[64]; /**< label of the hardware, "" if none */
-  char rack[64]; /**< "" if none */
+  char kind[64];   /**< label of the hardware, "" if none */
+  char rack[64];   /**< "" if none */
   int64_t born_ms; /**< start of this life, Unix time; 0 if unknown */
   struct snipe_capacity capacity;
   bool draining; /**< gets no new work */
@@ -77,7 +77,7 @@
   snipe_time due;             /**< end wanted by then */
   snipe_time late;            /**< worthless to the caller after that */
   snipe_time give_up;         /**< caller waits no longer */
-  bool resent; /**< may run already, under an earlier owner */
+  bool resent;                /**< may run already, under an earlier owner */
 };
 
 /** End of a batch, sent to its home once. */
@@ -118,9 +118,9 @@
 {
   const struct snipe_endpoint_entry *endpoint;
   uint64_t token;
-  uint64_t last_seen;    /**< number of the last end noted */
-  int64_t valid_until;   /**< endpoint clock, ms; 0: do not extend */
-  snipe_time wait;       /**< the endpoint answers at an end, or after this */
+  uint64_t last_seen;  /**< number of the last end noted */
+  int64_t valid_until; /**< endpoint clock, ms; 0: do not extend */
+  snipe_time wait;     /**< the endpoint answers at an end, or after this */
   snipe_time timeout;
 };
 
@@ -146,9 +146,9 @@
   SNIPE_ANSWER_OLD_RUN,   /**< an equal or higher run ended there */
   SNIPE_ANSWER_TOO_LATE,  /**< the order's time was over */
   SNIPE_ANSWER_NO_ROOM,
-  SNIPE_ANSWER_UNHEALTHY, /**< nothing was done */
+  SNIPE_ANSWER_UNHEALTHY,  /**< nothing was done */
   SNIPE_ANSWER_OTHER_LIFE, /**< restarted since it was listed */
-  SNIPE_ANSWER_REFUSED,   /**< malformed order; nothing was done */
+  SNIPE_ANSWER_REFUSED,    /**< malformed order; nothing was done */
 };
 
 /** How the endpoint says that a run ended. */
@@ -188,9 +188,9 @@
 struct snipe_pool_options
 {
   unsigned int version;
-  uint64_t token;         /**< for every endpoint of the pool */
-  snipe_time lease_max;   /**< longest lease that an endpoint grants */
-  snipe_time stop_max;    /**< longest time that a stop takes */
+  uint64_t token;          /**< for every endpoint of the pool */
+  snipe_time lease_max;    /**< longest lease that an endpoint grants */
+  snipe_time stop_max;     /**< longest time that a stop takes */
   snipe_time home_silence; /**< a home not heard for this long is lost */
   struct snipe_pool_port port;
 };
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -31,7 +31,7 @@
   snipe_time arrived;
   snipe_time due;
   snipe_time late;
-  uint32_t open;      /**< tasks that are not done */
+  uint32_t open; /**< tasks that are not done */
   uint32_t handovers;
   bool started; /**< a task may have started */
   GPtrArray *batches;
@@ -263,8 +263,7 @@
   job->batches = g_ptr_array_new ();
   length = (double)spec->estimate
            * snipe_home_best_slowness (home->pools, spec->service);
-  job->due
-      = now + (snipe_time)(length * spec->slack_factor) + spec->slo;
+  job->due = now + (snipe_time)(length * spec->slack_factor) + spec->slo;
   job->late = MIN (now + LATE_FACTOR * (job->due - now), spec->give_up);
   g_hash_table_insert (home->jobs, (char *)job->spec.id, job);
   indexes = g_new (uint32_t, spec->count);
--- a/src/home/route.c
+++ b/src/home/route.c
@@ -31,8 +31,8 @@
   if (each->cpu <= 0)
     return G_MAXUINT32 / 2;
   for (guint i = 0; i < pool->free_cpu->len; i++)
-    count += (uint32_t)(g_array_index (pool->free_cpu, uint32_t, i)
-                        / each->cpu);
+    count
+        += (uint32_t)(g_array_index (pool->free_cpu, uint32_t, i) / each->cpu);
   return count;
 }
 
@@ -141,7 +141,7 @@
       *left = 0;
       return 1;
     }
-  for (guint i = 0; i < options->len && *left > 0; i++)
+  for (guint i = 0; i<options->len && * left> 0; i++)
     {
       struct option *option = &g_array_index (options, struct option, i);
       uint32_t count = MIN (option->room, *left);
@@ -207,8 +207,7 @@
 
           if (room >= each->cpu
               && (best < 0
-                  || room
-                         < g_array_index (pool->free_cpu, uint32_t, best)))
+                  || room < g_array_index (pool->free_cpu, uint32_t, best)))
             best = (int)i;
         }
       if (best < 0)
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -135,7 +135,8 @@
   uint64_t incarnation;
 
   (void)events;
-  if (snipe_peer_connection_read (channel->connection, on_record, channel) >= 0)
+  if (snipe_peer_connection_read (channel->connection, on_record, channel)
+      >= 0)
     return;
   incarnation = channel->incarnation;
   g_ptr_array_remove_fast (link->incoming, channel);
@@ -151,9 +152,8 @@
 
   channel->link = link;
   channel->connection = snipe_peer_connection_new (fd);
-  channel->watch = (struct snipe_loop_watch){ .fd = fd,
-                                              .ready = ready,
-                                              .ctx = channel };
+  channel->watch
+      = (struct snipe_loop_watch){ .fd = fd, .ready = ready, .ctx = channel };
   return channel;
 }
 
@@ -161,8 +161,8 @@
 on_accept (void *ctx, uint32_t events)
 {
   struct snipe_link *link = ctx;
-  int fd = accept4 (link->listener.fd, NULL, NULL,
-                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+  int fd
+      = accept4 (link->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   struct channel *channel;
 
   (void)events;
@@ -293,8 +293,8 @@
   if (data == NULL)
     return snipe_status_set (SNIPE_E_NOMEM, "no memory for a message");
   xdrmem_create (&xdrs, data, (u_int)(header_len + body_len), XDR_ENCODE);
-  encoded = xdr_callmsg (&xdrs, &header)
-            && body (&xdrs, (void *)&message->args);
+  encoded
+      = xdr_callmsg (&xdrs, &header) && body (&xdrs, (void *)&message->args);
   xdr_destroy (&xdrs);
   return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
 }
@@ -355,9 +355,8 @@
                                address, g_strerror (error));
     }
   link->port = ntohs (at.sin_port);
-  link->listener = (struct snipe_loop_watch){ .fd = fd,
-                                              .ready = on_accept,
-                                              .ctx = link };
+  link->listener
+      = (struct snipe_loop_watch){ .fd = fd, .ready = on_accept, .ctx = link };
   return snipe_loop_add (link->options.loop, &link->listener, EPOLLIN);
 }
 
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -194,8 +194,7 @@
           = loop->prepare == NULL ? 0 : loop->prepare (loop->prepare_ctx, now);
       snipe_time left = (due > 0 && due < next ? due : next) - now;
       int wait = left <= 0 ? 0 : (int)((left + SNIPE_MS - 1) / SNIPE_MS);
-      int count
-          = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait);
+      int count = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, wait);
 
       loop->event_count = count < 0 ? 0 : count;
       run_events (loop);
--- a/src/loop/web.c
+++ b/src/loop/web.c
@@ -40,7 +40,7 @@
 {
   struct snipe_loop *loop;
   CURLM *multi;
-  snipe_time due; /**< of libcurl's timeout, 0: none */
+  snipe_time due;  /**< of libcurl's timeout, 0: none */
   GPtrArray *idle; /**< CURL handles */
   GHashTable *calls;
 };
@@ -114,8 +114,7 @@
       if (message->data.result == CURLE_OK)
         curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE,
                            &http);
-      else if (message->data.result == CURLE_COULDNT_CONNECT
-               && !call->written)
+      else if (message->data.result == CURLE_COULDNT_CONNECT && !call->written)
         http = SNIPE_WEB_UNREACHED;
       finish (call, (int)http);
     }
@@ -290,9 +289,8 @@
   add_header (call, "Expect:");
   if (call->body.len > 0)
     add_header (call, "Content-Type: application/json");
-  for (size_t i = 0; i < G_N_ELEMENTS (request->headers)
-                     && request->headers[i] != NULL;
-       i++)
+  for (size_t i = 0;
+       i < G_N_ELEMENTS (request->headers) && request->headers[i] != NULL; i++)
     add_header (call, request->headers[i]);
   curl_easy_setopt (call->easy, CURLOPT_URL, url);
   curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
--- a/src/loop/web.h
+++ b/src/loop/web.h
@@ -25,8 +25,8 @@
 struct snipe_web_request
 {
   const char *method;
-  const char *address; /**< "ip:port" */
-  const char *path;    /**< with its query */
+  const char *address;    /**< "ip:port" */
+  const char *path;       /**< with its query */
   const char *headers[3]; /**< "Name: value", NULL-terminated if fewer */
   struct snipe_str body;  /**< taken over; empty: none */
   snipe_time timeout;     /**< of the whole call */
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -87,8 +87,8 @@
   was_live = peer->live;
   g_free ((void *)peer->said.claims);
   peer->said = *member;
-  peer->said.claims = g_memdup2 (
-      member->claims, member->claim_count * sizeof *member->claims);
+  peer->said.claims = g_memdup2 (member->claims,
+                                 member->claim_count * sizeof *member->claims);
   peer->heard = now;
   peer->live = true;
   return !was_live;
@@ -253,28 +253,31 @@
   return candidates;
 }
 
-static struct candidate *
-find_candidate (GArray *candidates, const struct snipe_member *member)
+static void
+count_pool (GArray *candidates, const struct snipe_member *owner)
 {
   for (guint i = 0; i < candidates->len; i++)
     {
       struct candidate *candidate
           = &g_array_index (candidates, struct candidate, i);
 
-      if (candidate->member == member)
-        return candidate;
+      if (candidate->member == owner)
+        candidate->pools++;
     }
-  return NULL;
+}
+
+static bool
+is_in_domain (const struct candidate *candidate, const char *domain)
+{
+  return g_str_equal (candidate->member->domain, domain);
 }
 
 static bool
 has_host (GArray *candidates, const char *domain)
 {
   for (guint i = 0; i < candidates->len; i++)
-    if (strcmp (
-            g_array_index (candidates, struct candidate, i).member->domain,
-            domain)
-        == 0)
+    if (is_in_domain (&g_array_index (candidates, struct candidate, i),
+                      domain))
       return true;
   return false;
 }
@@ -302,7 +305,7 @@
       struct candidate *candidate
           = &g_array_index (candidates, struct candidate, i);
 
-      if (in_domain && strcmp (candidate->member->domain, domain) != 0)
+      if (in_domain && !is_in_domain (candidate, domain))
         continue;
       if (best == NULL || is_better_heir (candidate, best))
         best = candidate;
@@ -311,11 +314,12 @@
 }
 
 static bool
-owner_stays (const struct standing *standing,
-             const struct snipe_pool_id *pool, bool in_domain)
+owner_stays (const struct standing *standing, const struct snipe_pool_id *pool,
+             bool in_domain)
 {
   return standing->owner != NULL && !standing->owner->leaving
-         && (!in_domain || strcmp (standing->owner->domain, pool->domain) == 0);
+         && (!in_domain
+             || strcmp (standing->owner->domain, pool->domain) == 0);
 }
 
 static struct snipe_ownership_result
@@ -354,12 +358,9 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      struct candidate *owner;
-
       standings[i] = find_standing (members, &pools[i], own_tokens[i]);
-      owner = find_candidate (candidates, standings[i].owner);
-      if (owner != NULL)
-        owner->pools++;
+      if (standings[i].owner != NULL)
+        count_pool (candidates, standings[i].owner);
     }
   for (uint32_t i = 0; i < count; i++)
     {
--- a/src/node/groups.c
+++ b/src/node/groups.c
@@ -41,8 +41,7 @@
 snipe_node_pool_of (const struct snipe_node *node,
                     const struct snipe_endpoint_entry *entry)
 {
-  const struct group *group
-      = find_group (node, entry->service, entry->domain);
+  const struct group *group = find_group (node, entry->service, entry->domain);
   struct snipe_pool_id id = { .shards = 1 };
 
   if (group != NULL)
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -36,8 +36,7 @@
   struct snipe_pool_result copy = *result;
 
   copy.job = g_strdup (result->job);
-  copy.ends
-      = g_memdup2 (result->ends, result->count * sizeof *result->ends);
+  copy.ends = g_memdup2 (result->ends, result->count * sizeof *result->ends);
   return copy;
 }
 
@@ -56,10 +55,10 @@
 {
   guint old = 0;
 
-  while (old < node->results->len
-         && ((struct kept_result *)g_ptr_array_index (node->results, old))
-                    ->when
-                < before)
+  while (
+      old < node->results->len
+      && ((struct kept_result *)g_ptr_array_index (node->results, old))->when
+             < before)
     old++;
   if (old > 0)
     g_ptr_array_remove_range (node->results, 0, old);
@@ -183,8 +182,7 @@
 }
 
 void
-snipe_node_take_batch (struct snipe_node *node,
-                       const struct snipe_pool_id *id,
+snipe_node_take_batch (struct snipe_node *node, const struct snipe_pool_id *id,
                        const struct snipe_pool_batch *batch, snipe_time now)
 {
   struct held_pool *pool = snipe_node_find_pool (node, id);
@@ -203,8 +201,9 @@
     }
   /* Not the owner any more: the home has sent it before it knew. A batch that
    * may run already waits for the owner that the home learns of next. */
-  snipe_node_log (node, "event=batch_misdirected job=%s domain=%s shard=%u resent=%d",
-                  batch->job, id->domain, id->shard, (int)batch->resent);
+  snipe_node_log (
+      node, "event=batch_misdirected job=%s domain=%s shard=%u resent=%d",
+      batch->job, id->domain, id->shard, (int)batch->resent);
   if (!batch->resent)
     {
       uint32_t *ends = g_new (uint32_t, batch->count);
@@ -231,8 +230,8 @@
   switch (item->kind)
     {
     case PENDING_BATCH:
-      snipe_node_take_batch (node, &item->u.batch.pool,
-                             &item->u.batch.order, now);
+      snipe_node_take_batch (node, &item->u.batch.pool, &item->u.batch.order,
+                             now);
       break;
     case PENDING_CANCEL:
       for (guint i = 0; i < node->pools->len; i++)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -60,8 +60,7 @@
   node->pools = g_ptr_array_new_with_free_func (snipe_held_pool_free);
   node->directory
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  node->listed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  node->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   node->groups = g_ptr_array_new_with_free_func (g_free);
   node->known_pools
       = g_array_new (FALSE, FALSE, sizeof (struct snipe_pool_id));
@@ -81,8 +80,7 @@
   members.self.incarnation = node->incarnation;
   g_strlcpy (members.self.name, options->name, sizeof members.self.name);
   g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
-  g_strlcpy (members.self.address, node->address,
-             sizeof members.self.address);
+  g_strlcpy (members.self.address, node->address, sizeof members.self.address);
   members.self.size = options->size;
   node->silence = members.silence;
   home.incarnation = node->incarnation;
@@ -184,8 +182,7 @@
                          const struct snipe_endpoint_entry *entry,
                          snipe_time now)
 {
-  struct snipe_endpoint_entry *copy
-      = g_memdup2 (entry, sizeof *entry);
+  struct snipe_endpoint_entry *copy = g_memdup2 (entry, sizeof *entry);
   const struct snipe_endpoint_entry *old
       = g_hash_table_lookup (node->directory, entry->id);
   struct snipe_pool_id id;
@@ -368,8 +365,9 @@
   enter (node, now);
   pool = pool_by_token (node, token, endpoint);
   if (answer != SNIPE_ANSWER_OK)
-    snipe_node_log (node, "event=start_failed task=%s run=%u endpoint=%s "
-                          "token=%" G_GUINT64_FORMAT " answer=%d",
+    snipe_node_log (node,
+                    "event=start_failed task=%s run=%u endpoint=%s "
+                    "token=%" G_GUINT64_FORMAT " answer=%d",
                     task, run, endpoint, token, (int)answer);
   if (pool != NULL)
     snipe_pool_on_start (pool->pool, endpoint, task, run, answer, report, now);
@@ -428,8 +426,8 @@
 {
   struct greeting *greeting = ctx;
 
-  snipe_node_send_hello (greeting->node, member->address,
-                         member->incarnation, greeting->now);
+  snipe_node_send_hello (greeting->node, member->address, member->incarnation,
+                         greeting->now);
 }
 
 /* Greets the hosts that are heard, and now and then those that are listed. */
@@ -530,7 +528,8 @@
  * heard may only be cut off, and a claim from outside would take its pool from
  * the host that serves it as soon as the cut heals. */
 static bool
-can_reach (struct snipe_node *node, const struct snipe_pool_id *id, snipe_time now)
+can_reach (struct snipe_node *node, const struct snipe_pool_id *id,
+           snipe_time now)
 {
   GHashTableIter iter;
   gpointer value;
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -83,11 +83,11 @@
   struct snipe_link *link;
   struct snipe_members *members;
   struct snipe_home *home;
-  GPtrArray *pools;       /**< struct held_pool */
-  GPtrArray *groups;      /**< struct group */
-  GArray *known_pools;    /**< struct snipe_pool_id, sorted */
-  GHashTable *directory;  /**< id -> struct snipe_endpoint_entry */
-  GHashTable *listed;     /**< addresses of hosts in the store */
+  GPtrArray *pools;      /**< struct held_pool */
+  GPtrArray *groups;     /**< struct group */
+  GArray *known_pools;   /**< struct snipe_pool_id, sorted */
+  GHashTable *directory; /**< id -> struct snipe_endpoint_entry */
+  GHashTable *listed;    /**< addresses of hosts in the store */
   GQueue pending;
   GPtrArray *results; /**< struct kept_result, oldest first */
   snipe_time silence;
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -144,10 +144,9 @@
                   "event=route job=%s batch=%" G_GUINT64_FORMAT
                   " tasks=%u domain=%s shard=%u owner=%016" G_GINT64_MODIFIER
                   "x due_ms=%d late_ms=%d resent=%d",
-                  batch->job, batch->number, batch->count, pool->domain, pool->shard,
-                  owner,
-                  message.args.batch.due_ms, message.args.batch.late_ms,
-                  (int)batch->resent);
+                  batch->job, batch->number, batch->count, pool->domain,
+                  pool->shard, owner, message.args.batch.due_ms,
+                  message.args.batch.late_ms, (int)batch->resent);
   if (owner == node->incarnation)
     return queue_batch (node, pool, batch);
   return send_to (node, owner, &message);
@@ -200,8 +199,7 @@
                        uint64_t incarnation, snipe_time now)
 {
   link_claim *claims = g_new0 (link_claim, node->pools->len + 1);
-  snipe_time silence
-      = snipe_members_silence (node->members, incarnation, now);
+  snipe_time silence = snipe_members_silence (node->members, incarnation, now);
   struct snipe_link_message message
       = { .procedure = LINK_SEND_HELLO,
           .args.hello
@@ -214,8 +212,8 @@
               .config_version = node->config_version,
               .store_version = node->store_version,
               .silence_ms = (u_int)MIN (silence / SNIPE_MS, UINT32_MAX),
-              .claims = { .claims_len = node->pools->len,
-                          .claims_val = claims } } };
+              .claims
+              = { .claims_len = node->pools->len, .claims_val = claims } } };
 
   for (guint i = 0; i < node->pools->len; i++)
     {
@@ -239,8 +237,7 @@
 {
   struct broadcast *broadcast = ctx;
 
-  snipe_link_send (broadcast->node->link, member->address,
-                   broadcast->message);
+  snipe_link_send (broadcast->node->link, member->address, broadcast->message);
 }
 
 static void
@@ -249,7 +246,8 @@
 {
   uint32_t free_cpu[FREE_MAX];
   struct snipe_pool_load load;
-  uint32_t count = snipe_pool_load (pool->pool, &load, free_cpu, FREE_MAX, now);
+  uint32_t count
+      = snipe_pool_load (pool->pool, &load, free_cpu, FREE_MAX, now);
   struct snipe_home_load own = { .pool = &pool->id,
                                  .owner = node->incarnation,
                                  .token = pool->token,
@@ -260,14 +258,14 @@
                                  .slowness = load.slowness };
   struct snipe_link_message message
       = { .procedure = LINK_SEND_LOAD,
-          .args.load = { .incarnation = node->incarnation,
-                         .pool = encode_pool (&pool->id),
-                         .token = pool->token,
-                         .free_cpu = { .free_cpu_len = count,
-                                       .free_cpu_val = free_cpu },
-                         .total_cpu = (u_quad_t)load.total_cpu,
-                         .backlog = (u_quad_t)load.backlog,
-                         .slowness = (u_int)(load.slowness * 1000) } };
+          .args.load
+          = { .incarnation = node->incarnation,
+              .pool = encode_pool (&pool->id),
+              .token = pool->token,
+              .free_cpu = { .free_cpu_len = count, .free_cpu_val = free_cpu },
+              .total_cpu = (u_quad_t)load.total_cpu,
+              .backlog = (u_quad_t)load.backlog,
+              .slowness = (u_int)(load.slowness * 1000) } };
   struct broadcast broadcast = { .node = node, .message = &message };
   uint64_t digest = (uint64_t)load.backlog + (uint64_t)load.total_cpu;
 
@@ -372,15 +370,14 @@
 on_load (struct snipe_node *node, const link_load *load, snipe_time now)
 {
   struct snipe_pool_id id = decode_pool (&load->pool);
-  struct snipe_home_load view
-      = { .pool = &id,
-          .owner = load->incarnation,
-          .token = load->token,
-          .free_cpu = load->free_cpu.free_cpu_val,
-          .free_count = load->free_cpu.free_cpu_len,
-          .total_cpu = (int64_t)load->total_cpu,
-          .backlog = (int64_t)load->backlog,
-          .slowness = load->slowness / 1000.0 };
+  struct snipe_home_load view = { .pool = &id,
+                                  .owner = load->incarnation,
+                                  .token = load->token,
+                                  .free_cpu = load->free_cpu.free_cpu_val,
+                                  .free_count = load->free_cpu.free_cpu_len,
+                                  .total_cpu = (int64_t)load->total_cpu,
+                                  .backlog = (int64_t)load->backlog,
+                                  .slowness = load->slowness / 1000.0 };
 
   if (snipe_members_live (node->members, load->incarnation))
     snipe_home_load (node->home, &view, now);
@@ -399,8 +396,8 @@
           .spec = { .data = from->spec.spec_val, .len = from->spec.spec_len },
           .indexes = from->indexes.indexes_val,
           .count = from->indexes.indexes_len,
-          .each = { .cpu = from->cpu, .mem_mb = from->mem_mb,
-                    .gpu = from->gpu },
+          .each
+          = { .cpu = from->cpu, .mem_mb = from->mem_mb, .gpu = from->gpu },
           .label = from->label,
           .rack = from->rack,
           .max_per_endpoint = from->max_per_endpoint,
@@ -499,8 +496,8 @@
     case LINK_SEND_SNAPSHOT:
       {
         const link_snapshot *from = &message->args.snapshot;
-        struct snipe_str text
-            = { .data = from->config.config_val, .len = from->config.config_len };
+        struct snipe_str text = { .data = from->config.config_val,
+                                  .len = from->config.config_len };
 
         node->options.port.take_config (node->options.port.ctx,
                                         from->config_version, &text);
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -105,8 +105,7 @@
 
 /* Ends the batch without a word to its home. */
 void
-snipe_batch_drop (struct snipe_pool *pool, struct batch *batch,
-                  snipe_time now)
+snipe_batch_drop (struct snipe_pool *pool, struct batch *batch, snipe_time now)
 {
   for (uint32_t i = 0; i < batch->count; i++)
     {
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -124,8 +124,8 @@
   endpoint->failures++;
   if (endpoint->failures < FAILURES_MAX)
     return;
-  for (uint32_t i = FAILURES_MAX; i < endpoint->failures && pause < SUSPEND_MAX;
-       i++)
+  for (uint32_t i = FAILURES_MAX;
+       i < endpoint->failures && pause < SUSPEND_MAX; i++)
     pause *= 2;
   endpoint->suspended_until = now + MIN (pause, SUSPEND_MAX);
 }
@@ -153,10 +153,9 @@
   if (run->batch == NULL || run->ordered == 0 || run->expected <= 0)
     return;
   ratio = (double)(now - run->ordered) / (double)run->expected;
-  endpoint->speed_ratio = smooth (endpoint->speed_ratio,
-                                  ratio * endpoint->speed_ratio);
-  pool->slowness
-      = smooth (pool->slowness, (double)(now - run->ordered)
-                                    / (double)run->batch->estimate
-                                    / endpoint->speed_ratio);
+  endpoint->speed_ratio
+      = smooth (endpoint->speed_ratio, ratio * endpoint->speed_ratio);
+  pool->slowness = smooth (pool->slowness, (double)(now - run->ordered)
+                                               / (double)run->batch->estimate
+                                               / endpoint->speed_ratio);
 }
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -60,9 +60,9 @@
          snipe_time now)
 {
   const struct snipe_endpoint_entry *entry = &endpoint->entry;
-  double room = (double)(entry->capacity.cpu - endpoint->used.cpu
-                         - batch->each.cpu)
-                / (double)MAX (entry->capacity.cpu, 1);
+  double room
+      = (double)(entry->capacity.cpu - endpoint->used.cpu - batch->each.cpu)
+        / (double)MAX (entry->capacity.cpu, 1);
   double value = room;
   snipe_time end = now + snipe_pool_predict (pool, endpoint, batch);
 
@@ -137,9 +137,9 @@
 static int
 tier (const struct rank *rank, const struct batch *batch)
 {
-  snipe_time length = (snipe_time)(DURATION_MARGIN
-                                   * (double)snipe_pool_predict (
-                                       rank->pool, NULL, batch));
+  snipe_time length
+      = (snipe_time)(DURATION_MARGIN
+                     * (double)snipe_pool_predict (rank->pool, NULL, batch));
 
   if (batch->started)
     return 0;
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -41,8 +41,7 @@
   pool->created = now;
   pool->slowness = 1.0;
   pool->endpoints = g_hash_table_new_full (
-      g_str_hash, g_str_equal, NULL,
-      (GDestroyNotify)snipe_pool_endpoint_free);
+      g_str_hash, g_str_equal, NULL, (GDestroyNotify)snipe_pool_endpoint_free);
   pool->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   pool->batches
       = g_ptr_array_new_with_free_func ((GDestroyNotify)snipe_batch_free);
@@ -109,7 +108,8 @@
   if (endpoint->hold_in_flight || endpoint->claim == CLAIM_FENCED)
     return;
   /* A silent endpoint is only asked: its lease has to end for certain. */
-  if (endpoint->clock_at > 0 && (wait || endpoint->heard >= endpoint->hold_sent))
+  if (endpoint->clock_at > 0
+      && (wait || endpoint->heard >= endpoint->hold_sent))
     endpoint->extended = now;
   if (endpoint->extended == now)
     order.valid_until = snipe_pool_endpoint_clock (endpoint, now)
@@ -292,9 +292,8 @@
                      snipe_time now)
 {
   struct snipe_pool_endpoint *endpoint = heard (pool, id, report, now);
-  struct run *run = endpoint == NULL
-                        ? NULL
-                        : snipe_pool_run_find (endpoint, task, number);
+  struct run *run
+      = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
   if (run == NULL)
     return;
@@ -358,9 +357,8 @@
                     const struct snipe_endpoint_report *report, snipe_time now)
 {
   struct snipe_pool_endpoint *endpoint = heard (pool, id, report, now);
-  struct run *run = endpoint == NULL
-                        ? NULL
-                        : snipe_pool_run_find (endpoint, task, number);
+  struct run *run
+      = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
   if (run == NULL)
     return;
@@ -599,7 +597,8 @@
     {
       struct batch *batch = g_ptr_array_index (pool->batches, i);
 
-      if (batch->waiting > 0 && now < batch->give_up && (all || !batch->resent))
+      if (batch->waiting > 0 && now < batch->give_up
+          && (all || !batch->resent))
         g_ptr_array_add (order, batch);
     }
   snipe_pool_sort (pool, order, now);
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -13,10 +13,10 @@
 /** Where a run stands, as this owner knows it. */
 enum run_state
 {
-  RUN_ORDERED,   /**< start sent, not answered */
-  RUN_UNSURE,    /**< start not answered in time, sent again */
-  RUN_ACTIVE,    /**< the endpoint said that it runs */
-  RUN_STOPPING,  /**< stop sent; counts until its end is listed */
+  RUN_ORDERED,  /**< start sent, not answered */
+  RUN_UNSURE,   /**< start not answered in time, sent again */
+  RUN_ACTIVE,   /**< the endpoint said that it runs */
+  RUN_STOPPING, /**< stop sent; counts until its end is listed */
 };
 
 /** A run of a task at an endpoint. It counts against the endpoint's capacity
@@ -30,13 +30,13 @@
   struct batch *batch; /**< NULL: of nobody, to be stopped or adopted */
   uint32_t slot;       /**< of the task in its batch */
   struct snipe_capacity size;
-  uint32_t orders;        /**< start orders sent */
+  uint32_t orders; /**< start orders sent */
   bool stop_in_flight;
-  bool stop_done;         /**< the endpoint has confirmed the stop */
-  snipe_time ordered;     /**< first start order sent */
-  snipe_time confirmed;   /**< when it became RUN_ACTIVE */
-  snipe_time expected;    /**< duration that was predicted */
-  snipe_time found;       /**< when it became nobody's */
+  bool stop_done;       /**< the endpoint has confirmed the stop */
+  snipe_time ordered;   /**< first start order sent */
+  snipe_time confirmed; /**< when it became RUN_ACTIVE */
+  snipe_time expected;  /**< duration that was predicted */
+  snipe_time found;     /**< when it became nobody's */
   snipe_time stop_sent;
 };
 
@@ -99,8 +99,8 @@
   bool hold_in_flight;
   snipe_time hold_sent;
   snipe_time claim_deadline; /**< nothing of an earlier owner runs after it */
-  double speed_ratio; /**< actual over predicted duration, smoothed */
-  uint32_t failures;  /**< in a row */
+  double speed_ratio;        /**< actual over predicted duration, smoothed */
+  uint32_t failures;         /**< in a row */
   snipe_time suspended_until;
   snipe_time heard;    /**< last answer */
   snipe_time extended; /**< last order sent that extends the lease */
@@ -155,9 +155,9 @@
                                const struct snipe_pool_endpoint *endpoint,
                                const struct batch *batch);
 /** @return where the next task of @p batch goes, or NULL. */
-struct snipe_pool_endpoint *
-snipe_pool_choose (const struct snipe_pool *pool, const struct batch *batch,
-                   snipe_time now);
+struct snipe_pool_endpoint *snipe_pool_choose (const struct snipe_pool *pool,
+                                               const struct batch *batch,
+                                               snipe_time now);
 /** Sorts @p order, the batches with waiting tasks, by who goes first. */
 void snipe_pool_sort (const struct snipe_pool *pool, GPtrArray *order,
                       snipe_time now);
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -48,8 +48,8 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct platform_config *config = platform_config_decode (
-          cases[i].body, strlen (cases[i].body));
+      struct platform_config *config
+          = platform_config_decode (cases[i].body, strlen (cases[i].body));
 
       if ((config != NULL) != cases[i].good)
         printf ("%s\n", cases[i].name);
@@ -185,8 +185,8 @@
     { "malformed", 400, "", SNIPE_ANSWER_REFUSED, 0, 0 },
     { "no answer", 0, "", SNIPE_ANSWER_NONE, 0, 0 },
     { "no connection", -1, "", SNIPE_ANSWER_UNREACHED, 0, 0 },
-    { "status that the interface does not name", 500, "", SNIPE_ANSWER_NONE,
-      0, 0 },
+    { "status that the interface does not name", 500, "", SNIPE_ANSWER_NONE, 0,
+      0 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -234,8 +234,7 @@
     { "count left out",
       "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"cpu\":500}]}",
       SNIPE_OK, 1 },
-    { "two steps",
-      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{},{}]}",
+    { "two steps", "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{},{}]}",
       SNIPE_E_UNFIT, 0 },
     { "to be stored", "{\"spec\":\"s\",\"steps\":[{\"count\":3}]}",
       SNIPE_E_UNFIT, 0 },
@@ -250,8 +249,8 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct platform_job job;
-      int status = platform_job_decode (&job, cases[i].body,
-                                        strlen (cases[i].body));
+      int status
+          = platform_job_decode (&job, cases[i].body, strlen (cases[i].body));
 
       if (status != cases[i].status)
         printf ("%s: %d\n", cases[i].name, status);
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -76,9 +76,8 @@
             size_t *size, void **state)
 {
   struct store *store = ctx;
-  const char *table
-      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
-                                     "table");
+  const char *table = MHD_lookup_connection_value (
+      connection, MHD_GET_ARGUMENT_KIND, "table");
   bool feed = strcmp (url, "/api/rows-feed") == 0;
   struct MHD_Response *response;
   enum MHD_Result result;
@@ -140,9 +139,9 @@
       MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0, NULL,
       NULL, on_request, store, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
   CU_ASSERT_PTR_NOT_NULL_FATAL (store->daemon);
-  snprintf (store->address, sizeof store->address, "127.0.0.1:%u",
-            MHD_get_daemon_info (store->daemon, MHD_DAEMON_INFO_BIND_PORT)
-                ->port);
+  snprintf (
+      store->address, sizeof store->address, "127.0.0.1:%u",
+      MHD_get_daemon_info (store->daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
 }
 
 static void
@@ -243,15 +242,38 @@
 test_cases (void)
 {
   const struct store_case cases[] = {
-    { "calm", { .endpoint = ENTRY, .config = "{}" }, 600 * SNIPE_MS, 2, 1, 0,
-      0, 1 },
-    { "peer listed together with this host", { .late_peer = true },
-      600 * SNIPE_MS, 0, 0, 1, 0, 1 },
-    { "history dropped", { .endpoint = ENTRY, .config = "{}",
-                           .feed_http = 410 },
-      600 * SNIPE_MS, 2, 1, 0, 0, 1 },
-    { "bad entry", { .endpoint = "\xff{", .config = "{}" }, 600 * SNIPE_MS, 2,
-      0, 0, 0, 1 },
+    { "calm",
+      { .endpoint = ENTRY, .config = "{}" },
+      600 * SNIPE_MS,
+      2,
+      1,
+      0,
+      0,
+      1 },
+    { "peer listed together with this host",
+      { .late_peer = true },
+      600 * SNIPE_MS,
+      0,
+      0,
+      1,
+      0,
+      1 },
+    { "history dropped",
+      { .endpoint = ENTRY, .config = "{}", .feed_http = 410 },
+      600 * SNIPE_MS,
+      2,
+      1,
+      0,
+      0,
+      1 },
+    { "bad entry",
+      { .endpoint = "\xff{", .config = "{}" },
+      600 * SNIPE_MS,
+      2,
+      0,
+      0,
+      0,
+      1 },
     { "store refuses", { .http = 503 }, 600 * SNIPE_MS, 0, 0, 0, 0, 1 },
   };
 
@@ -263,8 +285,8 @@
       struct snipe_web *web;
       struct platform_store_options options
           = { .address = store.address,
-              .self = { .name = "h1", .address = "127.0.0.1:1",
-                        .domain = "a" },
+              .self
+              = { .name = "h1", .address = "127.0.0.1:1", .domain = "a" },
               .contact = CONTACT,
               .ctx = &seen,
               .version = on_version,
@@ -287,8 +309,8 @@
       snipe_loop_free (seen.loop);
       MHD_stop_daemon (store.daemon);
       if (seen.configs < row->configs_min
-          || seen.endpoints < row->endpoints_min
-          || seen.hosts < row->hosts_min || seen.gone != row->gone)
+          || seen.endpoints < row->endpoints_min || seen.hosts < row->hosts_min
+          || seen.gone != row->gone)
         printf ("%s: %d configs, %d endpoints, %d hosts, %d gone\n", row->name,
                 seen.configs, seen.endpoints, seen.hosts, seen.gone);
       CU_ASSERT_TRUE (seen.configs >= row->configs_min);
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -39,11 +39,11 @@
   uint32_t run_count;
   GArray *ends; /**< struct snipe_endpoint_end */
   uint64_t next_end;
-  snipe_time lease; /**< until when, on the model's clock */
-  double slowness;  /**< actual over nominal duration */
-  bool silent;      /**< carries nothing out and answers nothing */
-  bool fails;       /**< every task fails after a few ms */
-  bool mute_starts; /**< carries starts out without an answer */
+  snipe_time lease;       /**< until when, on the model's clock */
+  double slowness;        /**< actual over nominal duration */
+  bool silent;            /**< carries nothing out and answers nothing */
+  bool fails;             /**< every task fails after a few ms */
+  bool mute_starts;       /**< carries starts out without an answer */
   snipe_time start_delay; /**< added to the way of a start */
   snipe_time hold_delay;  /**< added to the way back of a hold's answer */
   /* The hold that waits. */
@@ -109,7 +109,7 @@
   GArray *results;
   /** Nominal duration and size of a task, from its name. */
   snipe_time (*duration) (const char *task);
-  int64_t cpu; /**< of every task */
+  int64_t cpu;                        /**< of every task */
   int64_t (*size) (const char *task); /**< if it is not the same for all */
   uint32_t starts;
   uint32_t holds;
@@ -233,9 +233,8 @@
 model_on_result (void *ctx, const struct snipe_pool_result *result)
 {
   struct model *model = ((struct model_owner *)ctx)->model;
-  struct model_result row = { .number = result->number,
-                              .code = result->code,
-                              .when = model->now };
+  struct model_result row
+      = { .number = result->number, .code = result->code, .when = model->now };
 
   for (uint32_t i = 0; i < result->count; i++)
     {
@@ -271,8 +270,7 @@
                  sizeof event->runs[i].task);
       event->runs[i].run = endpoint->runs[i].run;
     }
-  event->ends
-      = g_new0 (struct snipe_endpoint_end, endpoint->ends->len + 1);
+  event->ends = g_new0 (struct snipe_endpoint_end, endpoint->ends->len + 1);
   for (guint i = 0; i < endpoint->ends->len; i++)
     {
       const struct snipe_endpoint_end *end
@@ -288,13 +286,13 @@
 model_answer_hold (struct model *model, uint32_t index)
 {
   struct model_endpoint *endpoint = &model->endpoints[index];
-  struct model_event event = { .kind = MODEL_HOLD_ANSWER,
-                               .owner = endpoint->holder,
-                               .token = endpoint->hold_token,
-                               .endpoint = index,
-                               .answer = SNIPE_ANSWER_OK,
-                               .when = model->now + MODEL_DELAY
-                                       + endpoint->hold_delay };
+  struct model_event event
+      = { .kind = MODEL_HOLD_ANSWER,
+          .owner = endpoint->holder,
+          .token = endpoint->hold_token,
+          .endpoint = index,
+          .answer = SNIPE_ANSWER_OK,
+          .when = model->now + MODEL_DELAY + endpoint->hold_delay };
 
   endpoint->holding = false;
   model_report (model, endpoint, &event, endpoint->hold_seen);
@@ -371,16 +369,16 @@
                              .cpu = model_size (model, event->task),
                              .fails = endpoint->fails };
   g_strlcpy (run->task, event->task, sizeof run->task);
-  run->until = model->now
-               + (endpoint->fails
-                      ? 2 * SNIPE_MS
-                      : (snipe_time)((double)model->duration (event->task)
-                                     * endpoint->slowness));
+  run->until
+      = model->now
+        + (endpoint->fails ? 2 * SNIPE_MS
+                           : (snipe_time)((double)model->duration (event->task)
+                                          * endpoint->slowness));
   endpoint->lease
-      = MAX (endpoint->lease, model->now
-                                  + MIN (MODEL_LEASE, (event->valid_until
-                                                       - model_clock (model))
-                                                          * SNIPE_MS));
+      = MAX (endpoint->lease,
+             model->now
+                 + MIN (MODEL_LEASE, (event->valid_until - model_clock (model))
+                                         * SNIPE_MS));
   model_note_start (model, endpoint, event);
   return SNIPE_ANSWER_OK;
 }
@@ -402,11 +400,11 @@
     }
   endpoint->token = event->token;
   if (event->valid_until > 0)
-    endpoint->lease
-        = MAX (endpoint->lease, model->now
-                                    + MIN (MODEL_LEASE, (event->valid_until
-                                                         - model_clock (model))
-                                                            * SNIPE_MS));
+    endpoint->lease = MAX (
+        endpoint->lease,
+        model->now
+            + MIN (MODEL_LEASE,
+                   (event->valid_until - model_clock (model)) * SNIPE_MS));
   if (endpoint->holding)
     model_answer_hold (model, event->endpoint);
   endpoint->holding = true;
@@ -461,8 +459,8 @@
       break;
     case MODEL_START_ANSWER:
       if (pool != NULL)
-        snipe_pool_on_start (pool, endpoint->entry.id, event->task,
-                             event->run, event->answer, told, model->now);
+        snipe_pool_on_start (pool, endpoint->entry.id, event->task, event->run,
+                             event->answer, told, model->now);
       break;
     case MODEL_STOP_ANSWER:
       if (pool != NULL)
@@ -610,8 +608,7 @@
 };
 
 static inline void
-model_submit (struct model *model, uint32_t owner,
-              const struct model_job *job)
+model_submit (struct model *model, uint32_t owner, const struct model_job *job)
 {
   uint32_t indexes[64];
   struct snipe_pool_batch batch
@@ -622,8 +619,8 @@
           .spec = { .data = (char *)"s", .len = 1 },
           .indexes = indexes,
           .count = job->count,
-          .each = { .cpu = job->cpu > 0 ? job->cpu : model->cpu,
-                    .mem_mb = 64 },
+          .each
+          = { .cpu = job->cpu > 0 ? job->cpu : model->cpu, .mem_mb = 64 },
           .label = "",
           .rack = "",
           .priority = job->priority,
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -275,8 +275,7 @@
 {
   const struct fault_case cases[] = {
     { "endpoint idle for longer than a lease", idle_endpoint },
-    { "hold answered before a start is carried out",
-      start_overtaken_by_hold },
+    { "hold answered before a start is carried out", start_overtaken_by_hold },
     { "new owner does not know an endpoint", unknown_endpoint },
     { "owner fenced at one endpoint", fenced_owner },
     { "takeover of running and ended tasks", takeover },
--- a/tools/check-source.sh
+++ b/tools/check-source.sh
@@ -6,14 +6,17 @@
 echo "== generated code"
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-cp src/peer/snipe_peer.x "$out"
-(cd "$out" && rpcgen -h -o snipe_peer.h snipe_peer.x \
-  && rpcgen -c -o snipe_peer_xdr.c snipe_peer.x)
-diff -u src/peer/snipe_peer.h "$out/snipe_peer.h"
-diff -u src/peer/snipe_peer_xdr.c "$out/snipe_peer_xdr.c"
+for module in peer link; do
+  name=snipe_$module
+  cp "src/$module/$name.x" "$out"
+  (cd "$out" && rpcgen -h -o "$name.h" "$name.x" \
+    && rpcgen -c -o "${name}_xdr.c" "$name.x")
+  diff -u "src/$module/$name.h" "$out/$name.h"
+  diff -u "src/$module/${name}_xdr.c" "$out/${name}_xdr.c"
+done
 
 mapfile -t files < <(git ls-files -co --exclude-standard '*.c' '*.h' \
-  | grep -v 'src/peer/snipe_peer')
+  | grep -v -e 'src/peer/snipe_peer' -e 'src/link/snipe_link')
 echo "== format (${#files[@]} files)"
 clang-format --dry-run -Werror "${files[@]}"
 
@@ -24,4 +27,4 @@
   | xargs -P 8 -n 4 clang-tidy --quiet -p build 2>/dev/null
 cppcheck --quiet --enable=warning,performance,portability --inline-suppr \
   --error-exitcode=1 --suppress=missingIncludeSystem -j 8 -D_GNU_SOURCE \
-  --suppress=normalCheckLevelMaxBranches -Iinclude -Isrc -Itests -Itools "${units[@]}"
+  --suppress=normalCheckLevelMaxBranches -Iinclude -Isrc -Itests -Itools -Iplatform "${units[@]}"
