--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -34,8 +34,6 @@
   void *prepare_ctx;
 };
 
-CK_STACK_CONTAINER (struct posted, link, posted_of)
-
 static void
 on_wake (void *ctx, uint32_t events)
 {
@@ -49,7 +47,8 @@
   entry = snipe_mpsc_take (&loop->posted);
   while (entry != NULL)
     {
-      struct posted *posted = posted_of (entry);
+      /* The link is the first member. */
+      struct posted *posted = (struct posted *)entry;
 
       entry = entry->next;
       posted->function (posted->ctx);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -15,6 +15,9 @@
 #define HOLD_SLACK (150 * SNIPE_MS)
 /* How long a run of an earlier owner waits for the host that keeps its job. */
 #define ORPHAN_WAIT (500 * SNIPE_MS)
+/* Time that a new list of endpoints takes after a claim, if the store is well;
+ * a multiple of its answer time. */
+#define DIRECTORY_WAIT (60 * SNIPE_MS)
 /* A task that takes this many times its predicted duration and this much
  * longer stands still or is on an endpoint that turned slow. */
 #define STRAGGLER_FACTOR 3
@@ -586,6 +589,12 @@
   GPtrArray *order = g_ptr_array_sized_new (pool->batches->len);
   bool all = settled (pool, now);
 
+  /* An entry of the list may be seconds old, and its endpoint leaving. */
+  if (!pool->directory_known && now < pool->created + DIRECTORY_WAIT)
+    {
+      g_ptr_array_free (order, TRUE);
+      return;
+    }
   /* Another owner has a higher token somewhere. What this one would start at
    * the endpoints that still obey it, the other may start elsewhere. */
   if (pool->fenced)
