Send fewer heartbeats, and fetch a configuration from one peer at a time

Change: a heartbeat only where no other message went; reports encoded once for all hosts, at an interval that grows with the fleet; a newer configuration is asked from one peer, 0.4 s after it was first heard of; idle sockets stay in the loop; the first claim comes 0.7 s after the start.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -48,7 +48,7 @@
 #define SNIPE_MEMBERS_OPTIONS_INIT                                            \
   {                                                                           \
     .version = SNIPE_MEMBERS_OPTIONS_VERSION, .silence = 600 * SNIPE_MS,      \
-    .settle = 1500 * SNIPE_MS                                                 \
+    .settle = 700 * SNIPE_MS                                                 \
   }
 
 int snipe_members_new (struct snipe_members **out,
@@ -62,6 +62,12 @@
 /** Any other message of a host. */
 void snipe_members_sign (struct snipe_members *members, uint64_t incarnation,
                          snipe_time now);
+/** A message was sent to the host, which counts as a sign of this one. */
+void snipe_members_sent (struct snipe_members *members, uint64_t incarnation,
+                         snipe_time now);
+/** @return when a message was last sent to the host, 0: never. */
+snipe_time snipe_members_last_sent (const struct snipe_members *members,
+                                    uint64_t incarnation);
 /** A connection of the host broke: its process has ended, or only the
  * connection has. It counts as lost unless it is heard again soon. */
 void snipe_members_suspect (struct snipe_members *members,
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -30,6 +31,7 @@
   char address[64];     /**< outgoing only */
   uint64_t incarnation; /**< incoming only, after its HELLO */
   bool connecting;
+  bool blocked; /**< waits until the socket takes more */
 };
 
 struct snipe_link
@@ -199,6 +201,9 @@
       return;
     }
   pending = channel->connection->out_len > 0;
+  if (pending == channel->blocked)
+    return;
+  channel->blocked = pending;
   snipe_loop_change (link->options.loop, &channel->watch,
                      pending ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
@@ -259,19 +264,19 @@
   channel = channel_new (link, fd, on_outgoing);
   g_strlcpy (channel->address, address, sizeof channel->address);
   channel->connecting = true;
+  channel->blocked = true;
   g_hash_table_insert (link->outgoing, channel->address, channel);
   snipe_loop_add (link->options.loop, &channel->watch, EPOLLIN | EPOLLOUT);
   return channel;
 }
 
-static int
-encode (struct snipe_peer_connection *connection,
-        const struct snipe_link_message *message)
+int
+snipe_link_encode (struct snipe_str *out,
+                   const struct snipe_link_message *message)
 {
   struct rpc_msg header = { .rm_direction = CALL };
   xdrproc_t body = codec (message->procedure);
-  unsigned long header_len;
-  unsigned long body_len;
+  unsigned long len;
   char *data;
   bool encoded;
   XDR xdrs;
@@ -282,29 +287,29 @@
   header.rm_call.cb_proc = message->procedure;
   header.rm_call.cb_cred = _null_auth;
   header.rm_call.cb_verf = _null_auth;
-  header_len = xdr_sizeof ((xdrproc_t)xdr_callmsg, &header);
-  body_len = xdr_sizeof (body, (void *)&message->args);
-  if (body_len == 0)
+  len = xdr_sizeof (body, (void *)&message->args);
+  if (len == 0)
     return snipe_status_set (SNIPE_E_TOO_LARGE,
                              "message %u exceeds a limit of the protocol",
                              message->procedure);
-  data = snipe_peer_connection_reserve (connection,
-                                        (uint32_t)(header_len + body_len));
+  len += xdr_sizeof ((xdrproc_t)xdr_callmsg, &header);
+  data = malloc (len);
   if (data == NULL)
     return snipe_status_set (SNIPE_E_NOMEM, "no memory for a message");
-  xdrmem_create (&xdrs, data, (u_int)(header_len + body_len), XDR_ENCODE);
+  xdrmem_create (&xdrs, data, (u_int)len, XDR_ENCODE);
   encoded
       = xdr_callmsg (&xdrs, &header) && body (&xdrs, (void *)&message->args);
   xdr_destroy (&xdrs);
+  snipe_str_take (out, data, len);
   return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
 }
 
 int
-snipe_link_send (struct snipe_link *link, const char *address,
-                 const struct snipe_link_message *message)
+snipe_link_send_encoded (struct snipe_link *link, const char *address,
+                         const struct snipe_str *message)
 {
   struct channel *channel = g_hash_table_lookup (link->outgoing, address);
-  int status;
+  char *data;
 
   if (channel == NULL)
     channel = open_channel (link, address);
@@ -313,9 +318,26 @@
                              address);
   if (channel->connection->out_len > QUEUE_MAX)
     return snipe_status_set (SNIPE_E_UNREACHABLE, "%s does not read", address);
-  status = encode (channel->connection, message);
-  if (status == SNIPE_OK && !channel->connecting)
+  data = snipe_peer_connection_reserve (channel->connection,
+                                        (uint32_t)message->len);
+  if (data == NULL)
+    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a message");
+  memcpy (data, message->data, message->len);
+  if (!channel->connecting)
     flush (channel);
+  return SNIPE_OK;
+}
+
+int
+snipe_link_send (struct snipe_link *link, const char *address,
+                 const struct snipe_link_message *message)
+{
+  struct snipe_str encoded = SNIPE_STR_INIT;
+  int status = snipe_link_encode (&encoded, message);
+
+  if (status == SNIPE_OK)
+    status = snipe_link_send_encoded (link, address, &encoded);
+  snipe_str_clear (&encoded);
   return status;
 }
 
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -10,6 +10,7 @@
 
 #include "link/snipe_link.h"
 #include "loop/loop.h"
+#include "snipe/str.h"
 
 struct snipe_link;
 
@@ -59,6 +60,12 @@
  * @return 0, or SNIPE_E_UNREACHABLE if it surely does not arrive. */
 int snipe_link_send (struct snipe_link *link, const char *address,
                      const struct snipe_link_message *message);
+/** Encodes a message once for several hosts. The text is freed by
+ * snipe_str_clear (). */
+int snipe_link_encode (struct snipe_str *out,
+                       const struct snipe_link_message *message);
+int snipe_link_send_encoded (struct snipe_link *link, const char *address,
+                             const struct snipe_str *message);
 /** Closes the connection to @p address: it seems to carry nothing. */
 void snipe_link_reset (struct snipe_link *link, const char *address);
 
--- a/src/loop/web.c
+++ b/src/loop/web.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <unistd.h>
 
 #include "snipe/status.h"
 
@@ -29,11 +30,15 @@
   bool written; /**< on some connection; libcurl may have tried a second */
 };
 
-/** A socket of libcurl's in the loop. */
+/** A socket of libcurl's in the loop. It stays there while its connection is
+ * idle, because taking it out and in again costs two system calls a request.
+ */
 struct socket
 {
   struct snipe_web *web;
   struct snipe_loop_watch watch;
+  uint32_t events; /**< that the loop waits for */
+  bool idle;       /**< libcurl does not wait for it */
 };
 
 struct snipe_web
@@ -43,6 +48,7 @@
   snipe_time due;  /**< of libcurl's timeout, 0: none */
   GPtrArray *idle; /**< CURL handles */
   GHashTable *calls;
+  GHashTable *sockets; /**< descriptor -> struct socket */
 };
 
 static size_t
@@ -135,6 +141,13 @@
   struct socket *socket = ctx;
   int flags = 0;
 
+  if (socket->idle)
+    {
+      /* The other side has closed it; libcurl finds out when it uses it. */
+      snipe_loop_change (socket->web->loop, &socket->watch, 0);
+      socket->events = 0;
+      return;
+    }
   if (events & (EPOLLIN | EPOLLHUP))
     flags |= CURL_CSELECT_IN;
   if (events & EPOLLOUT)
@@ -144,40 +157,65 @@
   run (socket->web, socket->watch.fd, flags);
 }
 
+/* libcurl closes a connection. */
+static int
+on_close (void *ctx, curl_socket_t fd)
+{
+  struct snipe_web *web = ctx;
+  struct socket *socket
+      = g_hash_table_lookup (web->sockets, GINT_TO_POINTER (fd));
+
+  if (socket != NULL)
+    {
+      snipe_loop_remove (web->loop, &socket->watch);
+      g_hash_table_remove (web->sockets, GINT_TO_POINTER (fd));
+    }
+  return close (fd);
+}
+
+static struct socket *
+add_socket (struct snipe_web *web, curl_socket_t fd, uint32_t events)
+{
+  struct socket *socket = g_new0 (struct socket, 1);
+
+  socket->web = web;
+  socket->events = events;
+  socket->watch = (struct snipe_loop_watch){ .fd = fd,
+                                             .ready = on_ready,
+                                             .ctx = socket };
+  g_hash_table_insert (web->sockets, GINT_TO_POINTER (fd), socket);
+  snipe_loop_add (web->loop, &socket->watch, events);
+  return socket;
+}
+
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *state)
 {
   struct snipe_web *web = ctx;
-  struct socket *socket = state;
+  struct socket *socket
+      = g_hash_table_lookup (web->sockets, GINT_TO_POINTER (fd));
   uint32_t events = 0;
 
   (void)easy;
+  (void)state;
   if (what == CURL_POLL_REMOVE)
     {
       if (socket != NULL)
-        {
-          snipe_loop_remove (web->loop, &socket->watch);
-          curl_multi_assign (web->multi, fd, NULL);
-          g_free (socket);
-        }
+        socket->idle = true;
       return 0;
     }
   if (what & CURL_POLL_IN)
     events |= EPOLLIN;
   if (what & CURL_POLL_OUT)
     events |= EPOLLOUT;
-  if (socket != NULL)
+  if (socket == NULL)
+    socket = add_socket (web, fd, events);
+  else if (socket->events != events)
     {
       snipe_loop_change (web->loop, &socket->watch, events);
-      return 0;
+      socket->events = events;
     }
-  socket = g_new0 (struct socket, 1);
-  socket->web = web;
-  socket->watch = (struct snipe_loop_watch){ .fd = fd,
-                                             .ready = on_ready,
-                                             .ctx = socket };
-  snipe_loop_add (web->loop, &socket->watch, events);
-  curl_multi_assign (web->multi, fd, socket);
+  socket->idle = false;
   return 0;
 }
 
@@ -215,6 +253,7 @@
   web->loop = loop;
   web->idle = g_ptr_array_new ();
   web->calls = g_hash_table_new (NULL, NULL);
+  web->sockets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   web->multi = curl_multi_init ();
   if (web->multi == NULL)
     {
@@ -251,6 +290,7 @@
     curl_multi_cleanup (web->multi);
   g_ptr_array_free (web->idle, TRUE);
   g_hash_table_destroy (web->calls);
+  g_hash_table_destroy (web->sockets);
   g_free (web);
 }
 
@@ -296,6 +336,8 @@
   curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+  curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETDATA, web);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -16,6 +16,7 @@
 {
   struct snipe_member said; /**< claims are owned */
   snipe_time heard;
+  snipe_time sent; /**< last message to it */
   bool live;
 };
 
@@ -104,6 +105,25 @@
     peer->heard = now;
 }
 
+void
+snipe_members_sent (struct snipe_members *members, uint64_t incarnation,
+                    snipe_time now)
+{
+  struct peer *peer = find (members, incarnation);
+
+  if (peer != NULL)
+    peer->sent = now;
+}
+
+snipe_time
+snipe_members_last_sent (const struct snipe_members *members,
+                         uint64_t incarnation)
+{
+  const struct peer *peer = find (members, incarnation);
+
+  return peer == NULL ? 0 : peer->sent;
+}
+
 void
 snipe_members_suspect (struct snipe_members *members, uint64_t incarnation,
                        snipe_time now)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,10 +11,10 @@
 /* Four heartbeats may be missed before a host counts as lost. Its jobs have to
  * be stopped before their callers send them again. */
 #define HELLO_INTERVAL (150 * SNIPE_MS)
+#define HELLO_CHECK_INTERVAL (50 * SNIPE_MS)
+#define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
 /* Ownership is decided this often; a takeover waits for it. */
 #define OWNER_INTERVAL (20 * SNIPE_MS)
-/* Shortest time between two reports of a pool's load to a host. */
-#define LOAD_INTERVAL (30 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
 /* Endpoints whose entries lapsed with the store are listed again within two
@@ -174,6 +174,7 @@
 snipe_node_config_changed (struct snipe_node *node, uint64_t version)
 {
   node->config_version = version;
+  node->outdated_since = 0;
   node->hello_due = 0;
 }
 
@@ -419,15 +420,22 @@
 {
   struct snipe_node *node;
   snipe_time now;
+  bool all; /**< also hosts that had another message lately */
 };
 
 static void
 greet (void *ctx, const struct snipe_member *member)
 {
   struct greeting *greeting = ctx;
+  struct snipe_node *node = greeting->node;
+  snipe_time sent
+      = snipe_members_last_sent (node->members, member->incarnation);
 
-  snipe_node_send_hello (greeting->node, member->address, member->incarnation,
+  if (!greeting->all && greeting->now - sent < HELLO_INTERVAL)
+    return;
+  snipe_node_send_hello (node, member->address, member->incarnation,
                          greeting->now);
+  snipe_members_sent (node->members, member->incarnation, greeting->now);
 }
 
 /* Greets the hosts that are heard, and now and then those that are listed. */
@@ -438,9 +446,14 @@
   GHashTableIter iter;
   gpointer key;
 
-  if (now < node->hello_due)
+  if (now < node->hello_due && now < node->check_due)
     return;
-  node->hello_due = now + HELLO_INTERVAL;
+  /* Whole heartbeats after a change, and now and then; in between only to
+   * those that had no other message for an interval. */
+  greeting.all = now >= node->hello_due;
+  if (greeting.all)
+    node->hello_due = now + HELLO_FULL_INTERVAL;
+  node->check_due = now + HELLO_CHECK_INTERVAL;
   snipe_members_each (node->members, greet, &greeting);
   if (now < node->greet_due)
     return;
@@ -678,7 +691,7 @@
     }
   snipe_home_tick (node->home, now);
   snipe_node_drain_pending (node, now);
-  snipe_node_send_loads (node, LOAD_INTERVAL, now);
+  snipe_node_send_loads (node, now);
   snipe_node_forget_results (node, now - RESULT_TIME);
 }
 
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -27,9 +27,10 @@
   uint64_t token;
   snipe_time claimed;
   struct snipe_pool *pool;
-  snipe_time fenced_at; /**< when a higher token was first met, 0: never */
-  snipe_time load_sent;
-  uint64_t load_digest; /**< of the load that was sent last */
+  snipe_time fenced_at;    /**< when a higher token was first met, 0: never */
+  snipe_time load_due[2];  /**< next report to the hosts of this domain, and to
+                                the others */
+  uint64_t load_digest[2]; /**< of what was reported last */
 };
 
 /** Something for this host itself. It waits until the call that caused it has
@@ -92,7 +93,8 @@
   GPtrArray *results; /**< struct kept_result, oldest first */
   snipe_time silence;
   snipe_time last_tick;
-  snipe_time hello_due;
+  snipe_time hello_due; /**< heartbeats to all hosts */
+  snipe_time check_due; /**< heartbeats to those that had no message */
   snipe_time greet_due;
   snipe_time owner_due;
   snipe_time directory_read; /**< since when the list of endpoints is whole */
@@ -100,6 +102,8 @@
   snipe_time reached_since;
   snipe_time reached_at;
   snipe_time probe_due;
+  snipe_time outdated_since; /**< a peer has a newer configuration; 0: none */
+  snipe_time fetch_due;
   snipe_time reset_at; /**< last connection that was given up as silent */
 };
 
@@ -148,8 +152,7 @@
                              const struct snipe_pool_result *result);
 void snipe_node_send_hello (struct snipe_node *node, const char *address,
                             uint64_t incarnation, snipe_time now);
-void snipe_node_send_loads (struct snipe_node *node, snipe_time interval,
-                            snipe_time now);
+void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -6,6 +6,16 @@
 #include "snipe/status.h"
 
 #define FREE_MAX 512
+/* The store brings a new configuration to all hosts at the same time; a peer
+ * is asked for it only after that should have happened. */
+#define FETCH_DELAY (400 * SNIPE_MS)
+#define FETCH_INTERVAL (300 * SNIPE_MS)
+/* Shortest time between two reports of a pool's load to the hosts of its
+ * domain, and the time that each host of the fleet adds, so that a host spends
+ * no more on reports as the fleet grows. Others hear half as often. */
+#define LOAD_INTERVAL_MIN (30 * SNIPE_MS)
+#define LOAD_INTERVAL_HOST (3 * SNIPE_MS / 2)
+#define LOAD_FAR_FACTOR 1
 
 static int32_t
 ms_left (snipe_time when, snipe_time now)
@@ -229,20 +239,66 @@
 struct broadcast
 {
   struct snipe_node *node;
-  const struct snipe_link_message *message;
+  struct snipe_str message;
+  snipe_time now;
+  bool near; /**< to hosts of this domain */
+  bool far;  /**< to the others */
 };
 
 static void
 send_one (void *ctx, const struct snipe_member *member)
 {
   struct broadcast *broadcast = ctx;
+  struct snipe_node *node = broadcast->node;
+  bool near = strcmp (member->domain, node->options.domain) == 0;
 
-  snipe_link_send (broadcast->node->link, member->address, broadcast->message);
+  if (!(near ? broadcast->near : broadcast->far))
+    return;
+  if (snipe_link_send_encoded (node->link, member->address,
+                               &broadcast->message)
+      == SNIPE_OK)
+    snipe_members_sent (node->members, member->incarnation, broadcast->now);
 }
 
+/* Sends a message to the hosts that @p broadcast names. */
 static void
-send_load (struct snipe_node *node, struct held_pool *pool,
-           snipe_time interval, snipe_time now)
+send_to_hosts (struct broadcast *broadcast,
+               const struct snipe_link_message *message)
+{
+  if (!broadcast->near && !broadcast->far)
+    return;
+  if (snipe_link_encode (&broadcast->message, message) == SNIPE_OK)
+    snipe_members_each (broadcast->node->members, send_one, broadcast);
+  else
+    g_warning ("link: %s", snipe_status_last ());
+  snipe_str_clear (&broadcast->message);
+}
+
+static void
+count_one (void *ctx, const struct snipe_member *member)
+{
+  (void)member;
+  (*(uint32_t *)ctx)++;
+}
+
+/* Whether a report with that digest is due to the hosts near or far. */
+static bool
+report_due (struct held_pool *pool, int far, uint64_t digest, uint32_t hosts,
+            snipe_time now)
+{
+  snipe_time interval = MAX (LOAD_INTERVAL_MIN, hosts * LOAD_INTERVAL_HOST)
+                        * (far ? LOAD_FAR_FACTOR : 1);
+
+  if (digest == pool->load_digest[far] || now < pool->load_due[far])
+    return false;
+  pool->load_digest[far] = digest;
+  pool->load_due[far] = now + interval;
+  return true;
+}
+
+static void
+send_load (struct snipe_node *node, struct held_pool *pool, uint32_t hosts,
+           snipe_time now)
 {
   uint32_t free_cpu[FREE_MAX];
   struct snipe_pool_load load;
@@ -266,25 +322,26 @@
               .total_cpu = (u_quad_t)load.total_cpu,
               .backlog = (u_quad_t)load.backlog,
               .slowness = (u_int)(load.slowness * 1000) } };
-  struct broadcast broadcast = { .node = node, .message = &message };
+  struct broadcast broadcast = { .node = node, .now = now };
   uint64_t digest = (uint64_t)load.backlog + (uint64_t)load.total_cpu;
 
   snipe_home_load (node->home, &own, now);
   for (uint32_t i = 0; i < count; i++)
     digest = digest * 31 + free_cpu[i];
-  if (digest == pool->load_digest || now - pool->load_sent < interval)
-    return;
-  pool->load_digest = digest;
-  pool->load_sent = now;
-  snipe_members_each (node->members, send_one, &broadcast);
+  broadcast.near = report_due (pool, 0, digest, hosts, now);
+  broadcast.far = report_due (pool, 1, digest, hosts, now);
+  send_to_hosts (&broadcast, &message);
 }
 
 void
-snipe_node_send_loads (struct snipe_node *node, snipe_time interval,
-                       snipe_time now)
+snipe_node_send_loads (struct snipe_node *node, snipe_time now)
 {
+  uint32_t hosts = 0;
+
+  if (node->pools->len > 0)
+    snipe_members_each (node->members, count_one, &hosts);
   for (guint i = 0; i < node->pools->len; i++)
-    send_load (node, g_ptr_array_index (node->pools, i), interval, now);
+    send_load (node, g_ptr_array_index (node->pools, i), hosts, now);
 }
 
 bool
@@ -293,11 +350,12 @@
   struct snipe_link_message message
       = { .procedure = LINK_SEND_CANCEL_JOB,
           .args.cancel_job = { .job = (char *)id } };
-  struct broadcast broadcast = { .node = node, .message = &message };
+  struct broadcast broadcast
+      = { .node = node, .now = now, .near = true, .far = true };
   bool here = snipe_home_cancel (node->home, id, now);
 
   if (!here)
-    snipe_members_each (node->members, send_one, &broadcast);
+    send_to_hosts (&broadcast, &message);
   snipe_node_drain_pending (node, now);
   return here;
 }
@@ -310,6 +368,25 @@
   snipe_home_resend (node->home, incarnation);
 }
 
+/* Asks a peer for a newer configuration if the store has not brought it by
+ * now. A configuration may be large, so only one peer is asked at a time. */
+static void
+fetch_config (struct snipe_node *node, const link_hello *hello, snipe_time now)
+{
+  struct snipe_link_message fetch
+      = { .procedure = LINK_SEND_FETCH,
+          .args.fetch = { .have_version = node->config_version } };
+
+  if (hello->config_version <= node->config_version)
+    return;
+  if (node->outdated_since == 0)
+    node->outdated_since = now;
+  if (now - node->outdated_since < FETCH_DELAY || now < node->fetch_due)
+    return;
+  node->fetch_due = now + FETCH_INTERVAL;
+  snipe_link_send (node->link, hello->address, &fetch);
+}
+
 static void
 on_hello (struct snipe_node *node, const link_hello *hello, snipe_time now)
 {
@@ -355,14 +432,7 @@
       snipe_link_reset (node->link, member.address);
       resend_batches (node, member.incarnation);
     }
-  if (hello->config_version > node->config_version)
-    {
-      struct snipe_link_message fetch
-          = { .procedure = LINK_SEND_FETCH,
-              .args.fetch = { .have_version = node->config_version } };
-
-      snipe_link_send (node->link, member.address, &fetch);
-    }
+  fetch_config (node, hello, now);
   g_free (claims);
 }
 
