--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -48,7 +48,7 @@
 #define SNIPE_MEMBERS_OPTIONS_INIT                                            \
   {                                                                           \
     .version = SNIPE_MEMBERS_OPTIONS_VERSION, .silence = 600 * SNIPE_MS,      \
-    .settle = 700 * SNIPE_MS                                                 \
+    .settle = 700 * SNIPE_MS                                                  \
   }
 
 int snipe_members_new (struct snipe_members **out,
@@ -56,9 +56,17 @@
                        snipe_time now);
 void snipe_members_free (struct snipe_members *members);
 
-/** A heartbeat of a host. @return whether it was not live before. */
-bool snipe_members_heard (struct snipe_members *members,
-                          const struct snipe_member *member, snipe_time now);
+enum snipe_heard
+{
+  SNIPE_HEARD_SAME,
+  SNIPE_HEARD_CHANGED, /**< it leaves, or its claims are others */
+  SNIPE_HEARD_NEW,     /**< it was not live before */
+};
+
+/** A heartbeat of a host. */
+enum snipe_heard snipe_members_heard (struct snipe_members *members,
+                                      const struct snipe_member *member,
+                                      snipe_time now);
 /** Any other message of a host. */
 void snipe_members_sign (struct snipe_members *members, uint64_t incarnation,
                          snipe_time now);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -118,7 +118,7 @@
 
 /** Whether the host can accept work (rules loaded, not draining). */
 bool snipe_engine_ready (const struct snipe_engine *engine);
-/** JSON for operators: see docs/operations.md. */
+/** JSON for operators: see docs/OPERATIONS.md. */
 int snipe_engine_status (struct snipe_str *out, struct snipe_engine *engine,
                          snipe_time now);
 int snipe_engine_explain (struct snipe_str *out, struct snipe_engine *engine,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -70,29 +70,44 @@
   return g_hash_table_lookup (members->peers, &incarnation);
 }
 
-bool
+static bool
+has_changed (const struct snipe_member *old, const struct snipe_member *new)
+{
+  if (old->leaving != new->leaving || old->claim_count != new->claim_count)
+    return true;
+  for (uint32_t i = 0; i < new->claim_count; i++)
+    if (old->claims[i].token != new->claims[i].token
+        || !snipe_pool_id_equal (&old->claims[i].pool, &new->claims[i].pool))
+      return true;
+  return false;
+}
+
+enum snipe_heard
 snipe_members_heard (struct snipe_members *members,
                      const struct snipe_member *member, snipe_time now)
 {
   struct peer *peer = find (members, member->incarnation);
-  bool was_live;
+  enum snipe_heard heard = SNIPE_HEARD_SAME;
 
   if (member->incarnation == members->self.incarnation)
-    return false;
+    return heard;
   if (peer == NULL)
     {
       peer = g_new0 (struct peer, 1);
       peer->said.incarnation = member->incarnation;
       g_hash_table_insert (members->peers, &peer->said.incarnation, peer);
     }
-  was_live = peer->live;
+  if (!peer->live)
+    heard = SNIPE_HEARD_NEW;
+  else if (has_changed (&peer->said, member))
+    heard = SNIPE_HEARD_CHANGED;
   g_free ((void *)peer->said.claims);
   peer->said = *member;
   peer->said.claims = g_memdup2 (member->claims,
                                  member->claim_count * sizeof *member->claims);
   peer->heard = now;
   peer->live = true;
-  return !was_live;
+  return heard;
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,8 +13,9 @@
 #define HELLO_INTERVAL (150 * SNIPE_MS)
 #define HELLO_CHECK_INTERVAL (50 * SNIPE_MS)
 #define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
-/* Ownership is decided this often; a takeover waits for it. */
-#define OWNER_INTERVAL (20 * SNIPE_MS)
+/* Ownership is decided after each change of the view, and this often besides,
+ * for what only time brings about. */
+#define OWNER_INTERVAL (100 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
 /* Endpoints whose entries lapsed with the store are listed again within two
@@ -473,6 +474,7 @@
     {
       g_message ("host: event=lost incarnation=%016" G_GINT64_MODIFIER "x",
                  lost);
+      node->owner_due = 0;
       snipe_home_owner_lost (node->home, lost, now);
       for (guint i = 0; i < node->pools->len; i++)
         snipe_pool_home_lost (
@@ -533,6 +535,7 @@
         snipe_pool_endpoint_set (held->pool, entry, now);
     }
   node->hello_due = 0;
+  node->owner_due = 0;
   node->options.port.refresh_directory (node->options.port.ctx);
   snipe_home_owner (node->home, id, node->incarnation, token, now);
 }
@@ -584,6 +587,7 @@
              pool->id.shards, pool->token, why);
   g_ptr_array_remove (node->pools, pool);
   node->hello_due = 0;
+  node->owner_due = 0;
 }
 
 /* A higher token was met, and nobody is heard who has it: a host that was
@@ -699,6 +703,7 @@
 snipe_node_leave (struct snipe_node *node)
 {
   node->leaving = true;
+  node->owner_due = 0;
   snipe_members_leave (node->members);
   node->hello_due = 0;
 }
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -396,6 +396,7 @@
                                  .claim_count = hello->claims.claims_len };
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, hello->claims.claims_len + 1);
+  enum snipe_heard heard;
 
   if (hello->incarnation == node->incarnation)
     {
@@ -415,7 +416,10 @@
     }
   member.claims = claims;
   node->store_version = MAX (node->store_version, hello->store_version);
-  if (snipe_members_heard (node->members, &member, now))
+  heard = snipe_members_heard (node->members, &member, now);
+  if (heard != SNIPE_HEARD_SAME)
+    node->owner_due = 0;
+  if (heard == SNIPE_HEARD_NEW)
     {
       g_message ("host: event=heard name=%s domain=%s "
                  "incarnation=%016" G_GINT64_MODIFIER "x",
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -18,6 +18,7 @@
 static uint64_t dropped;
 static pthread_t thread;
 static bool running;
+static int output_fd = STDERR_FILENO;
 static GLogLevelFlags threshold = G_LOG_LEVEL_MESSAGE;
 
 static const struct
@@ -78,7 +79,7 @@
 {
   while (len > 0)
     {
-      ssize_t n = write (STDERR_FILENO, data, len);
+      ssize_t n = write (output_fd, data, len);
 
       if (n <= 0)
         return;
@@ -182,6 +183,12 @@
   return SNIPE_OK;
 }
 
+void
+snipe_log_to (int fd)
+{
+  output_fd = fd;
+}
+
 void
 snipe_log_stop (void)
 {
