Serve the batch with most time left first; claim when all hosts are heard

Under overload the most urgent batch went first, so that a backlog made all that followed late. Change: time left relative to length decides, with a margin of 1.7; a restarted host claims as soon as every listed host is heard; jobs that come before any owner is known are held for up to 0.5 s; ready only then. Ruled out in the model: newest first, smallest first, priority first, least slack first, margins of 1.0 to 2.0.

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -98,6 +98,8 @@
 bool snipe_home_has (const struct snipe_home *home, const char *id);
 /** @return jobs of a route of which no task is known to have started. */
 uint32_t snipe_home_pending (const struct snipe_home *home, const char *route);
+/** @return whether the owner of some pool is known. */
+bool snipe_home_can_serve (const struct snipe_home *home);
 /** @return jobs that are not answered. */
 uint32_t snipe_home_jobs (const struct snipe_home *home);
 
--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -88,6 +88,8 @@
 /** Looks for hosts that fell silent; call it every few milliseconds.
  * @return the incarnation of one that is lost by now, each once, or 0. */
 uint64_t snipe_members_lost (struct snipe_members *members, snipe_time now);
+/** All other hosts are heard: pools may be claimed from now on. */
+void snipe_members_settle (struct snipe_members *members, snipe_time now);
 /** This host was stopped: it knows nothing of the others until it hears
  * them, and claims nothing before that. */
 void snipe_members_restart (struct snipe_members *members, snipe_time now);
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -10,6 +10,9 @@
  * its caller; see the operators' page. */
 #define LATE_FACTOR 3
 #define RETRY_AFTER_MIN (1 * SNIPE_S)
+/* A job that comes before the owner of any pool is known waits for it, as long
+ * as a restart of all hosts takes. */
+#define HELD_MAX (500 * SNIPE_MS)
 
 struct job;
 
@@ -34,6 +37,7 @@
   uint32_t open; /**< tasks that are not done */
   uint32_t handovers;
   bool started; /**< a task may have started */
+  bool held;    /**< waits until the owner of a pool is known */
   GPtrArray *batches;
 };
 
@@ -230,12 +234,44 @@
   return status;
 }
 
+static void
+dispatch_all (struct snipe_home *home, struct job *job, snipe_time now)
+{
+  uint32_t *indexes = g_new (uint32_t, job->spec.count);
+  uint32_t count = job->spec.count;
+
+  for (uint32_t i = 0; i < count; i++)
+    indexes[i] = i;
+  dispatch (home, job, indexes, count, now);
+  g_free (indexes);
+}
+
+/* Whether the owner of a pool of the service (NULL: any) is known. */
+static bool
+serves (const struct snipe_home *home, const char *service)
+{
+  for (guint i = 0; i < home->pools->len; i++)
+    {
+      const struct pool_view *pool = g_ptr_array_index (home->pools, i);
+
+      if (pool->owner != 0 && pool->total_cpu > 0
+          && (service == NULL || strcmp (pool->id.service, service) == 0))
+        return true;
+    }
+  return false;
+}
+
+bool
+snipe_home_can_serve (const struct snipe_home *home)
+{
+  return serves (home, NULL);
+}
+
 void
 snipe_home_submit (struct snipe_home *home, const struct snipe_home_job *spec,
                    snipe_time now)
 {
   struct job *job = g_hash_table_lookup (home->jobs, spec->id);
-  uint32_t *indexes;
   double length;
 
   if (job != NULL)
@@ -266,11 +302,9 @@
   job->due = now + (snipe_time)(length * spec->slack_factor) + spec->slo;
   job->late = MIN (now + LATE_FACTOR * (job->due - now), spec->give_up);
   g_hash_table_insert (home->jobs, (char *)job->spec.id, job);
-  indexes = g_new (uint32_t, spec->count);
-  for (uint32_t i = 0; i < spec->count; i++)
-    indexes[i] = i;
-  dispatch (home, job, indexes, spec->count, now);
-  g_free (indexes);
+  job->held = !serves (home, spec->service);
+  if (!job->held)
+    dispatch_all (home, job, now);
 }
 
 void
@@ -510,6 +544,9 @@
 {
   if (now >= job->spec.give_up)
     return SNIPE_E_DEADLINE;
+  if (job->held
+      && now >= MIN (job->due - job->spec.estimate, job->arrived + HELD_MAX))
+    return SNIPE_E_NOT_READY;
   for (guint i = 0; i < job->batches->len; i++)
     {
       const struct batch *batch = g_ptr_array_index (job->batches, i);
@@ -524,13 +561,28 @@
 snipe_home_tick (struct snipe_home *home, snipe_time now)
 {
   GPtrArray *ended = g_ptr_array_new ();
+  GPtrArray *ready = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, home->jobs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (check_job (home, value, now) != SNIPE_OK)
-      g_ptr_array_add (ended, value);
+    {
+      struct job *job = value;
+
+      if (check_job (home, job, now) != SNIPE_OK)
+        g_ptr_array_add (ended, job);
+      else if (job->held && serves (home, job->spec.service))
+        g_ptr_array_add (ready, job);
+    }
+  for (guint i = 0; i < ready->len; i++)
+    {
+      struct job *job = g_ptr_array_index (ready, i);
+
+      job->held = false;
+      dispatch_all (home, job, now);
+    }
+  g_ptr_array_free (ready, TRUE);
   for (guint i = 0; i < ended->len; i++)
     {
       struct job *job = g_ptr_array_index (ended, i);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -186,6 +186,12 @@
   return 0;
 }
 
+void
+snipe_members_settle (struct snipe_members *members, snipe_time now)
+{
+  members->settled = MIN (members->settled, now);
+}
+
 void
 snipe_members_restart (struct snipe_members *members, snipe_time now)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -162,6 +162,30 @@
     g_message ("host: event=listed address=%s", address);
 }
 
+void
+snipe_node_hosts_read (struct snipe_node *node)
+{
+  node->hosts_read = true;
+}
+
+/* Claims need not wait once every listed host is heard. */
+static void
+check_settled (struct snipe_node *node, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (!node->hosts_read || node->options.first_start)
+    return;
+  g_hash_table_iter_init (&iter, node->listed);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!snipe_node_address_live (node, key))
+      return;
+  node->hosts_read = false;
+  node->owner_due = 0;
+  snipe_members_settle (node->members, now);
+}
+
 void
 snipe_node_store_version (struct snipe_node *node, uint64_t version,
                           bool registered)
@@ -686,6 +710,7 @@
     recover_from_stop (node, gap, now);
   drop_lost (node, now);
   send_hellos (node, now);
+  check_settled (node, now);
   decide_owners (node, now);
   for (guint i = 0; i < node->pools->len; i++)
     {
@@ -719,3 +744,9 @@
 {
   return node->pools->len > 0;
 }
+
+bool
+snipe_node_can_serve (const struct snipe_node *node)
+{
+  return snipe_home_can_serve (node->home);
+}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,6 +43,7 @@
   const char *name;
   const char *domain;
   const char *listen; /**< of the link, "ip:port" */
+  bool first_start;   /**< the list of hosts is only being written */
   uint32_t size;      /**< share of a core, in thousandths */
   struct snipe_loop *loop;
   snipe_time lease_max;    /**< longest lease of an endpoint */
@@ -65,6 +66,9 @@
 /** A host that the store lists. */
 void snipe_node_host_listed (struct snipe_node *node, const char *address,
                              snipe_time now);
+/** All hosts that the store listed at some time after this one was listed were
+ * passed on. */
+void snipe_node_hosts_read (struct snipe_node *node);
 /** The store's newest version; its first one makes the tokens of this host
  * different from those of all others. */
 void snipe_node_store_version (struct snipe_node *node, uint64_t version,
@@ -109,6 +113,9 @@
 void snipe_node_tick (struct snipe_node *node, snipe_time now);
 #define SNIPE_NODE_TICK (10 * SNIPE_MS)
 
+/** @return whether the owner of some pool is known, so that jobs can be
+ * served. */
+bool snipe_node_can_serve (const struct snipe_node *node);
 /** @return whether this host schedules a pool. */
 bool snipe_node_owns_pool (const struct snipe_node *node);
 /** Starts to hand over pools to other hosts. */
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -89,6 +89,7 @@
   GArray *known_pools;   /**< struct snipe_pool_id, sorted */
   GHashTable *directory; /**< id -> struct snipe_endpoint_entry */
   GHashTable *listed;    /**< addresses of hosts in the store */
+  bool hosts_read;       /**< listed is whole, and not settled yet */
   GQueue pending;
   GPtrArray *results; /**< struct kept_result, oldest first */
   snipe_time silence;
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -2,8 +2,12 @@
  *
  * The load patterns that each rule answers:
  * - a burst over the capacity: batches that can still end in time go before
- *   those that cannot, the most urgent first, so that a backlog costs the
- *   batches that are late anyway and not all that follow them;
+ *   those that cannot, and among them the one with the most time left for its
+ *   length. A backlog then costs the batches that have waited longest, most of
+ *   which would be late anyway, and not all that follow them; and no kind of
+ *   job starves, as it would if the most urgent or the smallest went first
+ *   (worst kind 0.60 of its worth at 2.6 times the load, against 0.43 and
+ *   0.47, tests/pool/test_pool_load.c);
  * - wide batches under load: a batch of which a task runs goes first, because
  *   its job is worth nothing until its last task has ended;
  * - tasks of a third to a half of an endpoint: the endpoint with the least
@@ -15,8 +19,9 @@
 #include "snipe/status.h"
 
 /* Declared durations are off by tens of percent; a batch counts as on time
- * only if a task 20 % longer than predicted would still be. */
-#define DURATION_MARGIN 1.2
+ * only if a task this much longer than predicted would still be. Lower values
+ * keep starting work under overload that ends late. */
+#define DURATION_MARGIN 1.7
 /* Two endpoints within this factor of speed count as equally fast. */
 #define SPEED_STEP 1.3
 
@@ -146,6 +151,15 @@
   return rank->now + length <= batch->due ? 1 : 2;
 }
 
+/* Time left until the batch should end, in durations of its tasks. */
+static double
+relative_slack (const struct rank *rank, const struct batch *batch)
+{
+  snipe_time length = snipe_pool_predict (rank->pool, NULL, batch);
+
+  return (double)(batch->due - rank->now) / (double)MAX (length, 1);
+}
+
 static gint
 compare (gconstpointer a, gconstpointer b, gpointer ctx)
 {
@@ -154,16 +168,16 @@
   const struct batch *two = *(struct batch *const *)b;
   int one_tier = tier (rank, one);
   int two_tier = tier (rank, two);
-  snipe_time one_start;
-  snipe_time two_start;
+  double one_slack;
+  double two_slack;
 
   if (one_tier != two_tier)
     return one_tier - two_tier;
   if (one_tier == 2 && one->priority != two->priority)
     return one->priority < two->priority ? -1 : 1;
-  one_start = one->due - snipe_pool_predict (rank->pool, NULL, one);
-  two_start = two->due - snipe_pool_predict (rank->pool, NULL, two);
-  return (one_start > two_start) - (one_start < two_start);
+  one_slack = relative_slack (rank, one);
+  two_slack = relative_slack (rank, two);
+  return (one_slack < two_slack) - (one_slack > two_slack);
 }
 
 void
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -203,6 +203,16 @@
   seen->lost += !whole;
 }
 
+static void
+on_hosts_read (void *ctx)
+{
+  struct seen *seen = ctx;
+
+  /* The peer that was listed together with this host is known by now. */
+  if (seen->store->late_peer)
+    CU_ASSERT_TRUE (seen->hosts > 0);
+}
+
 static bool
 owns_pool (void *ctx)
 {
@@ -317,6 +327,7 @@
               .endpoint_gone = on_gone,
               .host = on_host,
               .endpoints_read = on_read,
+              .hosts_read = on_hosts_read,
               .owns_pool = owns_pool };
 
       start_store (&store);
