Start a resent batch only with the endpoints of the earlier owner

Change: owners tell a digest of their endpoints with their load, homes pass it on with resent batches, and a new owner whose endpoints differ waits until all leases of the earlier one have run out. A job is only unfit if an endpoint of its service is listed. Conclusion: replayed by test_pool_faults, case "list of a new owner lacks an endpoint", which fails without the change.

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -115,6 +115,7 @@
   int64_t total_cpu;
   int64_t backlog;
   double slowness;
+  uint64_t endpoints; /**< digest of the endpoints' ids */
 };
 void snipe_home_load (struct snipe_home *home,
                       const struct snipe_home_load *load, snipe_time now);
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -78,6 +78,9 @@
   snipe_time late;            /**< worthless to the caller after that */
   snipe_time give_up;         /**< caller waits no longer */
   bool resent;                /**< may run already, under an earlier owner */
+  /** If so: digest of the endpoints that the earlier owner used, 0: unknown.
+   * If this owner's differ, the tasks may run where it does not look. */
+  uint64_t endpoints;
 };
 
 /** End of a batch, sent to its home once. */
@@ -257,6 +260,7 @@
   int64_t total_cpu;
   int64_t backlog; /**< waiting: thousandths of cores x ms */
   double slowness; /**< actual over estimated duration */
+  uint64_t digest; /**< of the ids of the endpoints, 0 if there are none */
 };
 
 /** Fills in the load; writes the free cores of up to @p max usable endpoints
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -26,6 +26,7 @@
   uint64_t token;
   uint32_t *indexes;
   uint32_t count;
+  uint64_t endpoints; /**< digest of those of the owner that may run it */
 };
 
 struct job
@@ -181,6 +182,7 @@
     .late = batch->job->late,
     .give_up = spec->give_up,
     .resent = resent,
+    .endpoints = batch->endpoints,
   };
   int status = home->port.submit (home->port.ctx, batch->pool->owner,
                                   &batch->pool->id, &order);
@@ -188,6 +190,8 @@
   if (status == SNIPE_OK)
     {
       batch->owner = batch->pool->owner;
+      if (!resent)
+        batch->endpoints = batch->pool->endpoints;
       batch->token = batch->pool->token;
     }
   return status;
@@ -464,6 +468,7 @@
   pool->total_cpu = load->total_cpu;
   pool->backlog = load->backlog;
   pool->slowness = load->slowness;
+  pool->endpoints = load->endpoints;
   pool->told = now;
 }
 
--- a/src/home/private.h
+++ b/src/home/private.h
@@ -18,6 +18,7 @@
   int64_t total_cpu;
   int64_t backlog;
   double slowness;
+  uint64_t endpoints; /**< digest of the ids that its owner told last */
   snipe_time told;
   snipe_time lost; /**< when its owner was lost, 0: it was not */
 };
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -63,6 +63,7 @@
 	} free_cpu;
 	u_quad_t total_cpu;
 	u_quad_t backlog;
+	u_quad_t endpoints;
 	u_int slowness;
 };
 typedef struct link_load link_load;
@@ -95,6 +96,7 @@
 	int late_ms;
 	int give_up_ms;
 	bool_t resent;
+	u_quad_t endpoints;
 };
 typedef struct link_batch link_batch;
 
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -56,6 +56,8 @@
   unsigned hyper total_cpu;
   /* Waiting work: thousandths of cores times milliseconds. */
   unsigned hyper backlog;
+  /* Digest of the ids of the pool's endpoints. */
+  unsigned hyper endpoints;
   /* Actual over estimated duration of recent tasks, in thousandths. */
   unsigned int slowness;
 };
@@ -84,6 +86,8 @@
   int give_up_ms;
   /* The tasks may run already under an earlier owner of the pool. */
   bool resent;
+  /* If so: the endpoints that the earlier owner used last, 0 if unknown. */
+  unsigned hyper endpoints;
 };
 
 struct link_result
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -90,6 +90,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->backlog))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slowness))
 		 return FALSE;
 	return TRUE;
@@ -155,16 +157,19 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resent))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->max_per_endpoint);
-			IXDR_PUT_U_LONG(buf, objp->priority);
-			IXDR_PUT_U_LONG(buf, objp->attempts);
-			IXDR_PUT_U_LONG(buf, objp->estimate_ms);
-			IXDR_PUT_LONG(buf, objp->due_ms);
-			IXDR_PUT_LONG(buf, objp->late_ms);
-			IXDR_PUT_LONG(buf, objp->give_up_ms);
-			IXDR_PUT_BOOL(buf, objp->resent);
+		IXDR_PUT_U_LONG(buf, objp->max_per_endpoint);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->attempts);
+		IXDR_PUT_U_LONG(buf, objp->estimate_ms);
+		IXDR_PUT_LONG(buf, objp->due_ms);
+		IXDR_PUT_LONG(buf, objp->late_ms);
+		IXDR_PUT_LONG(buf, objp->give_up_ms);
+		IXDR_PUT_BOOL(buf, objp->resent);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->home))
@@ -220,16 +225,19 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resent))
 				 return FALSE;
+
 		} else {
-			objp->max_per_endpoint = IXDR_GET_U_LONG(buf);
-			objp->priority = IXDR_GET_U_LONG(buf);
-			objp->attempts = IXDR_GET_U_LONG(buf);
-			objp->estimate_ms = IXDR_GET_U_LONG(buf);
-			objp->due_ms = IXDR_GET_LONG(buf);
-			objp->late_ms = IXDR_GET_LONG(buf);
-			objp->give_up_ms = IXDR_GET_LONG(buf);
-			objp->resent = IXDR_GET_BOOL(buf);
+		objp->max_per_endpoint = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->attempts = IXDR_GET_U_LONG(buf);
+		objp->estimate_ms = IXDR_GET_U_LONG(buf);
+		objp->due_ms = IXDR_GET_LONG(buf);
+		objp->late_ms = IXDR_GET_LONG(buf);
+		objp->give_up_ms = IXDR_GET_LONG(buf);
+		objp->resent = IXDR_GET_BOOL(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -276,6 +284,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->resent))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -273,9 +273,11 @@
     }
 }
 
-/* Whether some endpoint could ever run a task of the job. */
+/* Whether some endpoint could ever run a task of the job.
+ * @param listed set to whether an endpoint of its service is listed at all */
 static bool
-can_ever_run (const struct snipe_node *node, const struct snipe_home_job *job)
+can_ever_run (const struct snipe_node *node, const struct snipe_home_job *job,
+              bool *listed)
 {
   GHashTableIter iter;
   gpointer value;
@@ -285,8 +287,10 @@
     {
       const struct snipe_endpoint_entry *entry = value;
 
-      if (strcmp (entry->service, job->service) == 0
-          && job->each.cpu <= entry->capacity.cpu
+      if (strcmp (entry->service, job->service) != 0)
+        continue;
+      *listed = true;
+      if (job->each.cpu <= entry->capacity.cpu
           && job->each.mem_mb <= entry->capacity.mem_mb
           && job->each.gpu <= entry->capacity.gpu
           && (*job->label == '\0' || strcmp (job->label, entry->kind) == 0
@@ -300,6 +304,8 @@
 snipe_node_submit (struct snipe_node *node, const struct snipe_home_job *job,
                    snipe_time now)
 {
+  bool listed = false;
+
   enter (node, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
@@ -309,13 +315,13 @@
                   job->id, job->route, job->rules_version, job->service,
                   job->count, job->each.cpu, job->estimate / SNIPE_MS,
                   job->priority);
-  if (can_ever_run (node, job))
+  if (can_ever_run (node, job, &listed))
     snipe_home_submit (node->home, job, now);
   else
     {
       /* The list of endpoints may miss some for a while after the store or
        * this host was away. */
-      bool certain = node->directory_read > 0
+      bool certain = listed && node->directory_read > 0
                      && now - node->directory_read >= DIRECTORY_SETTLE;
       struct snipe_home_answer answer
           = { .outcome = certain ? SNIPE_HOME_FAILED : SNIPE_HOME_NOT_RUN,
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -147,6 +147,7 @@
       .late_ms = ms_left (batch->late, now),
       .give_up_ms = ms_left (batch->give_up, now),
       .resent = batch->resent,
+      .endpoints = batch->endpoints,
     },
   };
 
@@ -311,7 +312,8 @@
                                  .free_count = count,
                                  .total_cpu = load.total_cpu,
                                  .backlog = load.backlog,
-                                 .slowness = load.slowness };
+                                 .slowness = load.slowness,
+                                 .endpoints = load.digest };
   struct snipe_link_message message
       = { .procedure = LINK_SEND_LOAD,
           .args.load
@@ -321,9 +323,11 @@
               .free_cpu = { .free_cpu_len = count, .free_cpu_val = free_cpu },
               .total_cpu = (u_quad_t)load.total_cpu,
               .backlog = (u_quad_t)load.backlog,
+              .endpoints = load.digest,
               .slowness = (u_int)(load.slowness * 1000) } };
   struct broadcast broadcast = { .node = node, .now = now };
-  uint64_t digest = (uint64_t)load.backlog + (uint64_t)load.total_cpu;
+  uint64_t digest
+      = (uint64_t)load.backlog + (uint64_t)load.total_cpu + load.digest;
 
   snipe_home_load (node->home, &own, now);
   for (uint32_t i = 0; i < count; i++)
@@ -451,7 +455,8 @@
                                   .free_count = load->free_cpu.free_cpu_len,
                                   .total_cpu = (int64_t)load->total_cpu,
                                   .backlog = (int64_t)load->backlog,
-                                  .slowness = load->slowness / 1000.0 };
+                                  .slowness = load->slowness / 1000.0,
+                                  .endpoints = load->endpoints };
 
   if (snipe_members_live (node->members, load->incarnation))
     snipe_home_load (node->home, &view, now);
@@ -481,7 +486,8 @@
           .due = now + from->due_ms * SNIPE_MS,
           .late = now + from->late_ms * SNIPE_MS,
           .give_up = now + from->give_up_ms * SNIPE_MS,
-          .resent = from->resent };
+          .resent = from->resent,
+          .endpoints = from->endpoints };
 
   snipe_node_take_batch (node, &id, &batch, now);
 }
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -56,6 +56,7 @@
   batch->late = from->late;
   batch->give_up = from->give_up;
   batch->resent = from->resent;
+  batch->endpoints = from->endpoints;
   /* A batch that was sent before may have begun under the last owner; it is
    * neither refused nor reported as not run. */
   batch->started = from->resent;
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -524,6 +524,40 @@
   place (pool, now);
 }
 
+static uint64_t
+digest_of (const struct snipe_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t digest = 0;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+
+      if (endpoint->listed || endpoint->runs->len > 0)
+        digest += (uint64_t)g_str_hash (endpoint->entry.id) * 2654435761U + 1;
+    }
+  return digest;
+}
+
+/* Whether the leases that an earlier owner can have given have run out. */
+static bool
+leases_over (const struct snipe_pool *pool, snipe_time now)
+{
+  return now >= pool->created + pool->lease_max + pool->lease_max / 20;
+}
+
+/* Whether a batch that may run already can only run where this owner looks. */
+static bool
+may_place (const struct snipe_pool *pool, const struct batch *batch,
+           bool all_answered, uint64_t digest, snipe_time now)
+{
+  return !batch->resent || leases_over (pool, now)
+         || (all_answered && batch->endpoints == digest);
+}
+
 /* Whether no earlier owner's run can be unknown to this one. */
 static bool
 settled (const struct snipe_pool *pool, snipe_time now)
@@ -533,8 +567,7 @@
 
   /* The earlier owner may use endpoints that are not in this list yet; it
    * extends no lease after it has heard of the claim. */
-  if (!pool->directory_known
-      && now < pool->created + pool->lease_max + pool->lease_max / 20)
+  if (!pool->directory_known && !leases_over (pool, now))
     return false;
 
   g_hash_table_iter_init (&iter, pool->endpoints);
@@ -588,6 +621,7 @@
 {
   GPtrArray *order = g_ptr_array_sized_new (pool->batches->len);
   bool all = settled (pool, now);
+  uint64_t digest = digest_of (pool);
 
   /* An entry of the list may be seconds old, and its endpoint leaving. */
   if (!pool->directory_known && now < pool->created + DIRECTORY_WAIT)
@@ -607,7 +641,7 @@
       struct batch *batch = g_ptr_array_index (pool->batches, i);
 
       if (batch->waiting > 0 && now < batch->give_up
-          && (all || !batch->resent))
+          && may_place (pool, batch, all, digest, now))
         g_ptr_array_add (order, batch);
     }
   snipe_pool_sort (pool, order, now);
@@ -733,7 +767,8 @@
   gpointer value;
   uint32_t written = 0;
 
-  *out = (struct snipe_pool_load){ .slowness = pool->slowness };
+  *out = (struct snipe_pool_load){ .slowness = pool->slowness,
+                                   .digest = digest_of (pool) };
   g_hash_table_iter_init (&iter, pool->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -74,9 +74,9 @@
   snipe_time due;
   snipe_time late;
   snipe_time give_up;
-  snipe_time resent_until; /**< not started anew before */
   bool resent;
-  bool started; /**< an order of it was sent at some time */
+  uint64_t endpoints; /**< digest of the earlier owner's endpoints */
+  bool started;       /**< an order of it was sent at some time */
 };
 
 enum claim_state
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -603,7 +603,8 @@
   snipe_time late;    /**< from now */
   snipe_time give_up; /**< from now */
   bool resent;
-  int64_t cpu; /**< 0: the model's */
+  uint64_t endpoints; /**< digest of the earlier owner's endpoints */
+  int64_t cpu;        /**< 0: the model's */
   uint32_t priority;
 };
 
@@ -629,13 +630,24 @@
           .due = model->now + job->due,
           .late = model->now + job->late,
           .give_up = model->now + job->give_up,
-          .resent = job->resent };
+          .resent = job->resent,
+          .endpoints = job->endpoints };
 
   for (uint32_t i = 0; i < job->count; i++)
     indexes[i] = i;
   snipe_pool_submit (model->owners[owner].pool, &batch, model->now);
 }
 
+/** @return the digest of the endpoints of an owner, as it tells the hosts. */
+static inline uint64_t
+model_digest (const struct model *model, uint32_t owner)
+{
+  struct snipe_pool_load load;
+
+  snipe_pool_load (model->owners[owner].pool, &load, NULL, 0, model->now);
+  return load.digest;
+}
+
 static inline const struct model_result *
 model_find_result (const struct model *model, uint64_t number)
 {
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -105,6 +105,32 @@
   CU_ASSERT_EQUAL (model->starts, 2);
 }
 
+/* Guards against a new owner whose list lacks an endpoint, because its entry
+ * lapsed while its domain was cut off, starting a task again that runs there
+ * (TWICE, sbmp-reorders hunt-0a7f-19). */
+static void
+lapsed_entry (struct model *model)
+{
+  struct model_job sent = job (1, 2);
+  struct model_job again = sent;
+  struct snipe_pool *second;
+
+  begin (model, 2);
+  model_submit (model, FIRST, &sent);
+  model_run (model, model->now + 20 * SNIPE_MS);
+  again.resent = true;
+  again.endpoints = model_digest (model, FIRST);
+  model_release (model, FIRST);
+  model_claim (model, SECOND, 2 << 20, 0);
+  second = model->owners[SECOND].pool;
+  for (uint32_t i = 0; i < 2; i++)
+    if (model->endpoints[i].run_count == 0)
+      snipe_pool_endpoint_set (second, &model->endpoints[i].entry, model->now);
+  snipe_pool_directory_known (second);
+  model_submit (model, SECOND, &again);
+  model_run (model, model->now + 3 * SNIPE_S);
+}
+
 /* Guards against an owner that was fenced at one endpoint starting tasks at
  * the others, which the host with the higher token has not claimed yet. */
 static void
@@ -141,6 +167,7 @@
   begin (model, 1);
   model_submit (model, FIRST, &sent);
   model_run (model, model->now + TASK_TIME - 20 * SNIPE_MS);
+  again.endpoints = model_digest (model, FIRST);
   model_release (model, FIRST);
   model_run (model, model->now + 40 * SNIPE_MS);
   model_claim (model, SECOND, 2 << 20, 1);
@@ -277,6 +304,7 @@
     { "endpoint idle for longer than a lease", idle_endpoint },
     { "hold answered before a start is carried out", start_overtaken_by_hold },
     { "new owner does not know an endpoint", unknown_endpoint },
+    { "list of a new owner lacks an endpoint", lapsed_entry },
     { "owner fenced at one endpoint", fenced_owner },
     { "takeover of running and ended tasks", takeover },
     { "starts without an answer", mute_starts },
