Soak hosts as separate processes under faults from outside

The setting link-address lets hosts reach each other through the proxy. Answers are written before a process ends.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -78,6 +78,8 @@
   snprintf (node->address, sizeof node->address, "%.*s:%u",
             (int)(colon - options->listen), options->listen,
             snipe_link_port (node->link));
+  if (options->address != NULL)
+    g_strlcpy (node->address, options->address, sizeof node->address);
   members.self.incarnation = node->incarnation;
   g_strlcpy (members.self.name, options->name, sizeof members.self.name);
   g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
@@ -756,3 +758,10 @@
 {
   return snipe_home_can_serve (node->home);
 }
+
+void
+snipe_node_fail_jobs (struct snipe_node *node, snipe_time now)
+{
+  snipe_home_fail_all (node->home, now);
+  snipe_node_drain_pending (node, now);
+}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -42,9 +42,10 @@
   unsigned int version;
   const char *name;
   const char *domain;
-  const char *listen; /**< of the link, "ip:port" */
-  bool first_start;   /**< the list of hosts is only being written */
-  uint32_t size;      /**< share of a core, in thousandths */
+  const char *listen;  /**< of the link, "ip:port" */
+  const char *address; /**< at which others reach the link; NULL: listen */
+  bool first_start;    /**< the list of hosts is only being written */
+  uint32_t size;       /**< share of a core, in thousandths */
   struct snipe_loop *loop;
   snipe_time lease_max;    /**< longest lease of an endpoint */
   snipe_time stop_max;     /**< longest time that a stop takes */
@@ -120,6 +121,8 @@
 bool snipe_node_owns_pool (const struct snipe_node *node);
 /** Starts to hand over pools to other hosts. */
 void snipe_node_leave (struct snipe_node *node);
+/** Gives up all jobs that this host keeps. */
+void snipe_node_fail_jobs (struct snipe_node *node, snipe_time now);
 /** @return whether nothing is left that this host is needed for. */
 bool snipe_node_idle (const struct snipe_node *node);
 
--- a/tests/soak/judge.c
+++ b/tests/soak/judge.c
@@ -116,10 +116,11 @@
   else if (http == 200 && completed)
     {
       totals.completed++;
-      if (job->done != (job->count >= 64 ? UINT64_MAX
-                                         : ((uint64_t)1 << job->count) - 1))
-        judge_broken ("MIXED", "%s: answered as complete, not all its tasks "
-                               "have ended well",
+      if (job->done
+          != (job->count >= 64 ? UINT64_MAX : ((uint64_t)1 << job->count) - 1))
+        judge_broken ("MIXED",
+                      "%s: answered as complete, not all its tasks "
+                      "have ended well",
                       id);
     }
   else
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -59,9 +59,9 @@
 static json_t *
 encode_row (const struct row *row)
 {
-  json_t *out = json_pack ("{s:s, s:s, s:s, s:I}", "table", row->table, "part",
-                           "", "key", row->key, "ver",
-                           (json_int_t)row->version);
+  json_t *out
+      = json_pack ("{s:s, s:s, s:s, s:I}", "table", row->table, "part", "",
+                   "key", row->key, "ver", (json_int_t)row->version);
 
   if (row->value == NULL)
     json_object_set_new (out, "deleted", json_true ());
@@ -143,12 +143,12 @@
 
   store->version++;
   json_array_foreach (json_object_get (body, "puts"), i, row)
-    write_row (store, json_string_value (json_object_get (row, "table")),
-               json_string_value (json_object_get (row, "key")),
-               json_string_value (json_object_get (row, "value")));
+      write_row (store, json_string_value (json_object_get (row, "table")),
+                 json_string_value (json_object_get (row, "key")),
+                 json_string_value (json_object_get (row, "value")));
   json_array_foreach (json_object_get (body, "remove"), i, row)
-    write_row (store, json_string_value (json_object_get (row, "table")),
-               json_string_value (json_object_get (row, "key")), NULL);
+      write_row (store, json_string_value (json_object_get (row, "table")),
+                 json_string_value (json_object_get (row, "key")), NULL);
   json_decref (body);
   g_cond_broadcast (&store->changed);
   answer_rows (store, call, json_array ());
@@ -208,9 +208,9 @@
            const json_t *value)
 {
   char *text = value == NULL ? NULL : json_dumps (value, JSON_COMPACT);
-  char *encoded = text == NULL ? NULL
-                               : g_base64_encode ((const guchar *)text,
-                                                  strlen (text));
+  char *encoded = text == NULL
+                      ? NULL
+                      : g_base64_encode ((const guchar *)text, strlen (text));
 
   g_mutex_lock (&store->lock);
   store->version++;
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -130,8 +130,7 @@
 static void
 extend (struct worker *worker, const json_t *body)
 {
-  int64_t until
-      = json_integer_value (json_object_get (body, "deadline_ms"));
+  int64_t until = json_integer_value (json_object_get (body, "deadline_ms"));
   int64_t most = clock_ms (worker) + MAX_HOLD_MS;
 
   worker->lease_ms = MAX (worker->lease_ms, MIN (until, most));
@@ -242,10 +241,9 @@
       const struct end *end = g_ptr_array_index (worker->ends, i);
 
       if (end->number > seen)
-        json_array_append_new (out, json_pack ("[I, s, i, s, s]",
-                                               (json_int_t)end->number,
-                                               end->task, (int)end->run,
-                                               end->how, ""));
+        json_array_append_new (
+            out, json_pack ("[I, s, i, s, s]", (json_int_t)end->number,
+                            end->task, (int)end->run, end->how, ""));
     }
   return out;
 }
