Ask an endpoint that has restarted what runs in its new life

Change: a new life makes the owner ask what runs; reports of an earlier life are ignored. test_pool_faults, case "endpoint restarts under its id", fails without it.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -197,6 +197,20 @@
              now);
 }
 
+/* The endpoint has restarted under its id. What ran in the life before is
+ * gone, but a task that was ordered since may run in this one already: the
+ * next hold tells which. */
+static void
+begin_life (struct snipe_pool *pool, struct snipe_pool_endpoint *endpoint,
+            int64_t born_ms, snipe_time now)
+{
+  endpoint->entry.born_ms = born_ms;
+  endpoint->last_seen = 0;
+  endpoint->claim = CLAIM_ASKED;
+  endpoint->claim_deadline = now;
+  send_hold (pool, endpoint, false, now);
+}
+
 void
 snipe_pool_endpoint_set (struct snipe_pool *pool,
                          const struct snipe_endpoint_entry *entry,
@@ -204,25 +218,31 @@
 {
   struct snipe_pool_endpoint *endpoint
       = g_hash_table_lookup (pool->endpoints, entry->id);
+  int64_t born_ms;
 
-  if (endpoint != NULL && endpoint->entry.born_ms == entry->born_ms
-      && strcmp (endpoint->entry.address, entry->address) == 0)
+  if (endpoint == NULL)
     {
-      bool leaving = endpoint->entry.draining;
-
-      endpoint->entry = *entry;
-      endpoint->entry.draining |= leaving;
-      endpoint->listed = true;
+      endpoint = snipe_pool_endpoint_new (entry, pool->lease_max, now);
+      g_hash_table_insert (pool->endpoints, endpoint->entry.id, endpoint);
+      send_hold (pool, endpoint, false, now);
       return;
     }
-  if (endpoint != NULL)
+  /* The list may be behind what the endpoint itself has said. */
+  born_ms = MAX (entry->born_ms, endpoint->entry.born_ms);
+  if (born_ms == endpoint->entry.born_ms && endpoint->entry.draining)
     {
-      lapse_all (pool, endpoint, now);
-      g_hash_table_remove (pool->endpoints, entry->id);
+      endpoint->entry = *entry;
+      endpoint->entry.draining = true;
     }
-  endpoint = snipe_pool_endpoint_new (entry, pool->lease_max, now);
-  g_hash_table_insert (pool->endpoints, endpoint->entry.id, endpoint);
-  send_hold (pool, endpoint, false, now);
+  else if (born_ms == endpoint->entry.born_ms)
+    endpoint->entry = *entry;
+  else
+    {
+      endpoint->entry = *entry;
+      begin_life (pool, endpoint, born_ms, now);
+    }
+  endpoint->entry.born_ms = born_ms;
+  endpoint->listed = true;
 }
 
 void
@@ -477,12 +497,12 @@
 hold_answered (struct snipe_pool *pool, struct snipe_pool_endpoint *endpoint,
                const struct snipe_endpoint_report *report, snipe_time now)
 {
-  if (report->born_ms != 0 && endpoint->entry.born_ms != 0
-      && report->born_ms != endpoint->entry.born_ms)
+  if (report->born_ms != 0 && endpoint->entry.born_ms != 0)
     {
-      endpoint->entry.born_ms = report->born_ms;
-      endpoint->last_seen = 0;
-      lapse_all (pool, endpoint, now);
+      if (report->born_ms < endpoint->entry.born_ms)
+        return; /* of the life before */
+      if (report->born_ms > endpoint->entry.born_ms)
+        begin_life (pool, endpoint, report->born_ms, now);
     }
   note_ends (pool, endpoint, report, now);
   note_running (pool, endpoint, report, now);
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -423,6 +423,7 @@
   struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
   struct snipe_pool *pool = model->owners[event->owner].pool;
   struct snipe_endpoint_report report = { .clock_ms = model_clock (model),
+                                          .born_ms = endpoint->entry.born_ms,
                                           .running = event->runs,
                                           .running_count = event->run_count,
                                           .ends = event->ends,
@@ -538,6 +539,7 @@
       g_strlcpy (endpoint->entry.service, "work",
                  sizeof endpoint->entry.service);
       g_strlcpy (endpoint->entry.domain, "a", sizeof endpoint->entry.domain);
+      endpoint->entry.born_ms = 1;
       endpoint->entry.capacity
           = (struct snipe_capacity){ .cpu = 64000, .mem_mb = 65536 };
       endpoint->slowness = 1.0;
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -131,6 +131,34 @@
   model_run (model, model->now + 3 * SNIPE_S);
 }
 
+/* Guards against a task that was started in the new life of an endpoint being
+ * started again when the list says that the endpoint has restarted (TWICE,
+ * soak seed 4). */
+static void
+restarted_endpoint (struct model *model)
+{
+  struct model_job sent = job (1, 2);
+  struct model_endpoint *endpoint;
+  struct snipe_pool *pool;
+
+  begin (model, 2);
+  pool = model->owners[FIRST].pool;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      /* New lives that the owner does not know of. */
+      endpoint = &model->endpoints[i];
+      endpoint->token = 0;
+      endpoint->entry.born_ms = 2;
+    }
+  model_submit (model, FIRST, &sent);
+  model_run (model, model->now + 20 * SNIPE_MS);
+  for (uint32_t i = 0; i < 2; i++)
+    snipe_pool_endpoint_set (pool, &model->endpoints[i].entry, model->now);
+  model_run (model, model->now + SNIPE_S);
+  CU_ASSERT_EQUAL (model->starts, 2);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (model, 1));
+}
+
 /* Guards against an owner that was fenced at one endpoint starting tasks at
  * the others, which the host with the higher token has not claimed yet. */
 static void
@@ -305,6 +333,7 @@
     { "hold answered before a start is carried out", start_overtaken_by_hold },
     { "new owner does not know an endpoint", unknown_endpoint },
     { "list of a new owner lacks an endpoint", lapsed_entry },
+    { "endpoint restarts under its id", restarted_endpoint },
     { "owner fenced at one endpoint", fenced_owner },
     { "takeover of running and ended tasks", takeover },
     { "starts without an answer", mute_starts },
