Refuse batches that were under way for too long

Change: heartbeats and batches carry the sender's steady clock; a batch that took 0.4 s longer than the fastest message of the last ten seconds is refused. A batch that has begun is given up when a task that waits cannot end in time.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -70,6 +70,16 @@
 /** Any other message of a host. */
 void snipe_members_sign (struct snipe_members *members, uint64_t incarnation,
                          snipe_time now);
+/** Notes the time that a message took from the host to this one.
+ * @param sent by its steady clock, @param now by this host's */
+void snipe_members_transit (struct snipe_members *members,
+                            uint64_t incarnation, snipe_time sent,
+                            snipe_time now);
+/** @return how much longer a message was under way than the fastest of the
+ * last ten seconds and more; INT64_MAX if the host is not known. */
+snipe_time snipe_members_delay (const struct snipe_members *members,
+                                uint64_t incarnation, snipe_time sent,
+                                snipe_time now);
 /** A message was sent to the host, which counts as a sign of this one. */
 void snipe_members_sent (struct snipe_members *members, uint64_t incarnation,
                          snipe_time now);
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -38,6 +38,7 @@
 
 struct link_hello {
 	u_quad_t incarnation;
+	quad_t sent;
 	link_name name;
 	link_name address;
 	link_name domain;
@@ -71,6 +72,7 @@
 struct link_batch {
 	u_quad_t home;
 	u_quad_t number;
+	quad_t sent;
 	link_pool pool;
 	link_name job;
 	u_int step;
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -32,6 +32,8 @@
 struct link_hello
 {
   unsigned hyper incarnation;
+  /* Steady clock of the sender, microseconds. */
+  hyper sent;
   link_name name;
   link_name address;
   link_name domain;
@@ -66,6 +68,7 @@
 {
   unsigned hyper home;
   unsigned hyper number;
+  hyper sent;
   link_pool pool;
   link_name job;
   unsigned int step;
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -50,6 +50,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->name))
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->address))
@@ -108,6 +110,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent))
+			 return FALSE;
 		 if (!xdr_link_pool (xdrs, &objp->pool))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->job))
@@ -176,6 +180,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->sent))
+			 return FALSE;
 		 if (!xdr_link_pool (xdrs, &objp->pool))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->job))
@@ -245,6 +251,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
 	 if (!xdr_link_pool (xdrs, &objp->pool))
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->job))
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -12,11 +12,19 @@
 /* After a stop: time to hear the other hosts before anything is claimed. */
 #define RESTART_SETTLE (400 * SNIPE_MS)
 
+/* Clocks may drift by 2 %, so old differences are forgotten. A time of silence
+ * does not count: the first messages after it may all be late. */
+#define TRANSIT_TIME (10 * SNIPE_S)
+
 struct peer
 {
   struct snipe_member said; /**< claims are owned */
   snipe_time heard;
   snipe_time sent; /**< last message to it */
+  /* Least difference of the two hosts' clocks, each over a time of
+   * TRANSIT_TIME; the former one is kept while the present one is young. */
+  snipe_time transit[2];
+  snipe_time transit_since;
   bool live;
 };
 
@@ -120,6 +128,36 @@
     peer->heard = now;
 }
 
+void
+snipe_members_transit (struct snipe_members *members, uint64_t incarnation,
+                       snipe_time sent, snipe_time now)
+{
+  struct peer *peer = find (members, incarnation);
+
+  if (peer == NULL)
+    return;
+  if (peer->transit_since == 0)
+    peer->transit[0] = peer->transit[1] = now - sent;
+  if (peer->transit_since == 0 || now - peer->transit_since > TRANSIT_TIME)
+    {
+      peer->transit_since = now;
+      peer->transit[1] = peer->transit[0];
+      peer->transit[0] = now - sent;
+    }
+  peer->transit[0] = MIN (peer->transit[0], now - sent);
+}
+
+snipe_time
+snipe_members_delay (const struct snipe_members *members, uint64_t incarnation,
+                     snipe_time sent, snipe_time now)
+{
+  const struct peer *peer = find (members, incarnation);
+
+  if (peer == NULL || peer->transit_since == 0)
+    return INT64_MAX;
+  return now - sent - MIN (peer->transit[0], peer->transit[1]);
+}
+
 void
 snipe_members_sent (struct snipe_members *members, uint64_t incarnation,
                     snipe_time now)
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -181,6 +181,27 @@
   g_queue_push_tail (&node->pending, item);
 }
 
+void
+snipe_node_refuse_batch (struct snipe_node *node,
+                         const struct snipe_pool_batch *batch, int code)
+{
+  uint32_t *ends = g_new (uint32_t, batch->count);
+  struct snipe_pool_result result = { .home = batch->home,
+                                      .number = batch->number,
+                                      .job = batch->job,
+                                      .ends = ends,
+                                      .count = batch->count,
+                                      .code = code };
+
+  for (uint32_t i = 0; i < batch->count; i++)
+    ends[i] = SNIPE_TASK_UNRUN;
+  if (batch->home == node->incarnation)
+    queue_result (node, &result);
+  else
+    snipe_node_send_result (node, &result);
+  g_free (ends);
+}
+
 void
 snipe_node_take_batch (struct snipe_node *node, const struct snipe_pool_id *id,
                        const struct snipe_pool_batch *batch, snipe_time now)
@@ -205,23 +226,7 @@
       node, "event=batch_misdirected job=%s domain=%s shard=%u resent=%d",
       batch->job, id->domain, id->shard, (int)batch->resent);
   if (!batch->resent)
-    {
-      uint32_t *ends = g_new (uint32_t, batch->count);
-      struct snipe_pool_result result = { .home = batch->home,
-                                          .number = batch->number,
-                                          .job = batch->job,
-                                          .ends = ends,
-                                          .count = batch->count,
-                                          .code = SNIPE_E_UNREACHABLE };
-
-      for (uint32_t i = 0; i < batch->count; i++)
-        ends[i] = SNIPE_TASK_UNRUN;
-      if (batch->home == node->incarnation)
-        queue_result (node, &result);
-      else
-        snipe_node_send_result (node, &result);
-      g_free (ends);
-    }
+    snipe_node_refuse_batch (node, batch, SNIPE_E_UNREACHABLE);
 }
 
 static void
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -144,6 +144,10 @@
                             const struct snipe_pool_batch *batch,
                             snipe_time now);
 
+/** Tells the home of a batch that nothing of it has started or will. */
+void snipe_node_refuse_batch (struct snipe_node *node,
+                              const struct snipe_pool_batch *batch, int code);
+
 /* wire.c */
 int snipe_node_send_batch (void *ctx, uint64_t owner,
                            const struct snipe_pool_id *pool,
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -6,6 +6,10 @@
 #include "snipe/status.h"
 
 #define FREE_MAX 512
+/* A batch that was under way for longer, because its connection stood still or
+ * this process did, is not started: its caller may have sent the job again by
+ * the time that its tasks would run. */
+#define BATCH_DELAY_MAX (400 * SNIPE_MS)
 /* The store brings a new configuration to all hosts at the same time; a peer
  * is asked for it only after that should have happened. */
 #define FETCH_DELAY (400 * SNIPE_MS)
@@ -126,6 +130,7 @@
     .args.batch = {
       .home = batch->home,
       .number = batch->number,
+      .sent = now,
       .pool = encode_pool (pool),
       .job = (char *)batch->job,
       .step = batch->step,
@@ -215,6 +220,7 @@
       = { .procedure = LINK_SEND_HELLO,
           .args.hello
           = { .incarnation = node->incarnation,
+              .sent = now,
               .name = (char *)node->options.name,
               .address = node->address,
               .domain = (char *)node->options.domain,
@@ -421,6 +427,7 @@
   member.claims = claims;
   node->store_version = MAX (node->store_version, hello->store_version);
   heard = snipe_members_heard (node->members, &member, now);
+  snipe_members_transit (node->members, member.incarnation, hello->sent, now);
   if (heard != SNIPE_HEARD_SAME)
     node->owner_due = 0;
   if (heard == SNIPE_HEARD_NEW)
@@ -466,6 +473,7 @@
 on_batch (struct snipe_node *node, const link_batch *from, snipe_time now)
 {
   struct snipe_pool_id id = decode_pool (&from->pool);
+  snipe_time delay;
   struct snipe_pool_batch batch
       = { .home = from->home,
           .number = from->number,
@@ -489,7 +497,17 @@
           .resent = from->resent,
           .endpoints = from->endpoints };
 
-  snipe_node_take_batch (node, &id, &batch, now);
+  delay = snipe_members_delay (node->members, from->home, from->sent, now);
+  if (delay <= BATCH_DELAY_MAX)
+    snipe_node_take_batch (node, &id, &batch, now);
+  else
+    {
+      snipe_node_log (node,
+                      "event=batch_late job=%s delay_ms=%" G_GINT64_FORMAT,
+                      from->job, delay / SNIPE_MS);
+      if (!from->resent)
+        snipe_node_refuse_batch (node, &batch, SNIPE_E_DEADLINE);
+    }
 }
 
 static void
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -195,7 +195,9 @@
 {
   snipe_time end = MIN (batch->late, batch->give_up);
 
-  if (batch->started)
+  /* What has begun is given up as well when a task that still waits cannot
+   * end in time: the others would run for nothing. */
+  if (batch->waiting == 0)
     return SNIPE_OK;
   if (now + snipe_pool_predict (pool, NULL, batch) > end)
     return SNIPE_E_OVERLOAD;
