--- a/src/node/node.c
+++ b/src/node/node.c
@@ -317,21 +317,18 @@
                   job->id, job->route, job->rules_version, job->service,
                   job->count, job->each.cpu, job->estimate / SNIPE_MS,
                   job->priority);
-  if (can_ever_run (node, job, &listed))
-    snipe_home_submit (node->home, job, now);
-  else
+  /* The list of endpoints may miss some, or be missing, for a while after the
+   * store or this host was away; then the pools decide. */
+  if (!can_ever_run (node, job, &listed) && listed && node->directory_read > 0
+      && now - node->directory_read >= DIRECTORY_SETTLE)
     {
-      /* The list of endpoints may miss some for a while after the store or
-       * this host was away. */
-      bool certain = listed && node->directory_read > 0
-                     && now - node->directory_read >= DIRECTORY_SETTLE;
       struct snipe_home_answer answer
-          = { .outcome = certain ? SNIPE_HOME_FAILED : SNIPE_HOME_NOT_RUN,
-              .code = certain ? SNIPE_E_UNFIT : SNIPE_E_NOT_READY,
-              .retry_after = SNIPE_S };
+          = { .outcome = SNIPE_HOME_FAILED, .code = SNIPE_E_UNFIT };
 
       snipe_node_answer (node, job->ctx, &answer);
     }
+  else
+    snipe_home_submit (node->home, job, now);
   snipe_node_drain_pending (node, now);
 }
 
