--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,6 +21,9 @@
 /* Endpoints whose entries lapsed with the store are listed again within two
  * seconds of its return. */
 #define DIRECTORY_SETTLE (3 * SNIPE_S)
+/* A host that starts among others hears those that live within some 20 ms of
+ * reading their list. */
+#define RESTART_SETTLE (300 * SNIPE_MS)
 /* Results are kept for hosts that ask for a batch again. */
 #define RESULT_TIME (3 * SNIPE_S)
 /* Calls that ask whether a pool of another domain can be reached. */
@@ -85,6 +88,8 @@
   g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
   g_strlcpy (members.self.address, node->address, sizeof members.self.address);
   members.self.size = options->size;
+  if (!options->first_start)
+    members.settle = RESTART_SETTLE;
   node->silence = members.silence;
   home.incarnation = node->incarnation;
   home.domain = options->domain;
