Take a refusal only for the copy of a batch that it answers

Change: each sending of a batch has a number that its result repeats; a kept result never says "not run" of a batch that was sent again. Conclusion: test_home, "refused copy".

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -130,8 +130,9 @@
 /** A host is not heard any more. */
 void snipe_home_owner_lost (struct snipe_home *home, uint64_t owner,
                             snipe_time now);
-/** A result from the host @p from. What a host says of a batch that another
- * one has by now counts only if the batch is complete. */
+/** A result from the host @p from. If the batch is not complete, it counts
+ * only as the answer of the present owner to the last time that it was sent:
+ * an earlier refusal says nothing of a copy that came later. */
 void snipe_home_result (struct snipe_home *home, uint64_t from,
                         const struct snipe_pool_result *result,
                         snipe_time now);
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -59,8 +59,9 @@
 /** Tasks of one job step that a host hands to a pool. */
 struct snipe_pool_batch
 {
-  uint64_t home;   /**< incarnation of the host that keeps the job */
-  uint64_t number; /**< unique at the home */
+  uint64_t home;    /**< incarnation of the host that keeps the job */
+  uint64_t number;  /**< unique at the home */
+  uint32_t attempt; /**< how often it was sent, this time included */
   const char *job;
   uint32_t step;
   const char *route; /**< name under which durations are learned */
@@ -88,6 +89,7 @@
 {
   uint64_t home;
   uint64_t number;
+  uint32_t attempt; /**< of the batch that this is the answer to */
   const char *job;
   const uint32_t *ends; /**< enum snipe_task_end of each task */
   uint32_t count;
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -26,6 +26,7 @@
   uint64_t token;
   uint32_t *indexes;
   uint32_t count;
+  uint32_t attempts;  /**< how often it was sent */
   uint64_t endpoints; /**< digest of those of the owner that may run it */
 };
 
@@ -166,6 +167,7 @@
   struct snipe_pool_batch order = {
     .home = home->incarnation,
     .number = batch->number,
+    .attempt = ++batch->attempts,
     .job = spec->id,
     .route = spec->route,
     .spec = spec->spec,
@@ -498,7 +500,8 @@
   bool stopped = false;
 
   if (batch == NULL || result->count != batch->count
-      || (batch->owner != from && result->code != SNIPE_OK))
+      || (result->code != SNIPE_OK
+          && (batch->owner != from || batch->attempts != result->attempt)))
     return;
   job = batch->job;
   unrun = g_new (uint32_t, batch->count);
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -98,6 +98,7 @@
 	int late_ms;
 	int give_up_ms;
 	bool_t resent;
+	u_int attempt;
 	u_quad_t endpoints;
 };
 typedef struct link_batch link_batch;
@@ -105,6 +106,7 @@
 struct link_result {
 	u_quad_t home;
 	u_quad_t number;
+	u_int attempt;
 	struct {
 		u_int ends_len;
 		u_int *ends_val;
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -89,6 +89,8 @@
   int give_up_ms;
   /* The tasks may run already under an earlier owner of the pool. */
   bool resent;
+  /* How often the batch was sent, this time included. */
+  unsigned int attempt;
   /* If so: the endpoints that the earlier owner used last, 0 if unknown. */
   unsigned hyper endpoints;
 };
@@ -97,6 +99,8 @@
 {
   unsigned hyper home;
   unsigned hyper number;
+  /* Of the batch that this is the answer to. */
+  unsigned int attempt;
   /* enum snipe_task_end, one for each index of the batch. */
   unsigned int ends<LINK_TASKS_MAX>;
   /* Result code of the first task that did not end well, 0 if all did. */
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -143,7 +143,7 @@
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->rack))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_per_endpoint))
 				 return FALSE;
@@ -161,6 +161,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resent))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->max_per_endpoint);
@@ -171,6 +173,7 @@
 		IXDR_PUT_LONG(buf, objp->late_ms);
 		IXDR_PUT_LONG(buf, objp->give_up_ms);
 		IXDR_PUT_BOOL(buf, objp->resent);
+		IXDR_PUT_U_LONG(buf, objp->attempt);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
 			 return FALSE;
@@ -213,7 +216,7 @@
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->rack))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->max_per_endpoint))
 				 return FALSE;
@@ -231,6 +234,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->resent))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempt))
+				 return FALSE;
 
 		} else {
 		objp->max_per_endpoint = IXDR_GET_U_LONG(buf);
@@ -241,6 +246,7 @@
 		objp->late_ms = IXDR_GET_LONG(buf);
 		objp->give_up_ms = IXDR_GET_LONG(buf);
 		objp->resent = IXDR_GET_BOOL(buf);
+		objp->attempt = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
 			 return FALSE;
@@ -292,6 +298,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->resent))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->endpoints))
 		 return FALSE;
 	return TRUE;
@@ -306,6 +314,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, LINK_TASKS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -188,6 +188,7 @@
   uint32_t *ends = g_new (uint32_t, batch->count);
   struct snipe_pool_result result = { .home = batch->home,
                                       .number = batch->number,
+                                      .attempt = batch->attempt,
                                       .job = batch->job,
                                       .ends = ends,
                                       .count = batch->count,
@@ -202,6 +203,24 @@
   g_free (ends);
 }
 
+/* Sends a result again that its home seems to have missed. What was not run
+ * here may have run under another owner in between. */
+static void
+send_kept (struct snipe_node *node, const struct kept_result *kept,
+           const struct snipe_pool_batch *batch)
+{
+  struct snipe_pool_result result = copy_result (&kept->result);
+  uint32_t *ends = (uint32_t *)result.ends;
+
+  result.attempt = batch->attempt;
+  for (uint32_t i = 0; i < result.count; i++)
+    if (ends[i] == SNIPE_TASK_UNRUN && batch->resent)
+      ends[i] = SNIPE_TASK_STOPPED;
+  snipe_node_send_result (node, &result);
+  g_free ((char *)result.job);
+  g_free (ends);
+}
+
 void
 snipe_node_take_batch (struct snipe_node *node, const struct snipe_pool_id *id,
                        const struct snipe_pool_batch *batch, snipe_time now)
@@ -212,7 +231,7 @@
 
   if (kept != NULL)
     {
-      snipe_node_send_result (node, &kept->result);
+      send_kept (node, kept, batch);
       return;
     }
   if (pool != NULL)
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -31,6 +31,7 @@
 
   batch->home = from->home;
   batch->number = from->number;
+  batch->attempt = from->attempt;
   batch->job = g_strdup (from->job);
   batch->route = g_strdup (from->route);
   batch->label = g_strdup (from->label == NULL ? "" : from->label);
@@ -128,6 +129,7 @@
   uint32_t *ends = g_new (uint32_t, batch->count);
   struct snipe_pool_result result = { .home = batch->home,
                                       .number = batch->number,
+                                      .attempt = batch->attempt,
                                       .job = batch->job,
                                       .ends = ends,
                                       .count = batch->count,
@@ -329,9 +331,11 @@
 snipe_pool_submit (struct snipe_pool *pool,
                    const struct snipe_pool_batch *from, snipe_time now)
 {
-  struct batch *batch;
+  struct batch *batch = snipe_batch_find (pool, from->home, from->number);
 
-  if (from->count == 0 || snipe_batch_find (pool, from->home, from->number))
+  if (batch != NULL)
+    batch->attempt = MAX (batch->attempt, from->attempt);
+  if (from->count == 0 || batch != NULL)
     return;
   batch = batch_new (from, now);
   take_over (pool, batch, from, now);
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -55,6 +55,7 @@
 {
   uint64_t home;
   uint64_t number;
+  uint32_t attempt; /**< newest one that came */
   char *job;
   char *route;
   char *label;
--- a/tests/home/test_home.c
+++ b/tests/home/test_home.c
@@ -21,6 +21,7 @@
   {
     uint64_t owner;
     uint64_t number;
+    uint32_t attempt;
     char domain[8];
     uint32_t count;
     uint32_t indexes[64];
@@ -44,6 +45,7 @@
   CU_ASSERT_FATAL (record->sent_count < SENT_MAX && batch->count <= 64);
   record->sent[record->sent_count].owner = owner;
   record->sent[record->sent_count].number = batch->number;
+  record->sent[record->sent_count].attempt = batch->attempt;
   g_strlcpy (record->sent[record->sent_count].domain, pool->domain, 8);
   record->sent[record->sent_count].count = batch->count;
   memcpy (record->sent[record->sent_count].indexes, batch->indexes,
@@ -251,6 +253,7 @@
   uint32_t ends[64];
   struct snipe_pool_result value = { .home = SELF,
                                      .number = record->sent[sent].number,
+                                     .attempt = record->sent[sent].attempt,
                                      .job = "",
                                      .ends = ends,
                                      .count = record->sent[sent].count,
@@ -439,6 +442,30 @@
   snipe_home_free (home);
 }
 
+/* Guards against the refusal of a batch that came too late being taken for the
+ * answer to a copy of it that was sent after it and started (REFUSED, soak
+ * seed 20). */
+static void
+test_refused_copy (void)
+{
+  const struct pool_case pool = { "a", OWNER_A, 4, 64000, 8, 0, 1.0 };
+  struct record record;
+  struct snipe_home *home = new_home (&record);
+
+  tell (home, &pool, 1, NOW);
+  submit (home, 2, 200 * SNIPE_MS, NOW);
+  snipe_home_resend (home, OWNER_A);
+  CU_ASSERT_EQUAL_FATAL (record.sent_count, 2);
+  result (home, &record, 0, SNIPE_TASK_UNRUN, SNIPE_E_DEADLINE,
+          NOW + 20 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.answers, 0);
+  CU_ASSERT_EQUAL (record.sent_count, 2);
+  result (home, &record, 1, SNIPE_TASK_DONE, SNIPE_OK, NOW + 300 * SNIPE_MS);
+  CU_ASSERT_EQUAL (record.answers, 1);
+  CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_COMPLETE);
+  snipe_home_free (home);
+}
+
 /* Guards against work that goes on for a caller that has gone, and answers to
  * a request that was replaced by a later one with the same id. */
 static void
@@ -470,6 +497,7 @@
     { "owner change", test_owner_change },
     { "held", test_held },
     { "late refusal", test_late_refusal },
+    { "refused copy", test_refused_copy },
     { "callers", test_callers },
     CU_TEST_INFO_NULL,
   };
