--- /dev/null
+++ b/tests/adapter/test_front.c
@@ -0,0 +1,182 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "front.h"
+#include "suite.h"
+
+#define REQUEST                                                               \
+  "POST /jobs/0123456789abcdef HTTP/1.1\r\nHost: h.example:80\r\n"            \
+  "Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n{}"
+
+struct seen
+{
+  struct snipe_loop *loop;
+  struct platform_front *front;
+  snipe_time until;
+  int requests;
+  int abandoned;
+  bool answer;  /**< at once */
+  int close_fd; /**< closed once the request has come, -1: none */
+};
+
+static void
+on_request (void *ctx, struct platform_request *request)
+{
+  struct seen *seen = ctx;
+
+  seen->requests++;
+  CU_ASSERT_EQUAL (platform_request_verb (request), PLATFORM_SUBMIT);
+  CU_ASSERT_STRING_EQUAL (platform_request_host (request), "h.example");
+  CU_ASSERT_EQUAL (platform_request_patience (request), 1500 * SNIPE_MS);
+  if (seen->answer)
+    platform_request_answer (request, 503, "{}", 1500 * SNIPE_MS);
+}
+
+static void
+on_abandoned (void *ctx, struct platform_request *request)
+{
+  struct seen *seen = ctx;
+
+  seen->abandoned++;
+  platform_request_answer (request, 502, "", 0);
+}
+
+static bool
+is_ready (void *ctx)
+{
+  (void)ctx;
+  return true;
+}
+
+static void
+on_tick (void *ctx, snipe_time now)
+{
+  struct seen *seen = ctx;
+
+  if (seen->requests > 0 && seen->close_fd >= 0)
+    {
+      close (seen->close_fd);
+      seen->close_fd = -1;
+    }
+  if (now >= seen->until)
+    snipe_loop_stop (seen->loop);
+}
+
+static int
+connect_to (uint16_t port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_TRUE (send (fd, REQUEST, strlen (REQUEST), 0) > 0);
+  /* libmicrohttpd's thread reads the request and hands it to the loop. */
+  g_usleep (100000);
+  return fd;
+}
+
+struct front_case
+{
+  const char *name;
+  bool close_before; /**< the loop runs: this process was stopped till then */
+  bool close_while;  /**< the request waits for its answer */
+  bool answer;
+  int requests;
+  int abandoned;
+  const char *text; /**< in the answer, NULL: none is read */
+};
+
+static uint16_t
+free_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *)&address, &len);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+/* Guards against a request being carried out whose client closed its
+ * connection while this process was stopped, and has sent the job to another
+ * host since (TWICE, soak seed 10); and against work for clients that leave.
+ */
+static void
+test_requests (void)
+{
+  const struct front_case cases[] = {
+    { "answered", false, false, true, 1, 0, "Retry-After: 2" },
+    { "client leaves while it waits", false, true, false, 1, 1, NULL },
+    { "client left before it was read", true, false, true, 0, 0, NULL },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct front_case *row = &cases[i];
+      struct seen seen = { .answer = row->answer, .close_fd = -1 };
+      char listen[32];
+      char ready[32];
+      char text[1024] = "";
+      uint16_t port = free_port ();
+      struct platform_front_options options = { .listen = listen,
+                                                .ready = ready,
+                                                .body_max = 1024,
+                                                .ctx = &seen,
+                                                .request = on_request,
+                                                .abandoned = on_abandoned,
+                                                .is_ready = is_ready };
+      int fd;
+
+      snprintf (listen, sizeof listen, "127.0.0.1:%u", port);
+      snprintf (ready, sizeof ready, "127.0.0.1:%u", free_port ());
+      CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
+      options.loop = seen.loop;
+      CU_ASSERT_EQUAL_FATAL (platform_front_new (&seen.front, &options), 0);
+      fd = connect_to (port);
+      if (row->close_before)
+        {
+          close (fd);
+          g_usleep (50000);
+        }
+      if (row->close_while)
+        seen.close_fd = fd;
+      seen.until = snipe_clock_now () + 100 * SNIPE_MS;
+      snipe_loop_run (seen.loop, on_tick, &seen, 10 * SNIPE_MS);
+      if (row->text != NULL)
+        CU_ASSERT_TRUE (recv (fd, text, sizeof text - 1, 0) > 0);
+      if (!row->close_before && !row->close_while)
+        close (fd);
+      platform_front_free (seen.front);
+      snipe_loop_free (seen.loop);
+      if (seen.requests != row->requests)
+        printf ("%s: %d requests\n", row->name, seen.requests);
+      CU_ASSERT_EQUAL (seen.requests, row->requests);
+      CU_ASSERT_EQUAL (seen.abandoned, row->abandoned);
+      if (row->text != NULL)
+        CU_ASSERT_PTR_NOT_NULL (strstr (text, row->text));
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "requests", test_requests },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("front", tests);
+}
