Split the pool's orders and the node's claims into files of their own

Change: src/pool/orders.c and src/node/owners.c, moved without change; a host counts as lost after half of the time in which callers come back, less what a stop takes, at most 0.6 s; unused options are gone.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -193,17 +193,14 @@
 struct snipe_pool_options
 {
   unsigned int version;
-  uint64_t token;          /**< for every endpoint of the pool */
-  snipe_time lease_max;    /**< longest lease that an endpoint grants */
-  snipe_time stop_max;     /**< longest time that a stop takes */
-  snipe_time home_silence; /**< a home not heard for this long is lost */
+  uint64_t token;       /**< for every endpoint of the pool */
+  snipe_time lease_max; /**< longest lease that an endpoint grants */
   struct snipe_pool_port port;
 };
 #define SNIPE_POOL_OPTIONS_VERSION 1
 #define SNIPE_POOL_OPTIONS_INIT                                               \
   {                                                                           \
-    .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
-    .stop_max = 50 * SNIPE_MS, .home_silence = 600 * SNIPE_MS                 \
+    .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS       \
   }
 
 int snipe_pool_new (struct snipe_pool **out,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -8,14 +8,15 @@
 #include "snipe/status.h"
 #include "util/log.h"
 
-/* Four heartbeats may be missed before a host counts as lost. Its jobs have to
- * be stopped before their callers send them again. */
-#define HELLO_INTERVAL (150 * SNIPE_MS)
+/* A host not heard for longer counts as lost. Above the maximum nothing is
+ * gained; below the minimum a slow host would often be taken for a dead one.
+ */
+#define SILENCE_MAX (600 * SNIPE_MS)
+#define SILENCE_MIN (200 * SNIPE_MS)
+/* Four heartbeats may be missed before a host counts as lost. */
+#define HELLOS_PER_SILENCE 4
 #define HELLO_CHECK_INTERVAL (50 * SNIPE_MS)
 #define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
-/* Ownership is decided after each change of the view, and this often besides,
- * for what only time brings about. */
-#define OWNER_INTERVAL (100 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
 /* Endpoints whose entries lapsed with the store are listed again within two
@@ -26,19 +27,16 @@
 #define RESTART_SETTLE (300 * SNIPE_MS)
 /* Results are kept for hosts that ask for a batch again. */
 #define RESULT_TIME (3 * SNIPE_S)
-/* Calls that ask whether a pool of another domain can be reached. */
-#define PROBE_TOKEN 1
-#define PROBES 3U
-#define PROBE_INTERVAL (150 * SNIPE_MS)
-#define REACHED_TIME (400 * SNIPE_MS)
-/* From the first answer to the claim: the hosts of a domain that was only cut
- * off are heard by then. */
-#define REACHED_SETTLE (500 * SNIPE_MS)
-/* The owner with the higher token is heard within this time if it lives. */
-#define FENCED_WAIT (300 * SNIPE_MS)
-/* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
- * 2^53, which leaves 33 bits for the epoch. */
-#define SLOT_BITS 20
+
+/* The runs of a host that died must have been stopped before its callers send
+ * their jobs again: its silence is noticed in half of that time, less what a
+ * stop takes. */
+static snipe_time
+silence_of (const struct snipe_node_options *options)
+{
+  return CLAMP (options->resend_after / 2 - options->stop_max, SILENCE_MIN,
+                SILENCE_MAX);
+}
 
 int
 snipe_node_new (struct snipe_node **out,
@@ -59,7 +57,7 @@
       return snipe_status_set (SNIPE_E_INVALID, "\"%s\" is no address",
                                options->listen);
     }
-  node->slot = node->incarnation & ((1U << SLOT_BITS) - 1);
+  node->slot = node->incarnation & ((1U << SNIPE_NODE_SLOT_BITS) - 1);
   node->last_tick = now;
   node->pools = g_ptr_array_new_with_free_func (snipe_held_pool_free);
   node->directory
@@ -90,6 +88,7 @@
   members.self.size = options->size;
   if (!options->first_start)
     members.settle = RESTART_SETTLE;
+  members.silence = silence_of (options);
   node->silence = members.silence;
   home.incarnation = node->incarnation;
   home.domain = options->domain;
@@ -199,7 +198,7 @@
 {
   node->store_version = MAX (node->store_version, version);
   if (registered)
-    node->slot = version & ((1U << SLOT_BITS) - 1);
+    node->slot = version & ((1U << SNIPE_NODE_SLOT_BITS) - 1);
 }
 
 void
@@ -356,25 +355,6 @@
   return snipe_home_pending (node->home, route);
 }
 
-static void
-note_probe (struct snipe_node *node, const char *endpoint,
-            enum snipe_endpoint_answer answer, snipe_time now)
-{
-  const struct snipe_endpoint_entry *entry
-      = g_hash_table_lookup (node->directory, endpoint);
-  struct snipe_pool_id id;
-
-  if (entry == NULL || answer == SNIPE_ANSWER_NONE
-      || answer == SNIPE_ANSWER_UNREACHED)
-    return;
-  id = snipe_node_pool_of (node, entry);
-  if (!snipe_pool_id_same_group (&node->reached, &id)
-      || now - node->reached_at >= REACHED_TIME)
-    node->reached_since = now;
-  node->reached = id;
-  node->reached_at = now;
-}
-
 /* The pool that sent an order; NULL if this host owns it no longer. */
 static struct held_pool *
 pool_by_token (struct snipe_node *node, uint64_t token, const char *endpoint)
@@ -434,9 +414,9 @@
 
   enter (node, now);
   pool = pool_by_token (node, token, endpoint);
-  if (token == PROBE_TOKEN)
+  if (token == SNIPE_NODE_PROBE_TOKEN)
     {
-      note_probe (node, endpoint, answer, now);
+      snipe_node_note_probe (node, endpoint, answer, now);
       return;
     }
   if (answer != SNIPE_ANSWER_OK)
@@ -466,7 +446,8 @@
   snipe_time sent
       = snipe_members_last_sent (node->members, member->incarnation);
 
-  if (!greeting->all && greeting->now - sent < HELLO_INTERVAL)
+  if (!greeting->all
+      && greeting->now - sent < node->silence / HELLOS_PER_SILENCE)
     return;
   snipe_node_send_hello (node, member->address, member->incarnation,
                          greeting->now);
@@ -517,184 +498,6 @@
     }
 }
 
-/* A token above @p highest, and above those from before all hosts restarted:
- * the store's version only grows. */
-static uint64_t
-next_token (const struct snipe_node *node, uint64_t highest)
-{
-  uint64_t epoch = MAX (highest >> SLOT_BITS, node->store_version) + 1;
-
-  return epoch << SLOT_BITS | node->slot;
-}
-
-static void
-claim (struct snipe_node *node, const struct snipe_pool_id *id, uint64_t token,
-       snipe_time now)
-{
-  struct snipe_pool_options options = SNIPE_POOL_OPTIONS_INIT;
-  struct held_pool *held = g_new0 (struct held_pool, 1);
-  GHashTableIter iter;
-  gpointer value;
-
-  held->node = node;
-  held->id = *id;
-  held->token = token;
-  held->claimed = now;
-  options.token = held->token;
-  options.lease_max = node->options.lease_max;
-  options.stop_max = node->options.stop_max;
-  options.port = (struct snipe_pool_port){ .ctx = held,
-                                           .start = snipe_held_start,
-                                           .stop = snipe_held_stop,
-                                           .hold = snipe_held_hold,
-                                           .result = snipe_held_result };
-  if (snipe_pool_new (&held->pool, &options, now) < 0)
-    {
-      g_warning ("pool: %s", snipe_status_last ());
-      g_free (held);
-      return;
-    }
-  g_message ("pool: event=claimed service=%s domain=%s shard=%u/%u "
-             "token=%" G_GUINT64_FORMAT,
-             id->service, id->domain, id->shard, id->shards, held->token);
-  g_ptr_array_add (node->pools, held);
-  g_hash_table_iter_init (&iter, node->directory);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct snipe_endpoint_entry *entry = value;
-
-      struct snipe_pool_id of = snipe_node_pool_of (node, entry);
-
-      if (snipe_pool_id_equal (&of, id))
-        snipe_pool_endpoint_set (held->pool, entry, now);
-    }
-  node->hello_due = 0;
-  node->owner_due = 0;
-  node->options.port.refresh_directory (node->options.port.ctx);
-  snipe_home_owner (node->home, id, node->incarnation, token, now);
-}
-
-/* Whether the endpoints of a pool can be reached. A domain of which no host is
- * heard may only be cut off, and a claim from outside would take its pool from
- * the host that serves it as soon as the cut heals. */
-static bool
-can_reach (struct snipe_node *node, const struct snipe_pool_id *id,
-           snipe_time now)
-{
-  GHashTableIter iter;
-  gpointer value;
-  uint32_t sent = 0;
-
-  if (strcmp (id->domain, node->options.domain) == 0)
-    return true;
-  if (snipe_pool_id_same_group (&node->reached, id)
-      && now - node->reached_at < REACHED_TIME
-      && now - node->reached_since >= REACHED_SETTLE)
-    return true;
-  if (now < node->probe_due)
-    return false;
-  node->probe_due = now + PROBE_INTERVAL;
-  g_hash_table_iter_init (&iter, node->directory);
-  while (sent < PROBES && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct snipe_endpoint_entry *entry = value;
-      /* No endpoint obeys a token this low; its refusal is the answer. */
-      struct snipe_pool_hold probe = { .endpoint = entry,
-                                       .token = PROBE_TOKEN,
-                                       .timeout = PROBE_INTERVAL };
-
-      if (strcmp (entry->service, id->service) != 0
-          || strcmp (entry->domain, id->domain) != 0)
-        continue;
-      node->options.port.hold (node->options.port.ctx, &probe);
-      sent++;
-    }
-  return false;
-}
-
-static void
-release (struct snipe_node *node, struct held_pool *pool, const char *why)
-{
-  g_message ("pool: event=released service=%s domain=%s shard=%u/%u "
-             "token=%" G_GUINT64_FORMAT " reason=%s",
-             pool->id.service, pool->id.domain, pool->id.shard,
-             pool->id.shards, pool->token, why);
-  g_ptr_array_remove (node->pools, pool);
-  node->hello_due = 0;
-  node->owner_due = 0;
-}
-
-/* A higher token was met, and nobody is heard who has it: a host that was
- * lost, or that only this host does not hear. */
-static void
-check_fence (struct snipe_node *node, struct held_pool *held, snipe_time now)
-{
-  struct snipe_pool_id id = held->id;
-  uint64_t token = next_token (node, held->token);
-
-  if (!snipe_pool_fenced (held->pool))
-    return;
-  if (held->fenced_at == 0)
-    held->fenced_at = now;
-  if (now - held->fenced_at < FENCED_WAIT)
-    return;
-  release (node, held, "a higher token was met");
-  if (!node->leaving)
-    claim (node, &id, token, now);
-}
-
-static void
-carry_out (struct snipe_node *node, const struct snipe_pool_id *id,
-           const struct snipe_ownership_result *result, snipe_time now)
-{
-  struct held_pool *held = snipe_node_find_pool (node, id);
-
-  switch (result->what)
-    {
-    case SNIPE_OWN_YIELD:
-      release (node, held, "another host has claimed it");
-      break;
-    case SNIPE_OWN_CLAIM:
-      if (!node->leaving && can_reach (node, id, now))
-        claim (node, id, next_token (node, result->token), now);
-      return;
-    case SNIPE_OWN_KEEP:
-      check_fence (node, held, now);
-      break;
-    case SNIPE_OWN_NONE:
-      break;
-    }
-  if (result->owner != 0)
-    snipe_home_owner (node->home, id, result->owner, result->token, now);
-}
-
-static void
-decide_owners (struct snipe_node *node, snipe_time now)
-{
-  uint32_t count = node->known_pools->len;
-  const struct snipe_pool_id *pools
-      = (const struct snipe_pool_id *)node->known_pools->data;
-  uint64_t *tokens;
-  struct snipe_ownership_result *results;
-
-  if (now < node->owner_due || count == 0)
-    return;
-  node->owner_due = now + OWNER_INTERVAL;
-  tokens = g_new0 (uint64_t, count);
-  results = g_new0 (struct snipe_ownership_result, count);
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const struct held_pool *held = snipe_node_find_pool (node, &pools[i]);
-
-      tokens[i] = held == NULL ? 0 : held->token;
-    }
-  snipe_members_plan (node->members, pools, tokens, count, results, now);
-  for (uint32_t i = 0; i < count; i++)
-    carry_out (node, &pools[i], &results[i], now);
-  g_free (tokens);
-  g_free (results);
-}
-
 /* After a stop of this process, others may have taken over: nothing that was
  * decided before it is carried out. */
 static void
@@ -721,7 +524,7 @@
   drop_lost (node, now);
   send_hellos (node, now);
   check_settled (node, now);
-  decide_owners (node, now);
+  snipe_node_decide_owners (node, now);
   for (guint i = 0; i < node->pools->len; i++)
     {
       struct held_pool *pool = g_ptr_array_index (node->pools, i);
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -9,6 +9,12 @@
 #include "link/link.h"
 #include "node/node.h"
 
+/* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
+ * 2^53, which leaves 33 bits for the epoch. */
+#define SNIPE_NODE_SLOT_BITS 20
+/* No endpoint obeys a token this low; its refusal shows that it is reached. */
+#define SNIPE_NODE_PROBE_TOKEN 1
+
 /** A peer that has not heard this host for so long needs a new connection. */
 #define SNIPE_NODE_UNHEARD_MS 400U
 
@@ -112,6 +118,13 @@
 void snipe_node_log (const struct snipe_node *node, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/* owners.c */
+/** Claims pools and lets go of them, if it is time to decide. */
+void snipe_node_decide_owners (struct snipe_node *node, snipe_time now);
+/** An endpoint has answered a call with the probe's token, or has not. */
+void snipe_node_note_probe (struct snipe_node *node, const char *endpoint,
+                            enum snipe_endpoint_answer answer, snipe_time now);
+
 /* groups.c */
 /** @return the pool that an endpoint is in by the present division. */
 struct snipe_pool_id
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -111,7 +111,6 @@
 {
   uint64_t token;
   snipe_time lease_max;
-  snipe_time stop_max;
   struct snipe_pool_port port;
   snipe_time created;
   GHashTable *endpoints; /**< id -> struct snipe_pool_endpoint */
