--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -246,8 +246,6 @@
                          snipe_time now);
 /** Time has passed. Call at least every 50 ms. */
 void snipe_pool_tick (struct snipe_pool *pool, snipe_time now);
-/** @return whether it holds a batch or a run. */
-bool snipe_pool_busy (const struct snipe_pool *pool);
 /** @return whether the endpoint is one of the pool's. */
 bool snipe_pool_has (const struct snipe_pool *pool, const char *endpoint);
 /** @return whether an endpoint answered that another owner took over. */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -471,7 +471,6 @@
   pool->backlog = load->backlog;
   pool->slowness = load->slowness;
   pool->endpoints = load->endpoints;
-  pool->told = now;
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -130,12 +130,6 @@
   g_free (node);
 }
 
-uint64_t
-snipe_node_incarnation (const struct snipe_node *node)
-{
-  return node->incarnation;
-}
-
 void
 snipe_node_log (const struct snipe_node *node, const char *format, ...)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -62,7 +62,6 @@
 int snipe_node_new (struct snipe_node **out,
                     const struct snipe_node_options *options, snipe_time now);
 void snipe_node_free (struct snipe_node *node);
-uint64_t snipe_node_incarnation (const struct snipe_node *node);
 
 /** A host that the store lists. */
 void snipe_node_host_listed (struct snipe_node *node, const char *address,
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -111,27 +111,6 @@
   return best;
 }
 
-bool
-snipe_pool_can_ever_run (const struct snipe_pool *pool,
-                         const struct batch *batch)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, pool->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct snipe_pool_endpoint *endpoint = value;
-      const struct snipe_capacity *room = &endpoint->entry.capacity;
-
-      if (endpoint->listed && has_label (&endpoint->entry, batch->label)
-          && batch->each.cpu <= room->cpu && batch->each.mem_mb <= room->mem_mb
-          && batch->each.gpu <= room->gpu)
-        return true;
-    }
-  return false;
-}
-
 struct rank
 {
   const struct snipe_pool *pool;
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -75,21 +75,6 @@
   return g_hash_table_contains (pool->endpoints, endpoint);
 }
 
-bool
-snipe_pool_busy (const struct snipe_pool *pool)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (pool->batches->len > 0)
-    return true;
-  g_hash_table_iter_init (&iter, pool->endpoints);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct snipe_pool_endpoint *)value)->runs->len > 0)
-      return true;
-  return false;
-}
-
 static uint64_t
 digest_of (const struct snipe_pool *pool)
 {
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -164,8 +164,5 @@
 /** @return 0, or the reason for which a waiting batch is refused now. */
 int snipe_pool_refusal (const struct snipe_pool *pool,
                         const struct batch *batch, snipe_time now);
-/** @return whether some listed endpoint could ever run a task of it. */
-bool snipe_pool_can_ever_run (const struct snipe_pool *pool,
-                              const struct batch *batch);
 
 #endif
