Stop greeting hosts whose row was removed

Cause: the addresses of hosts that had left stayed in the list and were greeted for as long as a process lived. Change: a dropped or changed row takes its address out of the list. Figures: tests/adapter/test_store.c, case "peer leaves". Conclusion: rows of hosts that were lost for good are still to be swept.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -162,6 +162,13 @@
     g_message ("host: event=listed address=%s", address);
 }
 
+void
+snipe_node_host_unlisted (struct snipe_node *node, const char *address)
+{
+  if (g_hash_table_remove (node->listed, address))
+    g_message ("host: event=unlisted address=%s", address);
+}
+
 void
 snipe_node_hosts_read (struct snipe_node *node)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,6 +66,8 @@
 /** A host that the store lists. */
 void snipe_node_host_listed (struct snipe_node *node, const char *address,
                              snipe_time now);
+/** A host is no longer listed at that address; it is not greeted any more. */
+void snipe_node_host_unlisted (struct snipe_node *node, const char *address);
 /** All hosts that the store listed at some time after this one was listed were
  * passed on. */
 void snipe_node_hosts_read (struct snipe_node *node);
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -28,6 +28,7 @@
   bool cut_short; /**< the first answer about changes ends before version 20 */
   bool late_peer; /**< another host is listed once this one is */
   bool registered;
+  bool peer_leaves; /**< its row is dropped with the first change */
 };
 
 /** What the client passed on. */
@@ -41,6 +42,7 @@
   int endpoints;
   int gone;
   int hosts;
+  int hosts_gone;
   int reads;
   int lost;
   int registered;
@@ -59,14 +61,17 @@
 }
 
 static char *
-rows_of (const struct store *store, const char *table)
+rows_of (const struct store *store, const char *table, bool feed)
 {
   if (strcmp (table, PLATFORM_TABLE_OPERATOR) == 0 && store->config != NULL)
     return row ("config", store->config);
   if (strcmp (table, PLATFORM_TABLE_ENDPOINTS) == 0 && store->endpoint != NULL)
     return row ("i-1", store->endpoint);
-  if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->late_peer
-      && store->registered)
+  if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->peer_leaves && feed)
+    return g_strdup ("{\"table\":\"t\",\"part\":\"\",\"key\":\"h2\","
+                     "\"ver\":11,\"deleted\":true}");
+  if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0
+      && (store->late_peer ? store->registered : store->peer_leaves))
     return row ("h2", "{\"address\":\"127.0.0.2:1\",\"domain\":\"a\"}");
   return g_strdup ("");
 }
@@ -119,7 +124,7 @@
       http = store->feed_http;
       store->feed_http = 0;
     }
-  rows = rows_of (store, table == NULL ? "" : table);
+  rows = rows_of (store, table == NULL ? "" : table, feed);
   if (http == 200 && strcmp (url, "/api/rows-tx") == 0)
     store->registered = true;
   body = g_strdup_printf (
@@ -203,6 +208,13 @@
   seen->lost += !whole;
 }
 
+static void
+on_host_gone (void *ctx, const char *address)
+{
+  CU_ASSERT_STRING_EQUAL (address, "127.0.0.2:1");
+  ((struct seen *)ctx)->hosts_gone++;
+}
+
 static void
 on_hosts_read (void *ctx)
 {
@@ -281,6 +293,7 @@
       1,
       0,
       1 },
+    { "peer leaves", { .peer_leaves = true }, 600 * SNIPE_MS, 0, 0, 1, 0, 1 },
     { "history dropped",
       { .endpoint = ENTRY, .config = "{}", .feed_http = 410 },
       600 * SNIPE_MS,
@@ -326,6 +339,7 @@
               .endpoint = on_endpoint,
               .endpoint_gone = on_gone,
               .host = on_host,
+              .host_gone = on_host_gone,
               .endpoints_read = on_read,
               .hosts_read = on_hosts_read,
               .owns_pool = owns_pool };
@@ -350,6 +364,7 @@
       CU_ASSERT_TRUE (seen.endpoints >= row->endpoints_min);
       CU_ASSERT_TRUE (seen.hosts >= row->hosts_min);
       CU_ASSERT_EQUAL (seen.gone, row->gone);
+      CU_ASSERT_EQUAL (seen.hosts_gone > 0, row->store.peer_leaves);
       CU_ASSERT_TRUE (count_calls (&store, "/api/rows-get servers")
                       >= row->whole_reads_min);
       if (row->call != NULL)
