--- a/src/home/private.h
+++ b/src/home/private.h
@@ -19,7 +19,7 @@
   int64_t backlog;
   double slowness;
   uint64_t endpoints; /**< digest of the ids that its owner told last */
-  snipe_time lost; /**< when its owner was lost, 0: it was not */
+  snipe_time lost;    /**< when its owner was lost, 0: it was not */
 };
 
 /** A planned share of a job's tasks. */
