--- a/src/home/home.c
+++ b/src/home/home.c
@@ -7,7 +7,7 @@
 /* Times that refused tasks of a job are handed to another pool. */
 #define HANDOVERS_MAX 3
 /* A job that ends after this many times its wanted duration is worthless to
- * its caller; see the operators' page. */
+ * its caller, by the users' rules. */
 #define LATE_FACTOR 3
 #define RETRY_AFTER_MIN (1 * SNIPE_S)
 /* A job that comes before the owner of any pool is known waits for it, as long
