Space heartbeats and loads by domain and common work

Change: a heartbeat promises when the next one comes. Hosts of other domains that share no work get them in proportion to the fleet, down to 600 ms; they count as lost when they miss four. Work between two hosts brings back the short interval. A host at whose address nobody listens any more, or at whose address another process is heard, is lost at once. Loads go to other domains at four times the interval in large fleets. A cancel that cannot be sent is logged, a heartbeat that cannot be counted. Test: test_member "interval", "lost", "replaced".

--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -35,6 +35,8 @@
      "Passed tasks that the peer refused")                                    \
   X (OFFERS, "offers_total", "counter", "Offers of free slots to peers")      \
   X (HELLOS, "hellos_total", "counter", "Heartbeats sent to peers")           \
+  X (HELLOS_UNSENT, "hellos_unsent_total", "counter",                         \
+     "Heartbeats that found no connection to their host")                     \
   X (FORWARDS, "forwards_total", "counter", "Requests forwarded to a home")   \
   X (PEER_BYTES, "peer_bytes_total", "counter",                               \
      "Bytes of calls to peers and of their replies, without TCP")             \
--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -118,6 +118,8 @@
 uint32_t snipe_home_pending (const struct snipe_home *home, const char *route);
 /** @return whether the owner of some pool is known. */
 bool snipe_home_can_serve (const struct snipe_home *home);
+/** @return whether a batch is open at that owner of pools. */
+bool snipe_home_uses (const struct snipe_home *home, uint64_t owner);
 /** @return jobs that are not answered. */
 uint32_t snipe_home_jobs (const struct snipe_home *home);
 
--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -33,6 +33,7 @@
   char domain[SNIPE_NAME_BYTES];
   uint32_t size; /**< share of a core, in thousandths */
   bool leaving;
+  snipe_time promise; /**< this host hears it again within this time */
   const struct snipe_claim *claims;
   uint32_t claim_count;
 };
@@ -41,8 +42,10 @@
 {
   unsigned int version;
   struct snipe_member self; /**< without claims */
-  snipe_time silence;       /**< a host not heard for this long is lost */
-  snipe_time settle;        /**< no claim before, counted from the start */
+  /** A host of this domain, or one that shares work with this one, is lost if
+   * it is not heard for this long; others if they miss what they promised. */
+  snipe_time silence;
+  snipe_time settle; /**< no claim before, counted from the start */
 };
 #define SNIPE_MEMBERS_OPTIONS_VERSION 1
 #define SNIPE_MEMBERS_OPTIONS_INIT                                            \
@@ -80,16 +83,37 @@
 snipe_time snipe_members_delay (const struct snipe_members *members,
                                 uint64_t incarnation, snipe_time sent,
                                 snipe_time now);
-/** A message was sent to the host, which counts as a sign of this one. */
+/** A message but a heartbeat was sent to the host: a sign of this one. */
 void snipe_members_sent (struct snipe_members *members, uint64_t incarnation,
                          snipe_time now);
-/** @return when a message was last sent to the host, 0: never. */
-snipe_time snipe_members_last_sent (const struct snipe_members *members,
-                                    uint64_t incarnation);
+/** This host and the other one have work for each other that is not answered:
+ * each has to notice soon if the other is lost. */
+void snipe_members_relate (struct snipe_members *members, uint64_t incarnation,
+                           snipe_time now);
+/** @return how often the host has to hear this one, so that the heartbeats of
+ * a host hardly grow with the fleet. */
+snipe_time snipe_members_interval (const struct snipe_members *members,
+                                   uint64_t incarnation, snipe_time now);
+/** A heartbeat with this promise was sent to the host. */
+void snipe_members_promised (struct snipe_members *members,
+                             uint64_t incarnation, snipe_time promise,
+                             snipe_time now);
+/** @return whether the host has to get a heartbeat by now: it had no other
+ * message for as long as was promised, or as is due by now. */
+bool snipe_members_due (const struct snipe_members *members,
+                        uint64_t incarnation, snipe_time now);
+/** @param silence since the host last heard this one
+ * @return whether it has missed so much that the connection to it seems to
+ * carry nothing. */
+bool snipe_members_unheard (const struct snipe_members *members,
+                            uint64_t incarnation, snipe_time silence);
 /** A connection of the host broke: its process has ended, or only the
  * connection has. It counts as lost unless it is heard again soon. */
 void snipe_members_suspect (struct snipe_members *members,
                             uint64_t incarnation, snipe_time now);
+/** Nobody listens at the address: the process there has ended. */
+void snipe_members_gone (struct snipe_members *members, const char *address,
+                         snipe_time now);
 bool snipe_members_live (const struct snipe_members *members,
                          uint64_t incarnation);
 /** @return microseconds since the host was heard, INT64_MAX: never. */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -379,6 +379,19 @@
   return count;
 }
 
+bool
+snipe_home_uses (const struct snipe_home *home, uint64_t owner)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, home->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const struct batch *)value)->owner == owner)
+      return true;
+  return false;
+}
+
 uint32_t
 snipe_home_jobs (const struct snipe_home *home)
 {
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -216,6 +216,9 @@
   socklen_t len = sizeof error;
 
   getsockopt (channel->watch.fd, SOL_SOCKET, SO_ERROR, &error, &len);
+  if (error == ECONNREFUSED)
+    channel->link->options.refused (channel->link->options.ctx,
+                                    channel->address);
   if (error != 0 || (events & (EPOLLERR | EPOLLHUP)))
     {
       drop_outgoing (channel, error != 0 ? g_strerror (error) : "closed");
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -42,6 +42,8 @@
                     const struct snipe_link_message *message);
   /** A connection of that host to this one was closed or broke. */
   void (*closed) (void *ctx, uint64_t incarnation);
+  /** Nobody listens at @p address. */
+  void (*refused) (void *ctx, const char *address);
   void *ctx;
 };
 #define SNIPE_LINK_OPTIONS_VERSION 1
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -47,6 +47,7 @@
 	u_quad_t config_version;
 	u_quad_t store_version;
 	u_int silence_ms;
+	u_int promise_ms;
 	struct {
 		u_int claims_len;
 		link_claim *claims_val;
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -43,6 +43,8 @@
   unsigned hyper store_version;
   /* Since the sender last heard the receiver. */
   unsigned int silence_ms;
+  /* The receiver hears the sender again within this time. */
+  unsigned int promise_ms;
   link_claim claims<LINK_POOLS_MAX>;
 };
 
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -68,6 +68,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->silence_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->promise_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, LINK_POOLS_MAX,
 		sizeof (link_claim), (xdrproc_t) xdr_link_claim))
 		 return FALSE;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -5,9 +5,21 @@
 
 #include "snipe/status.h"
 
+/* Three heartbeats may be missed before a host counts as lost. */
+#define SIGNS_PER_SILENCE 4
+/* Up to this many other hosts all get heartbeats at the same interval. In
+ * larger fleets those of other domains with which this host has no work get
+ * them in proportion more rarely, down to one in FAR_FACTOR_MAX. */
+#define NEAR_HOSTS 8
+#define FAR_FACTOR_MAX 4
+/* Work that was just answered is often followed by more. */
+#define RELATED_TIME (1 * SNIPE_S)
 /* Time in which a live host opens a new connection after one was reset: a
- * heartbeat interval and a half. */
-#define SUSPECT_TIME (250 * SNIPE_MS)
+ * heartbeat interval and a half, and some of the work in between. */
+#define SUSPECT_MIN (250 * SNIPE_MS)
+/* Messages of a connection that works are hardly later than this many
+ * intervals. */
+#define UNHEARD_INTERVALS 2.6
 
 /* After a stop: time to hear the other hosts before anything is claimed. */
 #define RESTART_SETTLE (400 * SNIPE_MS)
@@ -20,7 +32,11 @@
 {
   struct snipe_member said; /**< claims are owned */
   snipe_time heard;
-  snipe_time sent; /**< last message to it */
+  snipe_time sent;     /**< last message to it */
+  snipe_time promised; /**< to it: longest time until the next message */
+  snipe_time related_since;
+  snipe_time related_at; /**< last time that there was work between the two */
+  snipe_time doubted; /**< lost unless it is heard by then, 0: not doubted */
   /* Least difference of the two hosts' clocks, each over a time of
    * TRANSIT_TIME; the former one is kept while the present one is young. */
   snipe_time transit[2];
@@ -34,6 +50,7 @@
   snipe_time silence;
   snipe_time settled;
   GHashTable *peers; /**< &incarnation -> struct peer */
+  uint32_t live;     /**< peers that are */
 };
 
 static void
@@ -78,6 +95,52 @@
   return g_hash_table_lookup (members->peers, &incarnation);
 }
 
+static bool
+is_related (const struct peer *peer, snipe_time now)
+{
+  return peer->related_at > 0 && now - peer->related_at < RELATED_TIME;
+}
+
+/* @return when the peer counts as lost if it is not heard before. */
+static snipe_time
+lost_at (const struct snipe_members *members, const struct peer *peer,
+         snipe_time now)
+{
+  snipe_time promised = SIGNS_PER_SILENCE * peer->said.promise;
+  snipe_time at = peer->heard + MAX (members->silence, promised);
+
+  /* It learns of the work between the two no sooner than this host. */
+  if (is_related (peer, now))
+    at = MIN (at, MAX (peer->heard, peer->related_since) + members->silence);
+  return peer->doubted > 0 ? MIN (at, peer->doubted) : at;
+}
+
+static void
+doubt (struct peer *peer, snipe_time until)
+{
+  if (peer->doubted == 0 || until < peer->doubted)
+    peer->doubted = until;
+}
+
+/* A process that starts at the address of another has taken its place. */
+static void
+forget_address (struct snipe_members *members, const struct peer *heir,
+                snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct peer *peer = value;
+
+      if (peer != heir && peer->live
+          && strcmp (peer->said.address, heir->said.address) == 0)
+        doubt (peer, now);
+    }
+}
+
 static bool
 has_changed (const struct snipe_member *old, const struct snipe_member *new)
 {
@@ -114,6 +177,12 @@
   peer->said.claims = g_memdup2 (member->claims,
                                  member->claim_count * sizeof *member->claims);
   peer->heard = now;
+  peer->doubted = 0;
+  if (!peer->live)
+    {
+      members->live++;
+      forget_address (members, peer, now);
+    }
   peer->live = true;
   return heard;
 }
@@ -124,8 +193,10 @@
 {
   struct peer *peer = find (members, incarnation);
 
-  if (peer != NULL && peer->live)
-    peer->heard = now;
+  if (peer == NULL || !peer->live)
+    return;
+  peer->heard = now;
+  peer->doubted = 0;
 }
 
 void
@@ -168,13 +239,65 @@
     peer->sent = now;
 }
 
+void
+snipe_members_relate (struct snipe_members *members, uint64_t incarnation,
+                      snipe_time now)
+{
+  struct peer *peer = find (members, incarnation);
+
+  if (peer == NULL)
+    return;
+  if (!is_related (peer, now))
+    peer->related_since = now;
+  peer->related_at = now;
+}
+
 snipe_time
-snipe_members_last_sent (const struct snipe_members *members,
-                         uint64_t incarnation)
+snipe_members_interval (const struct snipe_members *members,
+                        uint64_t incarnation, snipe_time now)
 {
   const struct peer *peer = find (members, incarnation);
+  snipe_time near = members->silence / SIGNS_PER_SILENCE;
 
-  return peer == NULL ? 0 : peer->sent;
+  if (peer == NULL || is_related (peer, now)
+      || strcmp (peer->said.domain, members->self.domain) == 0)
+    return near;
+  return CLAMP (near * members->live / NEAR_HOSTS, near,
+                near * FAR_FACTOR_MAX);
+}
+
+void
+snipe_members_promised (struct snipe_members *members, uint64_t incarnation,
+                        snipe_time promise, snipe_time now)
+{
+  struct peer *peer = find (members, incarnation);
+
+  if (peer == NULL)
+    return;
+  peer->sent = now;
+  peer->promised = promise;
+}
+
+bool
+snipe_members_due (const struct snipe_members *members, uint64_t incarnation,
+                   snipe_time now)
+{
+  const struct peer *peer = find (members, incarnation);
+
+  return peer == NULL
+         || now - peer->sent
+                >= MIN (peer->promised,
+                        snipe_members_interval (members, incarnation, now));
+}
+
+bool
+snipe_members_unheard (const struct snipe_members *members,
+                       uint64_t incarnation, snipe_time silence)
+{
+  const struct peer *peer = find (members, incarnation);
+
+  return peer != NULL
+         && (double)silence > UNHEARD_INTERVALS * (double)peer->promised;
 }
 
 void
@@ -183,8 +306,28 @@
 {
   struct peer *peer = find (members, incarnation);
 
-  if (peer != NULL)
-    peer->heard = MIN (peer->heard, now - members->silence + SUSPECT_TIME);
+  if (peer == NULL)
+    return;
+  doubt (peer, now + MAX (SUSPECT_MIN, peer->said.promise * 5 / 3));
+  /* A heartbeat at once finds out whether its address still answers. */
+  peer->sent = 0;
+}
+
+void
+snipe_members_gone (struct snipe_members *members, const char *address,
+                    snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct peer *peer = value;
+
+      if (peer->live && strcmp (peer->said.address, address) == 0)
+        doubt (peer, now);
+    }
 }
 
 bool
@@ -216,9 +359,10 @@
     {
       struct peer *peer = value;
 
-      if (!peer->live || now - peer->heard < members->silence)
+      if (!peer->live || now < lost_at (members, peer, now))
         continue;
       peer->live = false;
+      members->live--;
       return peer->said.incarnation;
     }
   return 0;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -13,8 +13,6 @@
  */
 #define SILENCE_MAX (600 * SNIPE_MS)
 #define SILENCE_MIN (200 * SNIPE_MS)
-/* Four heartbeats may be missed before a host counts as lost. */
-#define HELLOS_PER_SILENCE 4
 #define HELLO_CHECK_INTERVAL (50 * SNIPE_MS)
 #define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
@@ -69,6 +67,7 @@
   link.listen = options->listen;
   link.received = snipe_node_received;
   link.closed = snipe_node_link_closed;
+  link.refused = snipe_node_link_refused;
   link.ctx = node;
   status = snipe_link_new (&node->link, &link);
   if (status < 0)
@@ -416,20 +415,32 @@
   bool all; /**< also hosts that had another message lately */
 };
 
+/* Whether a batch of one of the two hosts is open at the other. */
+static bool
+shares_work (const struct snipe_node *node, uint64_t incarnation)
+{
+  if (snipe_home_uses (node->home, incarnation))
+    return true;
+  for (guint i = 0; i < node->pools->len; i++)
+    if (snipe_pool_serves (
+            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool,
+            incarnation))
+      return true;
+  return false;
+}
+
 static void
 greet (void *ctx, const struct snipe_member *member)
 {
   struct greeting *greeting = ctx;
   struct snipe_node *node = greeting->node;
-  snipe_time sent
-      = snipe_members_last_sent (node->members, member->incarnation);
 
-  if (!greeting->all
-      && greeting->now - sent < node->silence / HELLOS_PER_SILENCE)
-    return;
-  snipe_node_send_hello (node, member->address, member->incarnation,
-                         greeting->now);
-  snipe_members_sent (node->members, member->incarnation, greeting->now);
+  if (shares_work (node, member->incarnation))
+    snipe_members_relate (node->members, member->incarnation, greeting->now);
+  if (greeting->all
+      || snipe_members_due (node->members, member->incarnation, greeting->now))
+    snipe_node_send_hello (node, member->address, member->incarnation,
+                           greeting->now);
 }
 
 /* Greets the hosts that are heard, and now and then those that are listed. */
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -16,9 +16,6 @@
 /* No endpoint obeys a token this low; its refusal shows that it is reached. */
 #define SNIPE_NODE_PROBE_TOKEN 1
 
-/** A peer that has not heard this host for so long needs a new connection. */
-#define SNIPE_NODE_UNHEARD_MS 400U
-
 /** Endpoints of a service in a domain, and how they are divided. */
 struct group
 {
@@ -26,6 +23,13 @@
   uint32_t endpoints;
 };
 
+/** Reports of a pool's load to some of the hosts. */
+struct load_report
+{
+  snipe_time due;
+  uint64_t digest; /**< of what was reported last */
+};
+
 /** A pool that this host owns. */
 struct held_pool
 {
@@ -34,9 +38,9 @@
   uint64_t token;
   snipe_time claimed;
   struct snipe_pool *pool;
-  snipe_time fenced_at; /**< when a higher token was first met, 0: never */
-  snipe_time load_due;  /**< next report of its load to the other hosts */
-  uint64_t load_digest; /**< of what was reported last */
+  snipe_time fenced_at;    /**< when a higher token was first met, 0: never */
+  struct load_report near; /**< to the hosts of this domain */
+  struct load_report far;  /**< to the others */
 };
 
 /** Something for this host itself. It waits until the call that caused it has
@@ -174,6 +178,7 @@
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
+void snipe_node_link_refused (void *ctx, const char *address);
 bool snipe_node_address_live (const struct snipe_node *node,
                               const char *address);
 
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "snipe/counter.h"
 #include "snipe/status.h"
 
 #define FREE_MAX 512
@@ -19,6 +20,9 @@
  * grows. */
 #define LOAD_INTERVAL_MIN (30 * SNIPE_MS)
 #define LOAD_INTERVAL_HOST (3 * SNIPE_MS / 2)
+/* Jobs go to the pools of their own domain unless those are full, so that the
+ * hosts of other domains need not know as exactly. */
+#define LOAD_INTERVAL_FAR_HOST (6 * SNIPE_MS)
 
 static int32_t
 ms_left (snipe_time when, snipe_time now)
@@ -181,7 +185,11 @@
     {
       /* If it cannot be sent, the pool stops the batch when it does not hear
        * this host. */
-      send_to (node, owner, &message);
+      if (send_to (node, owner, &message) < 0)
+        snipe_node_log (node,
+                        "event=cancel_unsent batch=%" G_GUINT64_FORMAT
+                        " owner=%016" G_GINT64_MODIFIER "x reason=\"%s\"",
+                        number, owner, snipe_status_last ());
       return;
     }
   item = g_new0 (struct pending, 1);
@@ -217,6 +225,8 @@
 {
   link_claim *claims = g_new0 (link_claim, node->pools->len + 1);
   snipe_time silence = snipe_members_silence (node->members, incarnation, now);
+  snipe_time promise
+      = snipe_members_interval (node->members, incarnation, now);
   struct snipe_link_message message
       = { .procedure = LINK_SEND_HELLO,
           .args.hello
@@ -230,6 +240,7 @@
               .config_version = node->config_version,
               .store_version = node->store_version,
               .silence_ms = (u_int)MIN (silence / SNIPE_MS, UINT32_MAX),
+              .promise_ms = (u_int)(promise / SNIPE_MS),
               .claims
               = { .claims_len = node->pools->len, .claims_val = claims } } };
 
@@ -240,7 +251,10 @@
       claims[i] = (link_claim){ .pool = encode_pool (&pool->id),
                                 .token = pool->token };
     }
-  snipe_link_send (node->link, address, &message);
+  if (snipe_link_send (node->link, address, &message) == SNIPE_OK)
+    snipe_members_promised (node->members, incarnation, promise, now);
+  else
+    snipe_counter_add (SNIPE_C_HELLOS_UNSENT, 1);
   g_free (claims);
 }
 
@@ -249,6 +263,8 @@
   struct snipe_node *node;
   struct snipe_str message;
   snipe_time now;
+  bool skip_near; /**< not to the hosts of this domain */
+  bool skip_far;  /**< only to these */
 };
 
 static void
@@ -256,14 +272,17 @@
 {
   struct broadcast *broadcast = ctx;
   struct snipe_node *node = broadcast->node;
+  bool near = strcmp (member->domain, node->options.domain) == 0;
 
+  if (near ? broadcast->skip_near : broadcast->skip_far)
+    return;
   if (snipe_link_send_encoded (node->link, member->address,
                                &broadcast->message)
       == SNIPE_OK)
     snipe_members_sent (node->members, member->incarnation, broadcast->now);
 }
 
-/* Sends a message to all hosts that are heard. */
+/* Sends a message to the hosts that are heard. */
 static void
 send_to_hosts (struct broadcast *broadcast,
                const struct snipe_link_message *message)
@@ -282,6 +301,18 @@
   (*(uint32_t *)ctx)++;
 }
 
+/* Whether a load has to be reported now. */
+static bool
+take_turn (struct load_report *report, uint64_t digest, snipe_time interval,
+           snipe_time now)
+{
+  if (digest == report->digest || now < report->due)
+    return false;
+  report->digest = digest;
+  report->due = now + interval;
+  return true;
+}
+
 static void
 send_load (struct snipe_node *node, struct held_pool *pool, uint32_t hosts,
            snipe_time now)
@@ -310,6 +341,7 @@
               .backlog = (u_quad_t)load.backlog,
               .endpoints = load.digest,
               .slowness = (u_int)(load.slowness * 1000) } };
+  snipe_time interval = MAX (LOAD_INTERVAL_MIN, hosts * LOAD_INTERVAL_HOST);
   struct broadcast broadcast = { .node = node, .now = now };
   uint64_t digest
       = (uint64_t)load.backlog + (uint64_t)load.total_cpu + load.digest;
@@ -317,11 +349,11 @@
   snipe_home_load (node->home, &own, now);
   for (uint32_t i = 0; i < count; i++)
     digest = digest * 31 + free_cpu[i];
-  if (digest == pool->load_digest || now < pool->load_due)
-    return;
-  pool->load_digest = digest;
-  pool->load_due = now + MAX (LOAD_INTERVAL_MIN, hosts * LOAD_INTERVAL_HOST);
-  send_to_hosts (&broadcast, &message);
+  broadcast.skip_near = !take_turn (&pool->near, digest, interval, now);
+  broadcast.skip_far = !take_turn (
+      &pool->far, digest, MAX (interval, hosts * LOAD_INTERVAL_FAR_HOST), now);
+  if (!broadcast.skip_near || !broadcast.skip_far)
+    send_to_hosts (&broadcast, &message);
 }
 
 void
@@ -350,14 +382,6 @@
   return here;
 }
 
-/* A connection to the host was lost with what was on it, though the host
- * lives: batches that may not have arrived are sent again. */
-static void
-resend_batches (struct snipe_node *node, uint64_t incarnation)
-{
-  snipe_home_resend (node->home, incarnation);
-}
-
 /* Asks a peer for a newer configuration if the store has not brought it by
  * now. A configuration may be large, so only one peer is asked at a time. */
 static void
@@ -383,6 +407,7 @@
   struct snipe_member member = { .incarnation = hello->incarnation,
                                  .size = hello->size_permille,
                                  .leaving = hello->leaving,
+                                 .promise = hello->promise_ms * SNIPE_MS,
                                  .claim_count = hello->claims.claims_len };
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, hello->claims.claims_len + 1);
@@ -420,12 +445,13 @@
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_home_owner (node->home, &claims[i].pool, member.incarnation,
                       claims[i].token, now);
-  if (hello->silence_ms > SNIPE_NODE_UNHEARD_MS
-      && hello->silence_ms != UINT32_MAX && now - node->reset_at > SNIPE_S)
+  if (hello->silence_ms != UINT32_MAX && now - node->reset_at > SNIPE_S
+      && snipe_members_unheard (node->members, member.incarnation,
+                                hello->silence_ms * SNIPE_MS))
     {
       node->reset_at = now;
       snipe_link_reset (node->link, member.address);
-      resend_batches (node, member.incarnation);
+      snipe_home_resend (node->home, member.incarnation);
     }
   fetch_config (node, hello, now);
   g_free (claims);
@@ -595,6 +621,16 @@
   struct snipe_node *node = ctx;
 
   snipe_members_suspect (node->members, incarnation, snipe_clock_now ());
-  resend_batches (node, incarnation);
+  node->check_due = 0;
+  /* The host may live, and batches that were on the connection be lost. */
+  snipe_home_resend (node->home, incarnation);
   snipe_node_drain_pending (node, snipe_clock_now ());
 }
+
+void
+snipe_node_link_refused (void *ctx, const char *address)
+{
+  struct snipe_node *node = ctx;
+
+  snipe_members_gone (node->members, address, snipe_clock_now ());
+}
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -358,6 +358,16 @@
   snipe_pool_tick (pool, now);
 }
 
+bool
+snipe_pool_serves (const struct snipe_pool *pool, uint64_t home)
+{
+  for (guint i = 0; i < pool->batches->len; i++)
+    if (((const struct batch *)g_ptr_array_index (pool->batches, i))->home
+        == home)
+      return true;
+  return false;
+}
+
 void
 snipe_pool_home_lost (struct snipe_pool *pool, uint64_t home, snipe_time now)
 {
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -275,6 +275,140 @@
   snipe_members_free (members);
 }
 
+struct interval_case
+{
+  const char *name;
+  uint32_t others; /**< hosts of the fleet, half of them in this domain */
+  bool near;       /**< the host is in this domain */
+  bool related;
+  snipe_time interval;
+};
+
+/* Guards against heartbeats that grow with the fleet (0.3 % of a core for each
+ * 8 hosts more, all hosts at the same interval), and against a host being
+ * noticed late whose death matters. */
+static void
+test_interval (void)
+{
+  const struct interval_case cases[] = {
+    { "small fleet, this domain", 6, true, false, 150 * SNIPE_MS },
+    { "small fleet, other domain", 6, false, false, 150 * SNIPE_MS },
+    { "16 hosts, other domain", 16, false, false, 300 * SNIPE_MS },
+    { "40 hosts, other domain", 40, false, false, 600 * SNIPE_MS },
+    { "40 hosts, other domain, with work", 40, false, true, 150 * SNIPE_MS },
+    { "40 hosts, this domain", 40, true, false, 150 * SNIPE_MS },
+    { "1,000 hosts, other domain", 1000, false, false, 600 * SNIPE_MS },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct interval_case *row = &cases[i];
+      struct snipe_members *members = new_members ("a");
+      uint64_t host = row->near ? 1000 : 1001;
+      snipe_time interval;
+
+      for (uint32_t k = 0; k < row->others; k++)
+        hear (members,
+              &(struct host_case){ .incarnation = 1000 + k,
+                                   .domain = k % 2 == 0 ? "a" : "b" },
+              SETTLED);
+      if (row->related)
+        snipe_members_relate (members, host, SETTLED);
+      interval = snipe_members_interval (members, host, SETTLED);
+      if (interval != row->interval)
+        printf ("%s: %d ms\n", row->name, (int)(interval / SNIPE_MS));
+      CU_ASSERT_EQUAL (interval, row->interval);
+      /* What was promised last is kept, also if it has become longer since. */
+      snipe_members_promised (members, host, 150 * SNIPE_MS, SETTLED);
+      CU_ASSERT_FALSE (
+          snipe_members_due (members, host, SETTLED + 140 * SNIPE_MS));
+      CU_ASSERT_TRUE (
+          snipe_members_due (members, host, SETTLED + 150 * SNIPE_MS));
+      CU_ASSERT_FALSE (snipe_members_unheard (members, host, 350 * SNIPE_MS));
+      CU_ASSERT_TRUE (snipe_members_unheard (members, host, 400 * SNIPE_MS));
+      snipe_members_free (members);
+    }
+}
+
+struct lost_case
+{
+  const char *name;
+  snipe_time promise;
+  snipe_time related; /**< when work began between the two, -1: none */
+  snipe_time closed;  /**< when its connection broke, -1: it did not */
+  snipe_time refused; /**< when nobody listened at its address, -1: never */
+  snipe_time lost;    /**< all after it was heard last */
+};
+
+/* Guards against a host counting as lost before it has missed what it has
+ * promised, and against one with work of this host going unnoticed for the
+ * longer time of the others. */
+static void
+test_lost (void)
+{
+  const struct lost_case cases[] = {
+    { "near", 150 * SNIPE_MS, -1, -1, -1, 600 * SNIPE_MS },
+    { "far", 600 * SNIPE_MS, -1, -1, -1, 2400 * SNIPE_MS },
+    { "far, work began just then", 600 * SNIPE_MS, 0, -1, -1, 600 * SNIPE_MS },
+    { "far, work began later", 600 * SNIPE_MS, 900 * SNIPE_MS, -1, -1,
+      1500 * SNIPE_MS },
+    { "far, work began too late to matter", 600 * SNIPE_MS, 2000 * SNIPE_MS,
+      -1, -1, 2400 * SNIPE_MS },
+    { "near, connection broke", 150 * SNIPE_MS, -1, 10 * SNIPE_MS, -1,
+      260 * SNIPE_MS },
+    { "far, connection broke", 600 * SNIPE_MS, -1, 10 * SNIPE_MS, -1,
+      1010 * SNIPE_MS },
+    { "far, its process has ended", 600 * SNIPE_MS, -1, 10 * SNIPE_MS,
+      60 * SNIPE_MS, 60 * SNIPE_MS },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct lost_case *row = &cases[i];
+      struct snipe_members *members = new_members ("a");
+      struct snipe_member host = { .incarnation = 1,
+                                   .address = "127.0.0.1:1",
+                                   .domain = "b",
+                                   .promise = row->promise };
+      snipe_time lost = 0;
+
+      snipe_members_heard (members, &host, SETTLED);
+      for (snipe_time t = 0; t < 3 * SNIPE_S && lost == 0; t += 10 * SNIPE_MS)
+        {
+          /* The work is open from then on. */
+          if (row->related >= 0 && t >= row->related)
+            snipe_members_relate (members, 1, SETTLED + t);
+          if (t == row->closed)
+            snipe_members_suspect (members, 1, SETTLED + t);
+          if (t == row->refused)
+            snipe_members_gone (members, host.address, SETTLED + t);
+          if (snipe_members_lost (members, SETTLED + t) != 0)
+            lost = t;
+        }
+      if (lost != row->lost)
+        printf ("%s: after %d ms\n", row->name, (int)(lost / SNIPE_MS));
+      CU_ASSERT_EQUAL (lost, row->lost);
+      snipe_members_free (members);
+    }
+}
+
+/* Guards against the jobs and pools of a process going unnoticed for a time
+ * after another one was started at its address. */
+static void
+test_replaced (void)
+{
+  struct snipe_members *members = new_members ("a");
+  struct snipe_member host
+      = { .incarnation = 1, .address = "127.0.0.1:1", .domain = "a" };
+
+  snipe_members_heard (members, &host, SETTLED);
+  host.incarnation = 2;
+  snipe_members_heard (members, &host, SETTLED + 100 * SNIPE_MS);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 100 * SNIPE_MS), 1);
+  CU_ASSERT_TRUE (snipe_members_live (members, 2));
+  snipe_members_free (members);
+}
+
 struct delay_case
 {
   const char *name;
@@ -337,8 +471,9 @@
 {
   CU_TestInfo tests[] = {
     { "decide", test_decide },   { "one heir", test_one_heir },
-    { "suspect", test_suspect }, { "delay", test_delay },
-    CU_TEST_INFO_NULL,
+    { "suspect", test_suspect }, { "interval", test_interval },
+    { "lost", test_lost },       { "replaced", test_replaced },
+    { "delay", test_delay },     CU_TEST_INFO_NULL,
   };
 
   return suite_run ("member", tests);
