Spend less where nothing happens: ticks, log, list of endpoints

Cause: profile of 35 hosts without work (perf, trial): 13 % of the samples went through all endpoints at each tick to find removals, 20 % decoded rows in which only the count of heartbeats had changed; the log's thread woke up 50 times a second and the loop 100 times. Test: test_formats "digest"; test_store as before.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -226,6 +226,8 @@
 /** Ends a batch: removes what waits and stops what runs. No result is sent. */
 void snipe_pool_cancel (struct snipe_pool *pool, uint64_t home,
                         uint64_t number, snipe_time now);
+/** @return whether no batch is open and nothing runs that is known of. */
+bool snipe_pool_idle (const struct snipe_pool *pool);
 /** @return whether a batch of that host is open. */
 bool snipe_pool_serves (const struct snipe_pool *pool, uint64_t home);
 /** The host @p home is gone: ends all its batches. */
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -181,8 +181,7 @@
 
 void
 snipe_loop_run (struct snipe_loop *loop,
-                void (*tick) (void *ctx, snipe_time now), void *ctx,
-                snipe_time interval)
+                snipe_time (*tick) (void *ctx, snipe_time now), void *ctx)
 {
   snipe_time next = snipe_clock_now ();
 
@@ -197,9 +196,8 @@
 
       loop->event_count = count < 0 ? 0 : count;
       run_events (loop);
-      if (snipe_clock_now () < next)
-        continue;
-      next = snipe_clock_now () + interval;
-      tick (ctx, snipe_clock_now ());
+      now = snipe_clock_now ();
+      if (now >= next)
+        next = now + tick (ctx, now);
     }
 }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -43,9 +43,10 @@
                       void *ctx);
 /** Ends snipe_loop_run (). Thread-safe, also in signal handlers. */
 void snipe_loop_stop (struct snipe_loop *loop);
-/** Calls @p tick about every @p interval until the loop is stopped. */
+/** Calls @p tick until the loop is stopped; it returns the time until its next
+ * call. */
 void snipe_loop_run (struct snipe_loop *loop,
-                     void (*tick) (void *ctx, snipe_time now), void *ctx,
-                     snipe_time interval);
+                     snipe_time (*tick) (void *ctx, snipe_time now),
+                     void *ctx);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -14,6 +14,11 @@
 #define SILENCE_MAX (600 * SNIPE_MS)
 #define SILENCE_MIN (200 * SNIPE_MS)
 #define HELLO_CHECK_INTERVAL (50 * SNIPE_MS)
+/* A wake-up costs some 10 us, or 0.1 % of a core at 100 a second. What a tick
+ * decides is due to some ten milliseconds; starts and ends do not wait for it.
+ */
+#define TICK_BUSY (20 * SNIPE_MS)
+#define TICK_IDLE (50 * SNIPE_MS)
 #define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
 /* Hosts that the store lists and nobody hears are greeted this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
@@ -217,8 +222,11 @@
   struct snipe_pool_id id;
   struct held_pool *pool;
 
-  if (old == NULL || old->draining != entry->draining
-      || old->born_ms != entry->born_ms)
+  /* Hundreds of lines at once would hold up a small host that has to claim its
+   * pools; the first list is logged by its length. */
+  if (node->directory_age.whole_since > 0
+      && (old == NULL || old->draining != entry->draining
+          || old->born_ms != entry->born_ms))
     snipe_node_log (node,
                     "event=endpoint id=%s state=%s address=%s domain=%s "
                     "cpu=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
@@ -277,7 +285,11 @@
       return;
     }
   if (age->whole_since == 0)
-    age->whole_since = asked;
+    {
+      age->whole_since = asked;
+      g_message ("store: event=endpoints_read listed=%u",
+                 g_hash_table_size (node->directory));
+    }
   age->asked = asked;
   snipe_node_divide (node, now);
   for (guint i = 0; i < node->pools->len; i++)
@@ -502,7 +514,20 @@
   node->greet_due = 0;
 }
 
-void
+/* Whether something may come due within milliseconds. */
+static bool
+is_busy (const struct snipe_node *node)
+{
+  if (snipe_home_jobs (node->home) > 0)
+    return true;
+  for (guint i = 0; i < node->pools->len; i++)
+    if (!snipe_pool_idle (
+            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool))
+      return true;
+  return false;
+}
+
+snipe_time
 snipe_node_tick (struct snipe_node *node, snipe_time now)
 {
   snipe_time gap = now - node->last_tick;
@@ -524,6 +549,7 @@
   snipe_node_drain_pending (node, now);
   snipe_node_send_loads (node, now);
   snipe_node_forget_results (node, now - RESULT_TIME);
+  return is_busy (node) ? TICK_BUSY : TICK_IDLE;
 }
 
 void
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -112,9 +112,8 @@
                          enum snipe_endpoint_answer answer,
                          const struct snipe_endpoint_report *report,
                          snipe_time now);
-/** Call it every SNIPE_NODE_TICK. */
-void snipe_node_tick (struct snipe_node *node, snipe_time now);
-#define SNIPE_NODE_TICK (10 * SNIPE_MS)
+/** @return time until it has to be called again. */
+snipe_time snipe_node_tick (struct snipe_node *node, snipe_time now);
 
 /** @return whether the owner of some pool is known, so that jobs can be
  * served. */
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -310,6 +310,25 @@
   snipe_pool_place (pool, now);
 }
 
+bool
+snipe_pool_idle (const struct snipe_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (pool->batches->len > 0)
+    return false;
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+
+      if (endpoint->runs->len > 0 || endpoint->claim == CLAIM_ASKED)
+        return false;
+    }
+  return true;
+}
+
 uint32_t
 snipe_pool_load (const struct snipe_pool *pool, struct snipe_pool_load *out,
                  uint32_t *free_cpu, uint32_t max, snipe_time now)
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -9,11 +9,15 @@
 #include "snipe/clock.h"
 #include "snipe/status.h"
 
+/* Lines of this time are written at once; a system call a line cost more than
+ * the lines. */
 #define FLUSH_INTERVAL_US 20000
 /* Past this, lines are dropped and counted rather than memory used up. */
 #define BUFFER_MAX (8U * 1024 * 1024)
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+/* There is a line to write, or the log is to stop. */
+static pthread_cond_t pending = PTHREAD_COND_INITIALIZER;
 static GString *buffer;
 static uint64_t dropped;
 static pthread_t thread;
@@ -106,6 +110,8 @@
     }
   else
     {
+      if (buffer->len == 0)
+        pthread_cond_signal (&pending);
       append_time (buffer, snipe_clock_wall_ms ());
       g_string_append_c (buffer, ' ');
       g_string_append (buffer, level_name (level));
@@ -156,6 +162,10 @@
   (void)ctx;
   while (__atomic_load_n (&running, __ATOMIC_ACQUIRE))
     {
+      pthread_mutex_lock (&lock);
+      while (buffer->len == 0 && __atomic_load_n (&running, __ATOMIC_ACQUIRE))
+        pthread_cond_wait (&pending, &lock);
+      pthread_mutex_unlock (&lock);
       flush ();
       g_usleep (FLUSH_INTERVAL_US);
     }
@@ -194,6 +204,9 @@
 {
   if (!__atomic_exchange_n (&running, false, __ATOMIC_ACQ_REL))
     return;
+  pthread_mutex_lock (&lock);
+  pthread_cond_signal (&pending);
+  pthread_mutex_unlock (&lock);
   if (!pthread_equal (thread, pthread_self ()))
     pthread_join (thread, NULL);
   flush ();
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -151,6 +151,43 @@
     }
 }
 
+/* Guards against a change of an endpoint's entry being taken for one more
+ * heartbeat. */
+static void
+test_digest (void)
+{
+  const struct
+  {
+    const char *name;
+    const char *value;
+    bool same;
+  } cases[] = {
+    { "heartbeat", "{\"state\":\"ready\",\"seq_no\":1234,\"born\":17}", true },
+    { "drains", "{\"state\":\"draining\",\"seq_no\":9,\"born\":17}", false },
+    { "new life", "{\"state\":\"ready\",\"seq_no\":9,\"born\":18}", false },
+    { "no count", "{\"state\":\"ready\",\"born\":17}", false },
+    { "count of another type",
+      "{\"state\":\"ready\",\"seq_no\":\"9\",\"born\":17}", false },
+    { "cut off", "{\"state\":\"ready\",\"seq_no\":9", false },
+    { "empty", "", false },
+  };
+  struct platform_row first
+      = { .value = (char *)"{\"state\":\"ready\",\"seq_no\":9,\"born\":17}" };
+
+  first.len = strlen (first.value);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct platform_row row = { .value = (char *)cases[i].value,
+                                  .len = strlen (cases[i].value) };
+      bool same = platform_endpoint_digest (&row)
+                  == platform_endpoint_digest (&first);
+
+      if (same != cases[i].same)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (same, cases[i].same);
+    }
+}
+
 struct report_case
 {
   const char *name;
@@ -267,9 +304,13 @@
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "config", test_config },     { "find", test_find },
-    { "endpoint", test_endpoint }, { "report", test_report },
-    { "job", test_job },           CU_TEST_INFO_NULL,
+    { "config", test_config },
+    { "find", test_find },
+    { "endpoint", test_endpoint },
+    { "digest", test_digest },
+    { "report", test_report },
+    { "job", test_job },
+    CU_TEST_INFO_NULL,
   };
 
   return suite_run ("formats", tests);
--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -54,7 +54,7 @@
   return true;
 }
 
-static void
+static snipe_time
 on_tick (void *ctx, snipe_time now)
 {
   struct seen *seen = ctx;
@@ -66,6 +66,7 @@
     }
   if (now >= seen->until)
     snipe_loop_stop (seen->loop);
+  return 10 * SNIPE_MS;
 }
 
 static int
@@ -154,7 +155,7 @@
       if (row->close_while)
         seen.close_fd = fd;
       seen.until = snipe_clock_now () + 100 * SNIPE_MS;
-      snipe_loop_run (seen.loop, on_tick, &seen, 10 * SNIPE_MS);
+      snipe_loop_run (seen.loop, on_tick, &seen);
       if (row->text != NULL)
         CU_ASSERT_TRUE (recv (fd, text, sizeof text - 1, 0) > 0);
       if (!row->close_before && !row->close_while)
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -232,7 +232,7 @@
   return true;
 }
 
-static void
+static snipe_time
 on_tick (void *ctx, snipe_time now)
 {
   struct seen *seen = ctx;
@@ -240,6 +240,7 @@
   platform_store_tick (seen->client, now);
   if (now >= seen->until)
     snipe_loop_stop (seen->loop);
+  return 10 * SNIPE_MS;
 }
 
 struct store_case
@@ -350,7 +351,7 @@
       options.web = web;
       platform_store_new (&seen.client, &options);
       seen.until = snipe_clock_now () + row->time;
-      snipe_loop_run (seen.loop, on_tick, &seen, 10 * SNIPE_MS);
+      snipe_loop_run (seen.loop, on_tick, &seen);
       snipe_web_free (web);
       platform_store_free (seen.client);
       snipe_loop_free (seen.loop);
