Keep callers' connections of the soak from hosts that start meanwhile

A caller's closed connection stayed open, because a host that the soak started in between had inherited it; the host that served the request could not see that its caller had gone. Change: the callers' sockets are closed in started programs. What each attempt of a caller came to is written to callers.log beside the hosts' logs. Conclusion: a fault of the soak; its checks stay as they are.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -72,6 +72,7 @@
 static struct backend backends[WORKERS];
 static snipe_time store_heal_at;
 static int config_version;
+static FILE *callers_log;
 static int stopping; /* atomic */
 
 extern char **environ;
@@ -367,6 +368,17 @@
   return size * count;
 }
 
+/* Hosts that are started meanwhile must not inherit a caller's connection: it
+ * would stay open after the caller has closed it. */
+static curl_socket_t
+open_socket (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  (void)ctx;
+  (void)purpose;
+  return socket (address->family, address->socktype | SOCK_CLOEXEC,
+                 address->protocol);
+}
+
 /* @return the HTTP status, 0 without an answer. */
 static int
 post (struct caller *caller, const struct host *host, const char *id,
@@ -387,6 +399,7 @@
   curl_easy_setopt (caller->easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (caller->easy, CURLOPT_POSTFIELDS, body);
   curl_easy_setopt (caller->easy, CURLOPT_TIMEOUT_MS, (long)DEADLINE_MS + 200);
+  curl_easy_setopt (caller->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
   curl_easy_setopt (caller->easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (caller->easy, CURLOPT_WRITEDATA, answer);
   if (curl_easy_perform (caller->easy) == CURLE_OK)
@@ -395,6 +408,21 @@
   return (int)http;
 }
 
+/* What a caller saw of an attempt, beside what the hosts log of it. */
+static void
+log_attempt (const char *id, const struct host *host, int http,
+             snipe_time began)
+{
+  GDateTime *end = g_date_time_new_now_utc ();
+  char *time = g_date_time_format (end, "%Y-%m-%dT%H:%M:%S.%f");
+
+  if (callers_log != NULL)
+    fprintf (callers_log, "%s job=%s host=%s http=%d took_ms=%d\n", time, id,
+             host->name, http, (int)((snipe_clock_now () - began) / SNIPE_MS));
+  g_free (time);
+  g_date_time_unref (end);
+}
+
 static void
 call (struct caller *caller)
 {
@@ -417,6 +445,8 @@
   judge_sent (id, (uint32_t)width);
   for (int i = 0; i < ATTEMPTS_MAX; i++)
     {
+      const struct host *host;
+      snipe_time began;
       int http;
 
       if (i > 0)
@@ -424,9 +454,11 @@
           g_usleep (RESEND_MS * 1000);
           judge_sent (id, (uint32_t)width);
         }
-      http = post (caller, &hosts[g_rand_int_range (caller->rand, 0, HOSTS)],
-                   id, body, answer);
+      host = &hosts[g_rand_int_range (caller->rand, 0, HOSTS)];
+      began = snipe_clock_now ();
+      http = post (caller, host, id, body, answer);
       judge_answered (id, http, strstr (answer->str, "completed") != NULL);
+      log_attempt (id, host, http, began);
       if (http != 0 && http != 502 && http != 504)
         break;
       if (g_atomic_int_get (&stopping))
@@ -559,6 +591,13 @@
   signal (SIGPIPE, SIG_IGN);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   judge_init ();
+  if (settings.logs != NULL)
+    {
+      char *path = g_strdup_printf ("%s/callers.log", settings.logs);
+
+      callers_log = fopen (path, "a");
+      g_free (path);
+    }
   rand = g_rand_new_with_seed (settings.seed);
   start_all ();
   g_thread_unref (g_thread_new ("workers", run_workers, NULL));
