Tell the owner of a pool that an endpoint leaves

The rule asks this only of hosts in touch with the store, but the task is lost with the endpoint all the same. Change: a host that reads that an endpoint leaves tells the owner of its pool. Test: test_pool_faults "told to drain", test_member "owner".

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -134,6 +134,10 @@
 void snipe_members_restart (struct snipe_members *members, snipe_time now);
 void snipe_members_leave (struct snipe_members *members);
 
+/** @return the incarnation of the other live host that owns the pool, 0: none
+ * is known. */
+uint64_t snipe_members_owner (const struct snipe_members *members,
+                              const struct snipe_pool_id *pool);
 /** Calls @p visit for each live host but this one. */
 void snipe_members_each (const struct snipe_members *members,
                          void (*visit) (void *ctx,
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -212,6 +212,10 @@
 void snipe_pool_endpoint_set (struct snipe_pool *pool,
                               const struct snipe_endpoint_entry *entry,
                               snipe_time now);
+/** Another host has read that this life of the endpoint leaves: it gets no new
+ * work. */
+void snipe_pool_endpoint_drain (struct snipe_pool *pool, const char *id,
+                                int64_t born_ms);
 /** The directory lists the endpoint no longer. */
 void snipe_pool_endpoint_remove (struct snipe_pool *pool, const char *id,
                                  snipe_time now);
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -65,6 +65,8 @@
       return (xdrproc_t)xdr_link_fetch;
     case LINK_SEND_SNAPSHOT:
       return (xdrproc_t)xdr_link_snapshot;
+    case LINK_SEND_DRAIN:
+      return (xdrproc_t)xdr_link_drain;
     default:
       return NULL;
     }
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -28,6 +28,7 @@
     link_cancel_job cancel_job;
     link_fetch fetch;
     link_snapshot snapshot;
+    link_drain drain;
   } args;
 };
 
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -129,6 +129,13 @@
 };
 typedef struct link_cancel_job link_cancel_job;
 
+struct link_drain {
+	link_pool pool;
+	link_name endpoint;
+	quad_t born_ms;
+};
+typedef struct link_drain link_drain;
+
 struct link_fetch {
 	u_quad_t have_version;
 };
@@ -172,6 +179,9 @@
 #define LINK_SEND_SNAPSHOT 8
 extern  void * link_send_snapshot_1(link_snapshot *, CLIENT *);
 extern  void * link_send_snapshot_1_svc(link_snapshot *, struct svc_req *);
+#define LINK_SEND_DRAIN 9
+extern  void * link_send_drain_1(link_drain *, CLIENT *);
+extern  void * link_send_drain_1_svc(link_drain *, struct svc_req *);
 extern int snipe_link_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -199,6 +209,9 @@
 #define LINK_SEND_SNAPSHOT 8
 extern  void * link_send_snapshot_1();
 extern  void * link_send_snapshot_1_svc();
+#define LINK_SEND_DRAIN 9
+extern  void * link_send_drain_1();
+extern  void * link_send_drain_1_svc();
 extern int snipe_link_1_freeresult ();
 #endif /* K&R C */
 
@@ -214,6 +227,7 @@
 extern  bool_t xdr_link_result (XDR *, link_result*);
 extern  bool_t xdr_link_cancel (XDR *, link_cancel*);
 extern  bool_t xdr_link_cancel_job (XDR *, link_cancel_job*);
+extern  bool_t xdr_link_drain (XDR *, link_drain*);
 extern  bool_t xdr_link_fetch (XDR *, link_fetch*);
 extern  bool_t xdr_link_snapshot (XDR *, link_snapshot*);
 
@@ -227,6 +241,7 @@
 extern bool_t xdr_link_result ();
 extern bool_t xdr_link_cancel ();
 extern bool_t xdr_link_cancel_job ();
+extern bool_t xdr_link_drain ();
 extern bool_t xdr_link_fetch ();
 extern bool_t xdr_link_snapshot ();
 
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -123,6 +123,15 @@
   link_name job;
 };
 
+/* An endpoint leaves; the owner of its pool may not reach the store. */
+struct link_drain
+{
+  link_pool pool;
+  link_name endpoint;
+  /* Start of the life that leaves, Unix time; 0 if unknown. */
+  hyper born_ms;
+};
+
 struct link_fetch
 {
   unsigned hyper have_version;
@@ -148,5 +157,6 @@
     void LINK_SEND_CANCEL_JOB (link_cancel_job) = 6;
     void LINK_SEND_FETCH (link_fetch) = 7;
     void LINK_SEND_SNAPSHOT (link_snapshot) = 8;
+    void LINK_SEND_DRAIN (link_drain) = 9;
   } = 1;
 } = 0x20534e4c;
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -429,6 +429,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_drain (XDR *xdrs, link_drain *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_link_pool (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_link_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_fetch (XDR *xdrs, link_fetch *objp)
 {
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -467,6 +467,15 @@
   return standing;
 }
 
+uint64_t
+snipe_members_owner (const struct snipe_members *members,
+                     const struct snipe_pool_id *pool)
+{
+  struct standing standing = find_standing (members, pool, 0);
+
+  return standing.owner == NULL ? 0 : standing.owner->incarnation;
+}
+
 static GArray *
 list_candidates (const struct snipe_members *members)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -218,6 +218,7 @@
   struct snipe_endpoint_entry *copy = g_memdup2 (entry, sizeof *entry);
   const struct snipe_endpoint_entry *old
       = g_hash_table_lookup (node->directory, entry->id);
+  bool begins_to_drain = entry->draining && old != NULL && !old->draining;
   struct snipe_pool_id id;
   struct held_pool *pool;
 
@@ -241,6 +242,8 @@
   pool = snipe_node_find_pool (node, &id);
   if (pool != NULL)
     snipe_pool_endpoint_set (pool->pool, entry, now);
+  else if (begins_to_drain)
+    snipe_node_send_drain (node, &id, entry);
   snipe_node_drain_pending (node, now);
 }
 
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -175,6 +175,10 @@
                              const struct snipe_pool_result *result);
 void snipe_node_send_hello (struct snipe_node *node, const char *address,
                             uint64_t incarnation, snipe_time now);
+/** Tells the owner of the pool that an endpoint leaves. */
+void snipe_node_send_drain (struct snipe_node *node,
+                            const struct snipe_pool_id *pool,
+                            const struct snipe_endpoint_entry *entry);
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -221,6 +221,23 @@
                     result->job, snipe_status_last ());
 }
 
+void
+snipe_node_send_drain (struct snipe_node *node,
+                       const struct snipe_pool_id *pool,
+                       const struct snipe_endpoint_entry *entry)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_DRAIN,
+          .args.drain = { .pool = encode_pool (pool),
+                          .endpoint = (char *)entry->id,
+                          .born_ms = entry->born_ms } };
+  uint64_t owner = snipe_members_owner (node->members, pool);
+
+  if (owner != 0 && send_to (node, owner, &message) < 0)
+    snipe_node_log (node, "event=drain_unsent endpoint=%s reason=\"%s\"",
+                    entry->id, snipe_status_last ());
+}
+
 void
 snipe_node_send_hello (struct snipe_node *node, const char *address,
                        uint64_t incarnation, snipe_time now)
@@ -541,6 +558,19 @@
     snipe_home_result (node->home, sender, &result, now);
 }
 
+static void
+on_drain (struct snipe_node *node, const link_drain *drain)
+{
+  struct snipe_pool_id id = decode_pool (&drain->pool);
+  struct held_pool *pool = snipe_node_find_pool (node, &id);
+
+  if (pool == NULL)
+    return;
+  snipe_node_log (node, "event=endpoint id=%s state=draining source=peer",
+                  drain->endpoint);
+  snipe_pool_endpoint_drain (pool->pool, drain->endpoint, drain->born_ms);
+}
+
 static void
 on_fetch (struct snipe_node *node, uint64_t incarnation,
           const link_fetch *fetch)
@@ -602,6 +632,9 @@
     case LINK_SEND_CANCEL_JOB:
       snipe_home_cancel (node->home, message->args.cancel_job.job, now);
       break;
+    case LINK_SEND_DRAIN:
+      on_drain (node, &message->args.drain);
+      break;
     case LINK_SEND_FETCH:
       on_fetch (node, incarnation, &message->args.fetch);
       break;
--- a/src/pool/orders.c
+++ b/src/pool/orders.c
@@ -165,6 +165,17 @@
   endpoint->listed = true;
 }
 
+void
+snipe_pool_endpoint_drain (struct snipe_pool *pool, const char *id,
+                           int64_t born_ms)
+{
+  struct snipe_pool_endpoint *endpoint
+      = g_hash_table_lookup (pool->endpoints, id);
+
+  if (endpoint != NULL && endpoint->entry.born_ms <= born_ms)
+    endpoint->entry.draining = true;
+}
+
 void
 snipe_pool_endpoint_remove (struct snipe_pool *pool, const char *id,
                             snipe_time now)
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -409,6 +409,27 @@
   snipe_members_free (members);
 }
 
+/* Guards against news for the owner of a pool going to one that was lost. */
+static void
+test_owner (void)
+{
+  struct snipe_members *members = new_members ("a");
+  const struct host_case first
+      = { .incarnation = 1, .domain = "a", .token = 5 };
+  const struct host_case next
+      = { .incarnation = 2, .domain = "a", .token = 7 };
+
+  CU_ASSERT_EQUAL (snipe_members_owner (members, &POOL), 0);
+  hear (members, &first, SETTLED);
+  CU_ASSERT_EQUAL (snipe_members_owner (members, &POOL), 1);
+  hear (members, &next, SETTLED + 300 * SNIPE_MS);
+  CU_ASSERT_EQUAL (snipe_members_owner (members, &POOL), 2);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + 700 * SNIPE_MS), 1);
+  CU_ASSERT_EQUAL (snipe_members_lost (members, SETTLED + SNIPE_S), 2);
+  CU_ASSERT_EQUAL (snipe_members_owner (members, &POOL), 0);
+  snipe_members_free (members);
+}
+
 /* Guards against a host that was given up, with its jobs, and does not know
  * it: it must hear of it to ask for its results. */
 static void
@@ -496,8 +517,8 @@
     { "decide", test_decide },   { "one heir", test_one_heir },
     { "suspect", test_suspect }, { "interval", test_interval },
     { "lost", test_lost },       { "replaced", test_replaced },
-    { "losses", test_losses },   { "delay", test_delay },
-    CU_TEST_INFO_NULL,
+    { "losses", test_losses },   { "owner", test_owner },
+    { "delay", test_delay },     CU_TEST_INFO_NULL,
   };
 
   return suite_run ("member", tests);
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -319,6 +319,35 @@
   CU_ASSERT_TRUE (result != NULL && result->code == SNIPE_E_TASK_LOST);
 }
 
+/* Guards against an owner that is cut off from the store starting tasks at an
+ * endpoint that leaves (DRAIN, soak seed 102), and against news of a former
+ * life taking the present one out of use. */
+static void
+told_to_drain (struct model *model)
+{
+  struct model_job sent = job (1, 2);
+  struct model_job next = job (2, 2);
+  struct snipe_pool *pool;
+
+  begin (model, 2);
+  next.job = "fedcba9876543210";
+  pool = model->owners[FIRST].pool;
+  snipe_pool_endpoint_drain (pool, model->endpoints[0].entry.id,
+                             model->endpoints[0].entry.born_ms);
+  snipe_pool_endpoint_drain (pool, model->endpoints[1].entry.id,
+                             model->endpoints[1].entry.born_ms - 1);
+  snipe_pool_endpoint_drain (pool, "unknown", 0);
+  model_submit (model, FIRST, &sent);
+  model_run (model, model->now + 20 * SNIPE_MS);
+  CU_ASSERT_EQUAL (model->endpoints[0].run_count, 0);
+  CU_ASSERT_TRUE (model->endpoints[1].run_count > 0);
+  snipe_pool_endpoint_drain (pool, model->endpoints[1].entry.id,
+                             model->endpoints[1].entry.born_ms);
+  model_submit (model, FIRST, &next);
+  model_run (model, model->now + SNIPE_S);
+  CU_ASSERT_EQUAL (model->starts, 2);
+}
+
 /* Guards against ends that nobody acknowledges at endpoints that get no more
  * work: "82 of 246 ends were not taken note of" on a fleet with little to do.
  */
@@ -393,6 +422,7 @@
     { "job comes through a second host", second_home },
     { "home is lost", lost_home },
     { "last ends", last_ends },
+    { "told to drain", told_to_drain },
     { "endpoint fails everything", failing_endpoint },
   };
 
