Hold jobs without a known owner until they would be worthless

Change: they wait until they could only end worthless, at most 0.8 s. Test: test_home "held": the bound of its second case is replaced by one on each side of the new one.

--- a/src/home/home.c
+++ b/src/home/home.c
@@ -11,8 +11,10 @@
 #define LATE_FACTOR 3
 #define RETRY_AFTER_MIN (1 * SNIPE_S)
 /* A job that comes before the owner of any pool is known waits for it, as long
- * as a restart of all hosts takes. */
-#define HELD_MAX (500 * SNIPE_MS)
+ * as a restart of all hosts takes: they come back over half a second, and
+ * claim 0.3 s later. An answer that comes late serves its caller better than a
+ * refusal. */
+#define HELD_MAX (800 * SNIPE_MS)
 /* The list of endpoints is read within a few milliseconds; without it the
  * pools decide. */
 #define REVIEW_MAX (100 * SNIPE_MS)
@@ -571,7 +573,7 @@
   if (now >= job->spec.give_up)
     return SNIPE_E_DEADLINE;
   if (job->held && job->spec.fit != SNIPE_FIT_STALE
-      && now >= MIN (job->due - job->spec.estimate, job->arrived + HELD_MAX))
+      && now >= MIN (job->late - job->spec.estimate, job->arrived + HELD_MAX))
     return SNIPE_E_NOT_READY;
   for (guint i = 0; i < job->batches->len; i++)
     {
