Ignore claims of pools that were divided since

Change: a pool with fewer shards than one of its group that has an owner is outdated; its claims and loads are ignored. Test: test_home "divided" (two checks fail without the change).

--- a/include/snipe/home.h
+++ b/include/snipe/home.h
@@ -143,8 +143,8 @@
 void snipe_home_owner (struct snipe_home *home,
                        const struct snipe_pool_id *pool, uint64_t owner,
                        uint64_t token, snipe_time now);
-/** The endpoints of a service in a domain are divided anew: pools with
- * another number of shards than that of @p pool get no more work. */
+/** The endpoints of a service in a domain are divided anew: pools with fewer
+ * shards than @p pool get no more work. */
 void snipe_home_divided (struct snipe_home *home,
                          const struct snipe_pool_id *pool, snipe_time now);
 /** A host is not heard any more. */
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -427,7 +427,7 @@
     {
       struct pool_view *pool = g_ptr_array_index (home->pools, i);
 
-      if (pool->owner == 0 || pool->id.shards == id->shards
+      if (pool->owner == 0 || pool->id.shards >= id->shards
           || !snipe_pool_id_same_group (&pool->id, id))
         continue;
       pool->owner = 0;
@@ -466,13 +466,33 @@
   g_ptr_array_free (batches, TRUE);
 }
 
+/* Whether the endpoints of the pool were divided into more pools since. */
+static bool
+is_outdated (const struct snipe_home *home, const struct snipe_pool_id *id)
+{
+  for (guint i = 0; i < home->pools->len; i++)
+    {
+      const struct pool_view *pool = g_ptr_array_index (home->pools, i);
+
+      if (pool->id.shards > id->shards && pool->owner != 0
+          && snipe_pool_id_same_group (&pool->id, id))
+        return true;
+    }
+  return false;
+}
+
 void
 snipe_home_owner (struct snipe_home *home, const struct snipe_pool_id *id,
                   uint64_t owner, uint64_t token, snipe_time now)
 {
-  struct pool_view *pool = find_pool (home, id);
+  struct pool_view *pool;
 
-  (void)now;
+  /* A heartbeat from before the division may come after it. */
+  if (is_outdated (home, id))
+    return;
+  pool = find_pool (home, id);
+  if (pool->owner == 0)
+    snipe_home_divided (home, id, now);
   if (token > pool->token || (token == pool->token && pool->owner == 0))
     change_owner (home, pool, owner, token);
 }
@@ -481,8 +501,11 @@
 snipe_home_load (struct snipe_home *home, const struct snipe_home_load *load,
                  snipe_time now)
 {
-  struct pool_view *pool = find_pool (home, load->pool);
+  struct pool_view *pool;
 
+  if (is_outdated (home, load->pool))
+    return;
+  pool = find_pool (home, load->pool);
   if (load->token < pool->token)
     return;
   snipe_home_owner (home, load->pool, load->owner, load->token, now);
--- a/tests/home/test_home.c
+++ b/tests/home/test_home.c
@@ -425,6 +425,45 @@
     }
 }
 
+/* Guards against jobs going to a pool that does not exist any more, because a
+ * heartbeat from before the division came after it (55 refusals on a quiet day
+ * of the grown site: batch_misdirected). */
+static void
+test_divided (void)
+{
+  struct snipe_pool_id one = { .service = "work", .domain = "a", .shards = 1 };
+  struct snipe_pool_id two
+      = { .service = "work", .domain = "a", .shard = 1, .shards = 2 };
+  uint32_t rooms[] = { 64000, 64000 };
+  struct snipe_home_load load = { .pool = &one,
+                                  .owner = OWNER_A,
+                                  .token = 1,
+                                  .free_cpu = rooms,
+                                  .free_count = 2,
+                                  .total_cpu = 128000,
+                                  .slowness = 1.0 };
+  struct record record;
+  struct snipe_home *home = new_home (&record);
+
+  snipe_home_load (home, &load, NOW);
+  load.pool = &two;
+  load.owner = OWNER_B;
+  load.token = 2;
+  snipe_home_load (home, &load, NOW);
+  snipe_home_owner (home, &one, OWNER_A, 1, NOW);
+  submit (home, 1, 200 * SNIPE_MS, NOW);
+  CU_ASSERT_EQUAL_FATAL (record.sent_count, 1);
+  CU_ASSERT_EQUAL (record.sent[0].owner, OWNER_B);
+  load.pool = &one;
+  load.owner = OWNER_A;
+  load.token = 3;
+  snipe_home_load (home, &load, NOW);
+  snipe_home_owner_lost (home, OWNER_B, NOW);
+  snipe_home_cancel (home, "0123456789abcdef", NOW);
+  CU_ASSERT_TRUE (!snipe_home_can_serve (home));
+  snipe_home_free (home);
+}
+
 struct review_case
 {
   const char *name;
@@ -593,6 +632,7 @@
     { "owner back", test_owner_back },
     { "held", test_held },
     { "review", test_review },
+    { "divided", test_divided },
     { "late refusal", test_late_refusal },
     { "refused copy", test_refused_copy },
     { "callers", test_callers },
