Greet addresses at which nobody is heard more rarely with time

Change: the pause is a sixteenth of the time for which nobody was heard there, 0.3 to 15 s. Test: test_member "greet pause".

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -134,6 +134,10 @@
 void snipe_members_restart (struct snipe_members *members, snipe_time now);
 void snipe_members_leave (struct snipe_members *members);
 
+/** @param silent since a host was last heard at an address, or was listed
+ * there
+ * @return pause until that address is greeted again. */
+snipe_time snipe_members_greet_pause (snipe_time silent);
 /** @return the incarnation of the other live host that owns the pool, 0: none
  * is known. */
 uint64_t snipe_members_owner (const struct snipe_members *members,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -12,6 +12,12 @@
  * them in proportion more rarely, down to one in FAR_FACTOR_MAX. */
 #define NEAR_HOSTS 8
 #define FAR_FACTOR_MAX 4
+/* An address at which nobody is heard is greeted after a part of the time that
+ * it was silent: a cut that heals is noticed in a sixteenth of its length
+ * more, and the rows of hosts that were lost for good cost next to nothing. */
+#define GREET_PAUSE_MIN (300 * SNIPE_MS)
+#define GREET_PAUSE_MAX (15 * SNIPE_S)
+#define GREET_PAUSE_PART 16
 /* Work that was just answered is often followed by more. */
 #define RELATED_TIME (1 * SNIPE_S)
 /* Time in which a live host opens a new connection after one was reset: a
@@ -467,6 +473,12 @@
   return standing;
 }
 
+snipe_time
+snipe_members_greet_pause (snipe_time silent)
+{
+  return CLAMP (silent / GREET_PAUSE_PART, GREET_PAUSE_MIN, GREET_PAUSE_MAX);
+}
+
 uint64_t
 snipe_members_owner (const struct snipe_members *members,
                      const struct snipe_pool_id *pool)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -20,7 +20,7 @@
 #define TICK_BUSY (20 * SNIPE_MS)
 #define TICK_IDLE (50 * SNIPE_MS)
 #define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
-/* Hosts that the store lists and nobody hears are greeted this often. */
+/* The listed addresses are looked through this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
 /* A host that starts among others hears those that live within some 20 ms of
  * reading their list. */
@@ -60,7 +60,8 @@
   node->pools = g_ptr_array_new_with_free_func (snipe_held_pool_free);
   node->directory
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  node->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  node->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   node->groups = g_ptr_array_new_with_free_func (g_free);
   node->known_pools
       = g_array_new (FALSE, FALSE, sizeof (struct snipe_pool_id));
@@ -156,10 +157,18 @@
 snipe_node_host_listed (struct snipe_node *node, const char *address,
                         snipe_time now)
 {
-  (void)now;
-  if (strcmp (address, node->address) != 0
-      && g_hash_table_add (node->listed, g_strdup (address)))
-    g_message ("host: event=listed address=%s", address);
+  struct listed_host *host;
+
+  if (strcmp (address, node->address) == 0)
+    return;
+  host = g_hash_table_lookup (node->listed, address);
+  if (host == NULL)
+    {
+      g_message ("host: event=listed address=%s", address);
+      host = g_new0 (struct listed_host, 1);
+      g_hash_table_insert (node->listed, g_strdup (address), host);
+    }
+  *host = (struct listed_host){ .heard = now };
 }
 
 void
@@ -457,13 +466,37 @@
                            greeting->now);
 }
 
+/* Greets the addresses at which no host is heard. */
+static void
+greet_listed (struct snipe_node *node, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (now < node->greet_due)
+    return;
+  node->greet_due = now + GREET_INTERVAL;
+  g_hash_table_iter_init (&iter, node->listed);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct listed_host *host = value;
+
+      if (snipe_node_address_live (node, key))
+        host->heard = now;
+      else if (now >= host->due)
+        {
+          host->due = now + snipe_members_greet_pause (now - host->heard);
+          snipe_node_send_hello (node, key, 0, now);
+        }
+    }
+}
+
 /* Greets the hosts that are heard, and now and then those that are listed. */
 static void
 send_hellos (struct snipe_node *node, snipe_time now)
 {
   struct greeting greeting = { .node = node, .now = now };
-  GHashTableIter iter;
-  gpointer key;
 
   if (now < node->hello_due && now < node->check_due)
     return;
@@ -474,13 +507,7 @@
     node->hello_due = now + HELLO_FULL_INTERVAL;
   node->check_due = now + HELLO_CHECK_INTERVAL;
   snipe_members_each (node->members, greet, &greeting);
-  if (now < node->greet_due)
-    return;
-  node->greet_due = now + GREET_INTERVAL;
-  g_hash_table_iter_init (&iter, node->listed);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (!snipe_node_address_live (node, key))
-      snipe_node_send_hello (node, key, 0, now);
+  greet_listed (node, now);
 }
 
 static void
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -23,6 +23,13 @@
   uint32_t endpoints;
 };
 
+/** An address that the store lists or that is a seed. */
+struct listed_host
+{
+  snipe_time heard; /**< last time that a host was live there, or listed */
+  snipe_time due;   /**< next greeting */
+};
+
 /** Reports of a pool's load to some of the hosts. */
 struct load_report
 {
@@ -98,7 +105,7 @@
   GPtrArray *groups;     /**< struct group */
   GArray *known_pools;   /**< struct snipe_pool_id, sorted */
   GHashTable *directory; /**< id -> struct snipe_endpoint_entry */
-  GHashTable *listed;    /**< addresses of hosts in the store */
+  GHashTable *listed;    /**< address -> struct listed_host */
   bool hosts_read;       /**< listed is whole, and not settled yet */
   GQueue pending;
   GPtrArray *results; /**< struct kept_result */
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -409,6 +409,29 @@
   snipe_members_free (members);
 }
 
+/* Guards against the addresses of hosts that were lost for good being greeted
+ * three times a second for ever, and against a cut that heals going unnoticed.
+ */
+static void
+test_greet_pause (void)
+{
+  const struct
+  {
+    snipe_time silent;
+    snipe_time pause;
+  } cases[] = {
+    { 0, 300 * SNIPE_MS },
+    { 4 * SNIPE_S, 300 * SNIPE_MS },
+    { 8 * SNIPE_S, 500 * SNIPE_MS },
+    { 60 * SNIPE_S, 3750 * SNIPE_MS },
+    { 3600 * SNIPE_S, 15 * SNIPE_S },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (snipe_members_greet_pause (cases[i].silent),
+                     cases[i].pause);
+}
+
 /* Guards against news for the owner of a pool going to one that was lost. */
 static void
 test_owner (void)
@@ -514,11 +537,17 @@
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "decide", test_decide },   { "one heir", test_one_heir },
-    { "suspect", test_suspect }, { "interval", test_interval },
-    { "lost", test_lost },       { "replaced", test_replaced },
-    { "losses", test_losses },   { "owner", test_owner },
-    { "delay", test_delay },     CU_TEST_INFO_NULL,
+    { "decide", test_decide },
+    { "one heir", test_one_heir },
+    { "suspect", test_suspect },
+    { "interval", test_interval },
+    { "lost", test_lost },
+    { "replaced", test_replaced },
+    { "losses", test_losses },
+    { "owner", test_owner },
+    { "greet pause", test_greet_pause },
+    { "delay", test_delay },
+    CU_TEST_INFO_NULL,
   };
 
   return suite_run ("member", tests);
