Name the factor of the time in which a suspected host is heard again

Cause: a literal in a rule; found when the change was read again. Change: a constant with its reason. No change of behaviour. Test: test_member as before.

--- a/src/member/member.c
+++ b/src/member/member.c
@@ -20,8 +20,9 @@
 #define GREET_PAUSE_PART 16
 /* Work that was just answered is often followed by more. */
 #define RELATED_TIME (1 * SNIPE_S)
-/* Time in which a live host opens a new connection after one was reset: a
- * heartbeat interval and a half, and some of the work in between. */
+/* Time in which a live host opens a new connection after one was reset: it
+ * does so with its next heartbeat, and is slow at times. */
+#define SUSPECT_INTERVALS (5.0 / 3)
 #define SUSPECT_MIN (250 * SNIPE_MS)
 /* Messages of a connection that works are hardly later than this many
  * intervals. */
@@ -317,7 +318,10 @@
 
   if (peer == NULL)
     return;
-  doubt (peer, now + MAX (SUSPECT_MIN, peer->said.promise * 5 / 3));
+  doubt (peer,
+         now
+             + MAX (SUSPECT_MIN, (snipe_time)(SUSPECT_INTERVALS
+                                              * (double)peer->said.promise)));
   /* A heartbeat at once finds out whether its address still answers. */
   peer->sent = 0;
 }
