--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -142,6 +142,13 @@
  * is known. */
 uint64_t snipe_members_owner (const struct snipe_members *members,
                               const struct snipe_pool_id *pool);
+/** @return a live host but this one, until the next call that changes the
+ * view; NULL if there is none. */
+const struct snipe_member *
+snipe_members_find (const struct snipe_members *members, uint64_t incarnation);
+/** The same by the address of its link. */
+const struct snipe_member *
+snipe_members_at (const struct snipe_members *members, const char *address);
 /** Calls @p visit for each live host but this one. */
 void snipe_members_each (const struct snipe_members *members,
                          void (*visit) (void *ctx,
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -67,13 +67,6 @@
   g_free (batch);
 }
 
-static void
-pool_view_free (struct pool_view *pool)
-{
-  g_array_free (pool->free_cpu, TRUE);
-  g_free (pool);
-}
-
 static void
 job_free (struct job *job)
 {
@@ -106,8 +99,7 @@
                                       (GDestroyNotify)job_free);
   home->batches = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                          (GDestroyNotify)batch_free);
-  home->pools
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)pool_view_free);
+  home->pools = g_ptr_array_new_with_free_func (snipe_view_free);
   *out = home;
   return SNIPE_OK;
 }
@@ -257,25 +249,10 @@
   g_free (indexes);
 }
 
-/* Whether the owner of a pool of the service (NULL: any) is known. */
-static bool
-serves (const struct snipe_home *home, const char *service)
-{
-  for (guint i = 0; i < home->pools->len; i++)
-    {
-      const struct pool_view *pool = g_ptr_array_index (home->pools, i);
-
-      if (pool->owner != 0 && pool->total_cpu > 0
-          && (service == NULL || strcmp (pool->id.service, service) == 0))
-        return true;
-    }
-  return false;
-}
-
 bool
 snipe_home_can_serve (const struct snipe_home *home)
 {
-  return serves (home, NULL);
+  return snipe_views_serve (home->pools, NULL);
 }
 
 void
@@ -321,7 +298,8 @@
   job->due = now + (snipe_time)(length * spec->slack_factor) + spec->slo;
   job->late = MIN (now + LATE_FACTOR * (job->due - now), spec->give_up);
   g_hash_table_insert (home->jobs, (char *)job->spec.id, job);
-  job->held = spec->fit == SNIPE_FIT_STALE || !serves (home, spec->service);
+  job->held = spec->fit == SNIPE_FIT_STALE
+              || !snipe_views_serve (home->pools, spec->service);
   if (!job->held)
     dispatch_all (home, job, now);
 }
@@ -400,39 +378,11 @@
   return g_hash_table_size (home->jobs);
 }
 
-static struct pool_view *
-find_pool (struct snipe_home *home, const struct snipe_pool_id *id)
-{
-  struct pool_view *pool;
-
-  for (guint i = 0; i < home->pools->len; i++)
-    {
-      pool = g_ptr_array_index (home->pools, i);
-      if (snipe_pool_id_equal (&pool->id, id))
-        return pool;
-    }
-  pool = g_new0 (struct pool_view, 1);
-  pool->id = *id;
-  pool->free_cpu = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  pool->slowness = 1.0;
-  g_ptr_array_add (home->pools, pool);
-  return pool;
-}
-
 void
 snipe_home_divided (struct snipe_home *home, const struct snipe_pool_id *id,
                     snipe_time now)
 {
-  for (guint i = 0; i < home->pools->len; i++)
-    {
-      struct pool_view *pool = g_ptr_array_index (home->pools, i);
-
-      if (pool->owner == 0 || pool->id.shards >= id->shards
-          || !snipe_pool_id_same_group (&pool->id, id))
-        continue;
-      pool->owner = 0;
-      pool->lost = now;
-    }
+  snipe_views_divided (home->pools, id, now);
 }
 
 static GPtrArray *
@@ -466,49 +416,35 @@
   g_ptr_array_free (batches, TRUE);
 }
 
-/* Whether the endpoints of the pool were divided into more pools since. */
-static bool
-is_outdated (const struct snipe_home *home, const struct snipe_pool_id *id)
+static void
+note_owner (struct snipe_home *home, struct pool_view *pool, uint64_t owner,
+            uint64_t token, snipe_time now)
 {
-  for (guint i = 0; i < home->pools->len; i++)
-    {
-      const struct pool_view *pool = g_ptr_array_index (home->pools, i);
-
-      if (pool->id.shards > id->shards && pool->owner != 0
-          && snipe_pool_id_same_group (&pool->id, id))
-        return true;
-    }
-  return false;
+  if (pool->owner == 0)
+    snipe_views_divided (home->pools, &pool->id, now);
+  if (token > pool->token || (token == pool->token && pool->owner == 0))
+    change_owner (home, pool, owner, token);
 }
 
 void
 snipe_home_owner (struct snipe_home *home, const struct snipe_pool_id *id,
                   uint64_t owner, uint64_t token, snipe_time now)
 {
-  struct pool_view *pool;
+  struct pool_view *pool = snipe_views_find (home->pools, id);
 
-  /* A heartbeat from before the division may come after it. */
-  if (is_outdated (home, id))
-    return;
-  pool = find_pool (home, id);
-  if (pool->owner == 0)
-    snipe_home_divided (home, id, now);
-  if (token > pool->token || (token == pool->token && pool->owner == 0))
-    change_owner (home, pool, owner, token);
+  if (pool != NULL)
+    note_owner (home, pool, owner, token, now);
 }
 
 void
 snipe_home_load (struct snipe_home *home, const struct snipe_home_load *load,
                  snipe_time now)
 {
-  struct pool_view *pool;
+  struct pool_view *pool = snipe_views_find (home->pools, load->pool);
 
-  if (is_outdated (home, load->pool))
+  if (pool == NULL || load->token < pool->token)
     return;
-  pool = find_pool (home, load->pool);
-  if (load->token < pool->token)
-    return;
-  snipe_home_owner (home, load->pool, load->owner, load->token, now);
+  note_owner (home, pool, load->owner, load->token, now);
   g_array_set_size (pool->free_cpu, 0);
   g_array_append_vals (pool->free_cpu, load->free_cpu, load->free_count);
   pool->total_cpu = load->total_cpu;
@@ -520,15 +456,7 @@
 void
 snipe_home_owner_lost (struct snipe_home *home, uint64_t owner, snipe_time now)
 {
-  for (guint i = 0; i < home->pools->len; i++)
-    {
-      struct pool_view *pool = g_ptr_array_index (home->pools, i);
-
-      if (pool->owner != owner)
-        continue;
-      pool->owner = 0;
-      pool->lost = now;
-    }
+  snipe_views_owner_lost (home->pools, owner, now);
 }
 
 void
@@ -645,7 +573,7 @@
       if (job->spec.fit == SNIPE_FIT_NONE)
         g_ptr_array_add (unfit, job);
       else if (job->spec.fit == SNIPE_FIT_MAYBE
-               && serves (home, job->spec.service))
+               && snipe_views_serve (home->pools, job->spec.service))
         g_ptr_array_add (ready, job);
     }
   for (guint i = 0; i < unfit->len; i++)
@@ -673,7 +601,7 @@
       if (check_job (home, job, now) != SNIPE_OK)
         g_ptr_array_add (ended, job);
       else if (job->held && job->spec.fit == SNIPE_FIT_MAYBE
-               && serves (home, job->spec.service))
+               && snipe_views_serve (home->pools, job->spec.service))
         g_ptr_array_add (ready, job);
     }
   release (home, ready, now);
--- a/src/home/private.h
+++ b/src/home/private.h
@@ -22,6 +22,20 @@
   snipe_time lost;    /**< when its owner was lost, 0: it was not */
 };
 
+/* view.c: @p pools has struct pool_view */
+void snipe_view_free (gpointer view);
+/** @return the view of a pool, a new one if it was not known; NULL if its
+ * endpoints were divided into more pools since. */
+struct pool_view *snipe_views_find (GPtrArray *pools,
+                                    const struct snipe_pool_id *id);
+/** @return whether the owner of a pool of the service (NULL: any) is known. */
+bool snipe_views_serve (const GPtrArray *pools, const char *service);
+/** Pools with fewer shards than @p id in its group lose their owner. */
+void snipe_views_divided (GPtrArray *pools, const struct snipe_pool_id *id,
+                          snipe_time now);
+void snipe_views_owner_lost (GPtrArray *pools, uint64_t owner, snipe_time now);
+
+/* route.c */
 /** A planned share of a job's tasks. */
 struct share
 {
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -130,10 +130,11 @@
     peer->doubted = until;
 }
 
-/* A process that starts at the address of another has taken its place. */
+/* The process that was heard at the address, unless it is @p heir, has
+ * ended. */
 static void
-forget_address (struct snipe_members *members, const struct peer *heir,
-                snipe_time now)
+doubt_address (struct snipe_members *members, const char *address,
+               const struct peer *heir, snipe_time now)
 {
   GHashTableIter iter;
   gpointer value;
@@ -144,7 +145,7 @@
       struct peer *peer = value;
 
       if (peer != heir && peer->live
-          && strcmp (peer->said.address, heir->said.address) == 0)
+          && strcmp (peer->said.address, address) == 0)
         doubt (peer, now);
     }
 }
@@ -191,7 +192,7 @@
   if (!peer->live)
     {
       members->live++;
-      forget_address (members, peer, now);
+      doubt_address (members, peer->said.address, peer, now);
     }
   peer->live = true;
   return heard;
@@ -330,17 +331,7 @@
 snipe_members_gone (struct snipe_members *members, const char *address,
                     snipe_time now)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, members->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct peer *peer = value;
-
-      if (peer->live && strcmp (peer->said.address, address) == 0)
-        doubt (peer, now);
-    }
+  doubt_address (members, address, NULL, now);
 }
 
 bool
@@ -409,6 +400,31 @@
   members->self.leaving = true;
 }
 
+const struct snipe_member *
+snipe_members_find (const struct snipe_members *members, uint64_t incarnation)
+{
+  const struct peer *peer = find (members, incarnation);
+
+  return peer != NULL && peer->live ? &peer->said : NULL;
+}
+
+const struct snipe_member *
+snipe_members_at (const struct snipe_members *members, const char *address)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+
+      if (peer->live && strcmp (peer->said.address, address) == 0)
+        return &peer->said;
+    }
+  return NULL;
+}
+
 void
 snipe_members_each (const struct snipe_members *members,
                     void (*visit) (void *ctx,
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -248,6 +248,16 @@
     snipe_node_refuse_batch (node, batch, SNIPE_E_UNREACHABLE);
 }
 
+void
+snipe_node_cancel_batch (struct snipe_node *node, uint64_t home,
+                         uint64_t number, snipe_time now)
+{
+  for (guint i = 0; i < node->pools->len; i++)
+    snipe_pool_cancel (
+        ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool, home,
+        number, now);
+}
+
 static void
 carry_out (struct snipe_node *node, struct pending *item, snipe_time now)
 {
@@ -258,10 +268,8 @@
                              now);
       break;
     case PENDING_CANCEL:
-      for (guint i = 0; i < node->pools->len; i++)
-        snipe_pool_cancel (
-            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool,
-            item->u.cancel.home, item->u.cancel.number, now);
+      snipe_node_cancel_batch (node, item->u.cancel.home,
+                               item->u.cancel.number, now);
       break;
     case PENDING_RESULT:
       snipe_home_result (node->home, node->incarnation, &item->u.result, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -195,7 +195,7 @@
     return;
   g_hash_table_iter_init (&iter, node->listed);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (!snipe_node_address_live (node, key))
+    if (snipe_members_at (node->members, key) == NULL)
       return;
   node->hosts_read = false;
   node->owner_due = 0;
@@ -482,7 +482,7 @@
     {
       struct listed_host *host = value;
 
-      if (snipe_node_address_live (node, key))
+      if (snipe_members_at (node->members, key) != NULL)
         host->heard = now;
       else if (now >= host->due)
         {
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -169,6 +169,9 @@
                             const struct snipe_pool_batch *batch,
                             snipe_time now);
 
+/** Ends a batch of the home in whichever pool of this host it is. */
+void snipe_node_cancel_batch (struct snipe_node *node, uint64_t home,
+                              uint64_t number, snipe_time now);
 /** Tells the home of a batch that nothing of it has started or will. */
 void snipe_node_refuse_batch (struct snipe_node *node,
                               const struct snipe_pool_batch *batch, int code);
@@ -192,7 +195,5 @@
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
 void snipe_node_link_opened (void *ctx, const char *address);
 void snipe_node_link_refused (void *ctx, const char *address);
-bool snipe_node_address_live (const struct snipe_node *node,
-                              const char *address);
 
 #endif
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -30,55 +30,16 @@
   return (int32_t)CLAMP ((when - now) / SNIPE_MS, INT32_MIN, INT32_MAX);
 }
 
-struct search
-{
-  uint64_t incarnation;
-  const char *address;
-  char found[64];
-};
-
-static void
-match_member (void *ctx, const struct snipe_member *member)
-{
-  struct search *search = ctx;
-
-  if (member->incarnation != search->incarnation
-      && (search->address == NULL
-          || strcmp (search->address, member->address) != 0))
-    return;
-  g_strlcpy (search->found, member->address, sizeof search->found);
-  search->incarnation = member->incarnation;
-}
-
-static bool
-address_of (const struct snipe_node *node, uint64_t incarnation, char *out,
-            size_t size)
-{
-  struct search search = { .incarnation = incarnation };
-
-  snipe_members_each (node->members, match_member, &search);
-  g_strlcpy (out, search.found, size);
-  return *search.found != '\0';
-}
-
-bool
-snipe_node_address_live (const struct snipe_node *node, const char *address)
-{
-  struct search search = { .address = address };
-
-  snipe_members_each (node->members, match_member, &search);
-  return *search.found != '\0';
-}
-
 static int
 send_to (struct snipe_node *node, uint64_t incarnation,
          const struct snipe_link_message *message)
 {
-  char address[64];
+  const struct snipe_member *member
+      = snipe_members_find (node->members, incarnation);
 
-  if (!address_of (node, incarnation, address, sizeof address))
+  if (member == NULL)
     return snipe_status_set (SNIPE_E_UNREACHABLE, "host is not heard");
-  return snipe_link_send (node->link, address, message);
+  return snipe_link_send (node->link, member->address, message);
 }
 
 /* The texts are borrowed. */
@@ -624,10 +585,8 @@
       on_result (node, incarnation, &message->args.result, now);
       break;
     case LINK_SEND_CANCEL:
-      for (guint i = 0; i < node->pools->len; i++)
-        snipe_pool_cancel (
-            ((struct held_pool *)g_ptr_array_index (node->pools, i))->pool,
-            message->args.cancel.home, message->args.cancel.number, now);
+      snipe_node_cancel_batch (node, message->args.cancel.home,
+                               message->args.cancel.number, now);
       break;
     case LINK_SEND_CANCEL_JOB:
       snipe_home_cancel (node->home, message->args.cancel_job.job, now);
@@ -670,10 +629,11 @@
 snipe_node_link_opened (void *ctx, const char *address)
 {
   struct snipe_node *node = ctx;
-  struct search search = { .address = address };
+  const struct snipe_member *member
+      = snipe_members_at (node->members, address);
 
-  snipe_members_each (node->members, match_member, &search);
-  snipe_node_send_hello (node, address, search.incarnation,
+  snipe_node_send_hello (node, address,
+                         member == NULL ? 0 : member->incarnation,
                          snipe_clock_now ());
 }
 
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -174,23 +174,20 @@
 void
 snipe_pool_place (struct snipe_pool *pool, snipe_time now)
 {
-  GPtrArray *order = g_ptr_array_sized_new (pool->batches->len);
-  bool all = settled (pool, now);
-  uint64_t digest = digest_of (pool);
+  GPtrArray *order;
+  uint64_t digest;
+  bool all;
 
   /* An entry of the list may be seconds old, and its endpoint leaving. */
   if (!pool->directory_known && now < pool->created + DIRECTORY_WAIT)
-    {
-      g_ptr_array_free (order, TRUE);
-      return;
-    }
+    return;
   /* Another owner has a higher token somewhere. What this one would start at
    * the endpoints that still obey it, the other may start elsewhere. */
   if (pool->fenced)
-    {
-      g_ptr_array_free (order, TRUE);
-      return;
-    }
+    return;
+  order = g_ptr_array_sized_new (pool->batches->len);
+  all = settled (pool, now);
+  digest = digest_of (pool);
   for (guint i = 0; i < pool->batches->len; i++)
     {
       struct batch *batch = g_ptr_array_index (pool->batches, i);
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -77,6 +77,22 @@
   CU_ASSERT_EQUAL (model->starts, 3);
 }
 
+/* A second owner claims the pool and knows only the endpoints where nothing
+ * runs. */
+static struct snipe_pool *
+claim_idle_endpoints (struct model *model)
+{
+  struct snipe_pool *pool;
+
+  model_release (model, FIRST);
+  model_claim (model, SECOND, 2 << 20, 0);
+  pool = model->owners[SECOND].pool;
+  for (uint32_t i = 0; i < model->endpoint_count; i++)
+    if (model->endpoints[i].run_count == 0)
+      snipe_pool_endpoint_set (pool, &model->endpoints[i].entry, model->now);
+  return pool;
+}
+
 /* Guards against a new owner that does not know an endpoint yet starting a
  * task again that runs there. */
 static void
@@ -89,12 +105,7 @@
   begin (model, 2);
   model_submit (model, FIRST, &sent);
   model_run (model, model->now + 20 * SNIPE_MS);
-  model_release (model, FIRST);
-  model_claim (model, SECOND, 2 << 20, 0);
-  second = model->owners[SECOND].pool;
-  for (uint32_t i = 0; i < 2; i++)
-    if (model->endpoints[i].run_count == 0)
-      snipe_pool_endpoint_set (second, &model->endpoints[i].entry, model->now);
+  second = claim_idle_endpoints (model);
   again.resent = true;
   model_submit (model, SECOND, &again);
   model_run (model, model->now + 50 * SNIPE_MS);
@@ -120,12 +131,7 @@
   model_run (model, model->now + 20 * SNIPE_MS);
   again.resent = true;
   again.endpoints = model_digest (model, FIRST);
-  model_release (model, FIRST);
-  model_claim (model, SECOND, 2 << 20, 0);
-  second = model->owners[SECOND].pool;
-  for (uint32_t i = 0; i < 2; i++)
-    if (model->endpoints[i].run_count == 0)
-      snipe_pool_endpoint_set (second, &model->endpoints[i].entry, model->now);
+  second = claim_idle_endpoints (model);
   snipe_pool_directory_known (second);
   model_submit (model, SECOND, &again);
   model_run (model, model->now + 3 * SNIPE_S);
