Wait for all processes of a test cluster before its directory is removed

Cause: the shells that note how a process ended wrote their files while the directory was being removed; 4 of 8 suites run side by side failed with "rm: cannot remove" after all their cases had passed. cluster_stop now waits for these files, and run-cluster-stop checks that.

--- a/tests/faults/cluster.sh
+++ b/tests/faults/cluster.sh
@@ -145,6 +145,10 @@
     kill -CONT "$pid" 2>/dev/null || true
     kill -KILL "$pid" 2>/dev/null || true
   done
+  # The files must not appear while their directory is being removed.
+  for pid in "${cluster_pids[@]}"; do
+    cluster_wait_file "$cluster_dir/$pid.exit" || true
+  done
   cluster_pids=()
 }
 
--- a/tests/faults/run-cluster-stop.sh
+++ b/tests/faults/run-cluster-stop.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Guards against a cluster that, when it is stopped, signals the id of a
-# process that has ended: the system may have given the id to another suite's
-# daemon. Arguments: none that matter.
+# process that has ended, which the system may have given to another suite's
+# daemon; and against one that is taken for stopped before all its processes
+# have ended.
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/cluster.sh"
@@ -21,7 +22,7 @@
 }
 cluster_stop
 unset -f kill
-cluster_wait_file "$cluster_dir/$running.exit"
+[ -s "$cluster_dir/$running.exit" ]
 
 if grep -qx "$ended" "$signalled"; then
   echo "the ended process $ended was signalled" >&2
