One host of a domain follows the endpoints' rows and tells the others

Change: the largest live host of a domain reads them and sends the others the rows that say anything new, with the store's versions between which they lie. A host takes them if they continue what it knows, else it reads the store by itself, as it does when the next news are overdue (1.3 s). A list that is read in parts is followed from the version of its first part: changes of earlier parts could be missed before.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -134,6 +134,10 @@
 void snipe_members_restart (struct snipe_members *members, snipe_time now);
 void snipe_members_leave (struct snipe_members *members);
 
+/** @return whether this host does for the others of its domain what only one
+ * of them needs to do: the largest live host that does not leave, by its view.
+ * Views may differ for a moment; then two do it, or none. */
+bool snipe_members_is_first (const struct snipe_members *members);
 /** @param silent since a host was last heard at an address, or was listed
  * there
  * @return pause until that address is greeted again. */
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -67,6 +67,8 @@
       return (xdrproc_t)xdr_link_snapshot;
     case LINK_SEND_DRAIN:
       return (xdrproc_t)xdr_link_drain;
+    case LINK_SEND_NEWS:
+      return (xdrproc_t)xdr_link_news;
     default:
       return NULL;
     }
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -29,6 +29,7 @@
     link_fetch fetch;
     link_snapshot snapshot;
     link_drain drain;
+    link_news news;
   } args;
 };
 
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -136,6 +136,17 @@
 };
 typedef struct link_drain link_drain;
 
+struct link_news {
+	quad_t sent;
+	u_quad_t after;
+	u_quad_t newest;
+	struct {
+		u_int rows_len;
+		char *rows_val;
+	} rows;
+};
+typedef struct link_news link_news;
+
 struct link_fetch {
 	u_quad_t have_version;
 };
@@ -182,6 +193,9 @@
 #define LINK_SEND_DRAIN 9
 extern  void * link_send_drain_1(link_drain *, CLIENT *);
 extern  void * link_send_drain_1_svc(link_drain *, struct svc_req *);
+#define LINK_SEND_NEWS 10
+extern  void * link_send_news_1(link_news *, CLIENT *);
+extern  void * link_send_news_1_svc(link_news *, struct svc_req *);
 extern int snipe_link_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -212,6 +226,9 @@
 #define LINK_SEND_DRAIN 9
 extern  void * link_send_drain_1();
 extern  void * link_send_drain_1_svc();
+#define LINK_SEND_NEWS 10
+extern  void * link_send_news_1();
+extern  void * link_send_news_1_svc();
 extern int snipe_link_1_freeresult ();
 #endif /* K&R C */
 
@@ -228,6 +245,7 @@
 extern  bool_t xdr_link_cancel (XDR *, link_cancel*);
 extern  bool_t xdr_link_cancel_job (XDR *, link_cancel_job*);
 extern  bool_t xdr_link_drain (XDR *, link_drain*);
+extern  bool_t xdr_link_news (XDR *, link_news*);
 extern  bool_t xdr_link_fetch (XDR *, link_fetch*);
 extern  bool_t xdr_link_snapshot (XDR *, link_snapshot*);
 
@@ -242,6 +260,7 @@
 extern bool_t xdr_link_cancel ();
 extern bool_t xdr_link_cancel_job ();
 extern bool_t xdr_link_drain ();
+extern bool_t xdr_link_news ();
 extern bool_t xdr_link_fetch ();
 extern bool_t xdr_link_snapshot ();
 
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -132,6 +132,17 @@
   hyper born_ms;
 };
 
+/* What changed in the list of endpoints between two versions of the store. */
+struct link_news
+{
+  /* Steady clock of the sender, microseconds. */
+  hyper sent;
+  unsigned hyper after;
+  unsigned hyper newest;
+  /* As the platform spells them. */
+  opaque rows<LINK_SNAPSHOT_MAX>;
+};
+
 struct link_fetch
 {
   unsigned hyper have_version;
@@ -158,5 +169,6 @@
     void LINK_SEND_FETCH (link_fetch) = 7;
     void LINK_SEND_SNAPSHOT (link_snapshot) = 8;
     void LINK_SEND_DRAIN (link_drain) = 9;
+    void LINK_SEND_NEWS (link_news) = 10;
   } = 1;
 } = 0x20534e4c;
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -443,6 +443,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_link_news (XDR *xdrs, link_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, LINK_SNAPSHOT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_link_fetch (XDR *xdrs, link_fetch *objp)
 {
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -599,6 +599,30 @@
              || strcmp (standing->owner->domain, pool->domain) == 0);
 }
 
+bool
+snipe_members_is_first (const struct snipe_members *members)
+{
+  const struct snipe_member *self = &members->self;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (self->leaving)
+    return false;
+  g_hash_table_iter_init (&iter, members->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+
+      if (peer->live && !peer->said.leaving
+          && strcmp (peer->said.domain, self->domain) == 0
+          && (peer->said.size > self->size
+              || (peer->said.size == self->size
+                  && peer->said.incarnation < self->incarnation)))
+        return false;
+    }
+  return true;
+}
+
 static struct snipe_ownership_result
 decide (const struct snipe_members *members, const struct standing *standing,
         uint64_t own_token, const struct candidate *heir, snipe_time now)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -247,11 +247,13 @@
           || strcmp (old->domain, entry->domain) != 0))
     snipe_node_endpoint_remove (node, entry->id, now);
   g_hash_table_replace (node->directory, copy->id, copy);
+  node->directory_changes++;
   id = snipe_node_pool_of (node, entry);
   pool = snipe_node_find_pool (node, &id);
   if (pool != NULL)
     snipe_pool_endpoint_set (pool->pool, entry, now);
-  else if (begins_to_drain)
+  /* Hosts that are told of it leave this to the one that has read it. */
+  else if (begins_to_drain && !node->being_told)
     snipe_node_send_drain (node, &id, entry);
   snipe_node_drain_pending (node, now);
 }
@@ -273,9 +275,32 @@
   if (pool != NULL)
     snipe_pool_endpoint_remove (pool->pool, id, now);
   g_hash_table_remove (node->directory, id);
+  node->directory_changes++;
   snipe_node_drain_pending (node, now);
 }
 
+void
+snipe_node_endpoint_news (struct snipe_node *node, uint64_t after,
+                          uint64_t version, const struct snipe_str *rows,
+                          snipe_time asked, snipe_time now)
+{
+  if (snipe_members_is_first (node->members)
+      && snipe_reading_is_news (asked, 0, now))
+    snipe_node_send_news (node, after, version, rows, now);
+}
+
+snipe_time
+snipe_node_endpoints_due (const struct snipe_node *node, snipe_time asked,
+                          bool listed)
+{
+  struct snipe_reading reading
+      = { .first = snipe_members_is_first (node->members),
+          .owner = node->pools->len > 0,
+          .heard = node->told_at };
+
+  return snipe_reading_due (&reading, asked, listed);
+}
+
 static enum snipe_home_fit
 fit_of (void *ctx, const struct snipe_home_job *job, snipe_time now)
 {
@@ -596,12 +621,6 @@
   return snipe_home_jobs (node->home) == 0 && node->pools->len == 0;
 }
 
-bool
-snipe_node_owns_pool (const struct snipe_node *node)
-{
-  return node->pools->len > 0;
-}
-
 bool
 snipe_node_can_serve (const struct snipe_node *node)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -31,6 +31,12 @@
   /** The list of endpoints is needed anew: a pool was claimed, or a job fits
    * no endpoint that is listed. */
   void (*refresh_directory) (void *ctx);
+  /** A host of this domain tells what has changed in the list of endpoints
+   * between two versions of the store, as snipe_node_endpoint_news () there
+   * was told.
+   * @return whether the list is as new as @p version now. */
+  bool (*take_endpoint_news) (void *ctx, uint64_t after, uint64_t version,
+                              const struct snipe_str *rows);
   /** The configuration in force as a peer can take it over; empty: none. */
   void (*config) (void *ctx, uint64_t *version, struct snipe_str *text);
   /** A peer has a newer configuration. */
@@ -85,6 +91,17 @@
  * (@p whole is false) the list can no longer be read. */
 void snipe_node_directory_read (struct snipe_node *node, bool whole,
                                 snipe_time asked, snipe_time now);
+/** What changed in the list of endpoints between two versions of the store,
+ * to be passed on to other hosts if this one does so.
+ * @param asked when the store was asked for it */
+void snipe_node_endpoint_news (struct snipe_node *node, uint64_t after,
+                               uint64_t version, const struct snipe_str *rows,
+                               snipe_time asked, snipe_time now);
+/** @param asked when the list of endpoints was last asked for
+ * @param listed whether it has any
+ * @return when it has to be read again. */
+snipe_time snipe_node_endpoints_due (const struct snipe_node *node,
+                                     snipe_time asked, bool listed);
 void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
 
 void snipe_node_submit (struct snipe_node *node,
@@ -118,8 +135,6 @@
 /** @return whether the owner of some pool is known, so that jobs can be
  * served. */
 bool snipe_node_can_serve (const struct snipe_node *node);
-/** @return whether this host schedules a pool. */
-bool snipe_node_owns_pool (const struct snipe_node *node);
 /** Starts to hand over pools to other hosts. */
 void snipe_node_leave (struct snipe_node *node);
 /** Gives up all jobs that this host keeps. */
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -9,6 +9,7 @@
 #include "link/link.h"
 #include "node/directory.h"
 #include "node/node.h"
+#include "node/reading.h"
 
 /* Bits of a fencing token that tell hosts apart; JSON numbers are exact up to
  * 2^53, which leaves 33 bits for the epoch. */
@@ -105,8 +106,9 @@
   GPtrArray *groups;     /**< struct group */
   GArray *known_pools;   /**< struct snipe_pool_id, sorted */
   GHashTable *directory; /**< id -> struct snipe_endpoint_entry */
-  GHashTable *listed;    /**< address -> struct listed_host */
-  bool hosts_read;       /**< listed is whole, and not settled yet */
+  uint64_t directory_changes;
+  GHashTable *listed; /**< address -> struct listed_host */
+  bool hosts_read;    /**< listed is whole, and not settled yet */
   GQueue pending;
   GPtrArray *results; /**< struct kept_result */
   snipe_time silence;
@@ -116,6 +118,8 @@
   snipe_time greet_due;
   snipe_time owner_due;
   struct snipe_directory_age directory_age;
+  snipe_time told_at; /**< when a peer last told of changes of the endpoints */
+  bool being_told;    /**< while the changes are taken over */
   struct snipe_pool_id reached; /**< pool whose endpoints have answered */
   snipe_time reached_since;
   snipe_time reached_at;
@@ -189,6 +193,10 @@
 void snipe_node_send_drain (struct snipe_node *node,
                             const struct snipe_pool_id *pool,
                             const struct snipe_endpoint_entry *entry);
+/** Passes changes of the list of endpoints on to the hosts of this domain. */
+void snipe_node_send_news (struct snipe_node *node, uint64_t after,
+                           uint64_t version, const struct snipe_str *rows,
+                           snipe_time now);
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -348,6 +348,23 @@
     send_load (node, g_ptr_array_index (node->pools, i), hosts, now);
 }
 
+void
+snipe_node_send_news (struct snipe_node *node, uint64_t after,
+                      uint64_t version, const struct snipe_str *rows,
+                      snipe_time now)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_NEWS,
+          .args.news = { .sent = now,
+                         .after = after,
+                         .newest = version,
+                         .rows = { .rows_len = (u_int)rows->len,
+                                   .rows_val = rows->data } } };
+  struct broadcast broadcast = { .node = node, .now = now, .skip_far = true };
+
+  send_to_hosts (&broadcast, &message);
+}
+
 bool
 snipe_node_cancel (struct snipe_node *node, const char *id, snipe_time now)
 {
@@ -532,6 +549,30 @@
   snipe_pool_endpoint_drain (pool->pool, drain->endpoint, drain->born_ms);
 }
 
+static void
+on_news (struct snipe_node *node, uint64_t incarnation, const link_news *news,
+         snipe_time now)
+{
+  const struct snipe_str rows
+      = { .data = news->rows.rows_val, .len = news->rows.rows_len };
+  snipe_time delay
+      = snipe_members_delay (node->members, incarnation, news->sent, now);
+  uint64_t changes = node->directory_changes;
+  bool taken;
+
+  if (!snipe_reading_is_news (now, delay, now))
+    return;
+  node->being_told = true;
+  taken = node->options.port.take_endpoint_news (
+      node->options.port.ctx, news->after, news->newest, &rows);
+  node->being_told = false;
+  if (!taken)
+    return;
+  node->told_at = now;
+  if (node->directory_changes != changes)
+    snipe_node_divide (node, now);
+}
+
 static void
 on_fetch (struct snipe_node *node, uint64_t incarnation,
           const link_fetch *fetch)
@@ -594,6 +635,9 @@
     case LINK_SEND_DRAIN:
       on_drain (node, &message->args.drain);
       break;
+    case LINK_SEND_NEWS:
+      on_news (node, incarnation, &message->args.news, now);
+      break;
     case LINK_SEND_FETCH:
       on_fetch (node, incarnation, &message->args.fetch);
       break;
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -300,17 +300,53 @@
     }
 }
 
+/* Guards against hosts that are told of changes by another one applying other
+ * rows than it has read. */
+static void
+test_rows (void)
+{
+  static const char body[]
+      = "{\"rows\":[{\"key\":\"i-1\",\"value\":\"AP9hYg==\",\"ver\":7},"
+        "{\"key\":\"i-2\",\"ver\":9,\"deleted\":true}],\"ver\":12}";
+  struct snipe_str first = SNIPE_STR_INIT;
+  struct snipe_str second = SNIPE_STR_INIT;
+  struct platform_rows rows[2];
+
+  snipe_str_set (&first, body, strlen (body));
+  CU_ASSERT_EQUAL_FATAL (platform_rows_decode (&rows[0], &first), 0);
+  platform_rows_encode (&second, rows[0].rows, rows[0].version);
+  CU_ASSERT_EQUAL_FATAL (platform_rows_decode (&rows[1], &second), 0);
+  CU_ASSERT_EQUAL (rows[1].version, 12);
+  CU_ASSERT_EQUAL_FATAL (rows[1].rows->len, 2);
+  for (guint i = 0; i < 2; i++)
+    {
+      const struct platform_row *was
+          = &g_array_index (rows[0].rows, struct platform_row, i);
+      const struct platform_row *is
+          = &g_array_index (rows[1].rows, struct platform_row, i);
+
+      CU_ASSERT_STRING_EQUAL (is->key, was->key);
+      CU_ASSERT_EQUAL (is->version, was->version);
+      CU_ASSERT_EQUAL (is->deleted, was->deleted);
+      CU_ASSERT_EQUAL (is->len, was->len);
+      CU_ASSERT_EQUAL (is->value == NULL, was->value == NULL);
+      if (was->value != NULL)
+        CU_ASSERT_EQUAL (memcmp (is->value, was->value, was->len), 0);
+    }
+  platform_rows_clear (&rows[0]);
+  platform_rows_clear (&rows[1]);
+  snipe_str_clear (&first);
+  snipe_str_clear (&second);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "config", test_config },
-    { "find", test_find },
-    { "endpoint", test_endpoint },
-    { "digest", test_digest },
-    { "report", test_report },
-    { "job", test_job },
-    CU_TEST_INFO_NULL,
+    { "config", test_config },     { "find", test_find },
+    { "endpoint", test_endpoint }, { "digest", test_digest },
+    { "report", test_report },     { "job", test_job },
+    { "rows", test_rows },         CU_TEST_INFO_NULL,
   };
 
   return suite_run ("formats", tests);
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -12,6 +12,7 @@
 
 #define CALLS_MAX 64
 #define CONTACT (400 * SNIPE_MS)
+#define ENDPOINTS_INTERVAL (200 * SNIPE_MS)
 
 /** A stand-in for the store: answers by a script and keeps what was asked. */
 struct store
@@ -29,6 +30,7 @@
   bool late_peer; /**< another host is listed once this one is */
   bool registered;
   bool peer_leaves; /**< its row is dropped with the first change */
+  bool parts; /**< the endpoints come in two parts, with a change in between */
 };
 
 /** What the client passed on. */
@@ -47,6 +49,9 @@
   int reads;
   int lost;
   int registered;
+  int news;
+  uint64_t news_after; /**< of the first news */
+  void (*once_read) (struct seen *seen, snipe_time now); /**< called once */
 };
 
 static char *
@@ -85,6 +90,9 @@
   struct store *store = ctx;
   const char *table = MHD_lookup_connection_value (
       connection, MHD_GET_ARGUMENT_KIND, "table");
+  bool rest
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "from")
+        != NULL;
   bool feed = strcmp (url, "/api/rows-feed") == 0;
   struct MHD_Response *response;
   enum MHD_Result result;
@@ -128,9 +136,14 @@
   rows = rows_of (store, table == NULL ? "" : table, feed);
   if (http == 200 && strcmp (url, "/api/rows-tx") == 0)
     store->registered = true;
-  body = g_strdup_printf (
-      "{\"rows\":[%s],\"ver\":%d,\"now_ms\":1%s}", rows, feed ? 20 : 9,
-      feed && store->cut_short && *rows != '\0' ? ",\"has_more\":true" : "");
+  body = g_strdup_printf ("{\"rows\":[%s],\"ver\":%d,\"now_ms\":1%s}", rows,
+                          feed   ? 20
+                          : rest ? 15
+                                 : 9,
+                          (feed ? store->cut_short : store->parts && !rest)
+                                  && *rows != '\0'
+                              ? ",\"has_more\":true"
+                              : "");
   if (feed && *rows != '\0')
     store->cut_short = false;
   g_mutex_unlock (&store->lock);
@@ -166,7 +179,7 @@
 {
   struct seen *seen = ctx;
 
-  CU_ASSERT_TRUE (version == 9 || version == 20);
+  CU_ASSERT_TRUE (version == 9 || version == 15 || version == 20);
   seen->registered += registered;
 }
 
@@ -226,11 +239,29 @@
     CU_ASSERT_TRUE (seen->hosts > 0);
 }
 
-static bool
-owns_pool (void *ctx)
+static snipe_time
+endpoints_due (void *ctx, snipe_time asked, bool listed)
 {
   (void)ctx;
-  return true;
+  (void)listed;
+  return asked + ENDPOINTS_INTERVAL;
+}
+
+static void
+on_news (void *ctx, uint64_t after, uint64_t version,
+         const struct snipe_str *rows, snipe_time asked)
+{
+  struct seen *seen = ctx;
+  struct platform_rows decoded;
+
+  if (seen->news++ == 0)
+    seen->news_after = after;
+  CU_ASSERT_TRUE (asked > 0);
+  CU_ASSERT_EQUAL_FATAL (platform_rows_decode (&decoded, rows), 0);
+  CU_ASSERT_EQUAL (decoded.version, version);
+  /* The entry is the same as in the first read. */
+  CU_ASSERT_EQUAL (decoded.rows->len, 0);
+  platform_rows_clear (&decoded);
 }
 
 static snipe_time
@@ -238,6 +269,11 @@
 {
   struct seen *seen = ctx;
 
+  if (seen->reads > 0 && seen->once_read != NULL)
+    {
+      seen->once_read (seen, now + seen->later);
+      seen->once_read = NULL;
+    }
   platform_store_tick (seen->client,
                        now + (seen->reads > 0 ? seen->later : 0));
   if (now >= seen->until)
@@ -245,6 +281,27 @@
   return 10 * SNIPE_MS;
 }
 
+static struct platform_store_options
+options_for (struct store *store, struct seen *seen)
+{
+  return (struct platform_store_options){
+    .address = store->address,
+    .self = { .name = "h1", .address = "127.0.0.1:1", .domain = "a" },
+    .contact = CONTACT,
+    .ctx = seen,
+    .version = on_version,
+    .config = on_config,
+    .endpoint = on_endpoint,
+    .endpoint_gone = on_gone,
+    .host = on_host,
+    .host_gone = on_host_gone,
+    .endpoints_read = on_read,
+    .hosts_read = on_hosts_read,
+    .news = on_news,
+    .endpoints_due = endpoints_due,
+  };
+}
+
 struct store_case
 {
   const char *name;
@@ -276,9 +333,10 @@
 /* Guards against two hosts that start together missing each other, a history
  * that was dropped hiding later changes, an entry that cannot be read
  * stopping the others, and changes after the last row of a full answer being
- * skipped (DRAIN and TWICE on the grown site), and a host that reads the list
+ * skipped (DRAIN and TWICE on the grown site), a host that reads the list
  * rarely having to go through all changes since (hosts of a tenth of a core
- * stood still for half a second). */
+ * stood still for half a second), and changes of a part that was read being
+ * missed while the other parts are read. */
 static void
 test_cases (void)
 {
@@ -335,6 +393,15 @@
       2,
       NULL,
       10 * SNIPE_S },
+    { "list in parts, changed in between",
+      { .endpoint = ENTRY, .config = "{}", .parts = true },
+      600 * SNIPE_MS,
+      2,
+      1,
+      0,
+      0,
+      2,
+      "/api/rows-feed servers 9" },
     { "store refuses", { .http = 503 }, 600 * SNIPE_MS, 0, 0, 0, 0, 1 },
   };
 
@@ -344,21 +411,7 @@
       struct store store = row->store;
       struct seen seen = { .store = &store, .later = row->later };
       struct snipe_web *web;
-      struct platform_store_options options
-          = { .address = store.address,
-              .self
-              = { .name = "h1", .address = "127.0.0.1:1", .domain = "a" },
-              .contact = CONTACT,
-              .ctx = &seen,
-              .version = on_version,
-              .config = on_config,
-              .endpoint = on_endpoint,
-              .endpoint_gone = on_gone,
-              .host = on_host,
-              .host_gone = on_host_gone,
-              .endpoints_read = on_read,
-              .hosts_read = on_hosts_read,
-              .owns_pool = owns_pool };
+      struct platform_store_options options = options_for (&store, &seen);
 
       start_store (&store);
       CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
@@ -389,11 +442,100 @@
     }
 }
 
+/** What another host tells a client that has read the list as of version 9. */
+struct news_case
+{
+  const char *name;
+  uint64_t after;
+  uint64_t version;
+  const char *rows;
+  bool taken;
+  int endpoints; /**< passed on because of it */
+  int gone;
+};
+
+static void
+tell (struct seen *seen, snipe_time now)
+{
+  char *old = row ("i-2", ENTRY);
+  char *other = row ("i-3", ENTRY);
+  const struct news_case cases[] = {
+    { "nothing new", 9, 9, "", true, 0, 0 },
+    { "older", 5, 8, old, false, 0, 0 },
+    { "not all since", 10, 12, old, false, 0, 0 },
+    { "continues", 9, 12, old, true, 1, 0 },
+    { "repeated in part", 9, 14, old, true, 0, 0 },
+    { "not new any more", 9, 12, other, false, 0, 0 },
+    { "unreadable", 14, 16, "{", false, 0, 0 },
+    { "removed", 14, 16, "{\"key\":\"i-2\",\"ver\":15,\"deleted\":true}", true,
+      0, 1 },
+    { "past the next answer", 16, 19, "", true, 0, 0 },
+  };
+
+  CU_ASSERT_EQUAL (seen->endpoints, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct news_case *c = &cases[i];
+      char *text = g_strdup_printf ("{\"rows\":[%s],\"ver\":%d}", c->rows,
+                                    (int)c->version);
+      struct snipe_str rows = { .data = text, .len = strlen (text) };
+      int endpoints = seen->endpoints;
+      int gone = seen->gone;
+      bool taken = platform_store_take_news (seen->client, c->after,
+                                             c->version, &rows, now);
+
+      platform_store_tick (seen->client, now);
+      if (taken != c->taken || seen->endpoints - endpoints != c->endpoints
+          || seen->gone - gone != c->gone)
+        printf ("%s: taken %d, %d endpoints, %d gone\n", c->name, taken,
+                seen->endpoints - endpoints, seen->gone - gone);
+      CU_ASSERT_EQUAL (taken, c->taken);
+      CU_ASSERT_EQUAL (seen->endpoints - endpoints, c->endpoints);
+      CU_ASSERT_EQUAL (seen->gone - gone, c->gone);
+      g_free (text);
+    }
+  /* Calls that are under way bring another text of the entry in version 11. */
+  g_mutex_lock (&seen->store->lock);
+  seen->store->endpoint = ENTRY " ";
+  g_mutex_unlock (&seen->store->lock);
+  g_free (old);
+  g_free (other);
+}
+
+/* Guards against an endpoint that leaves being missed, or an old entry coming
+ * back, because changes were taken over that do not continue what was read,
+ * or that the store's own answer then repeats. */
+static void
+test_news (void)
+{
+  struct store store = { .endpoint = ENTRY, .config = "{}" };
+  struct seen seen
+      = { .store = &store, .later = 10 * SNIPE_S, .once_read = tell };
+  struct snipe_web *web;
+  struct platform_store_options options = options_for (&store, &seen);
+
+  start_store (&store);
+  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
+  CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
+  options.web = web;
+  platform_store_new (&seen.client, &options);
+  seen.until = snipe_clock_now () + 2 * ENDPOINTS_INTERVAL;
+  snipe_loop_run (seen.loop, on_tick, &seen);
+  CU_ASSERT_TRUE (seen.news > 0);
+  CU_ASSERT_EQUAL (seen.news_after, 19);
+  CU_ASSERT_EQUAL (seen.endpoints, 2);
+  snipe_web_free (web);
+  platform_store_free (seen.client);
+  snipe_loop_free (seen.loop);
+  MHD_stop_daemon (store.daemon);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "cases", test_cases },
+    { "news of another host", test_news },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -17,6 +17,7 @@
   bool leaving;
   uint64_t token;    /**< of its claim of the pool, 0: none */
   snipe_time silent; /**< since it was last heard */
+  uint32_t size;     /**< thousandths of a core */
 };
 
 struct decide_case
@@ -66,6 +67,7 @@
           .token = host->token };
   struct snipe_member member = { .incarnation = host->incarnation,
                                  .leaving = host->leaving,
+                                 .size = host->size,
                                  .claims = &claim,
                                  .claim_count = host->token > 0 };
 
@@ -330,6 +332,71 @@
     }
 }
 
+/* Guards against all hosts of a domain reading what one could read for them,
+ * and against none doing it because the one that should is leaving or lost. */
+static void
+test_first (void)
+{
+  const struct
+  {
+    const char *name;
+    bool leaving; /**< this host, of size 0 */
+    struct host_case host;
+    bool lost;
+    bool first;
+  } cases[] = {
+    { "alone", false, { 0 }, false, true },
+    { "leaves", true, { 0 }, false, false },
+    { "a larger one",
+      false,
+      { .incarnation = 20, .domain = "a", .size = 100 },
+      false,
+      false },
+    { "a larger one of another domain",
+      false,
+      { .incarnation = 20, .domain = "b", .size = 100 },
+      false,
+      true },
+    { "a larger one that leaves",
+      false,
+      { .incarnation = 20, .domain = "a", .size = 100, .leaving = true },
+      false,
+      true },
+    { "a larger one that was lost",
+      false,
+      { .incarnation = 20, .domain = "a", .size = 100 },
+      true,
+      true },
+    { "as large, lower incarnation",
+      false,
+      { .incarnation = 5, .domain = "a" },
+      false,
+      false },
+    { "as large, higher incarnation",
+      false,
+      { .incarnation = 20, .domain = "a" },
+      false,
+      true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct snipe_members *members = new_members ("a");
+
+      if (cases[i].host.incarnation != 0)
+        hear (members, &cases[i].host, START);
+      if (cases[i].lost)
+        CU_ASSERT_EQUAL (snipe_members_lost (members, START + SNIPE_S),
+                         cases[i].host.incarnation);
+      if (cases[i].leaving)
+        snipe_members_leave (members);
+      if (snipe_members_is_first (members) != cases[i].first)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (snipe_members_is_first (members), cases[i].first);
+      snipe_members_free (members);
+    }
+}
+
 struct lost_case
 {
   const char *name;
@@ -537,17 +604,12 @@
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "decide", test_decide },
-    { "one heir", test_one_heir },
-    { "suspect", test_suspect },
-    { "interval", test_interval },
-    { "lost", test_lost },
-    { "replaced", test_replaced },
-    { "losses", test_losses },
-    { "owner", test_owner },
-    { "greet pause", test_greet_pause },
-    { "delay", test_delay },
-    CU_TEST_INFO_NULL,
+    { "decide", test_decide },     { "one heir", test_one_heir },
+    { "suspect", test_suspect },   { "interval", test_interval },
+    { "first", test_first },       { "lost", test_lost },
+    { "replaced", test_replaced }, { "losses", test_losses },
+    { "owner", test_owner },       { "greet pause", test_greet_pause },
+    { "delay", test_delay },       CU_TEST_INFO_NULL,
   };
 
   return suite_run ("member", tests);
--- /dev/null
+++ b/tests/node/test_reading.c
@@ -0,0 +1,95 @@
+/* Guards against every host following the rows of all endpoints (507 KB/s a
+   host with 300 hosts), and against an owner that is told late that an
+   endpoint leaves (DRAIN). */
+
+#include "node/reading.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+
+#include "suite.h"
+
+#define MS SNIPE_MS
+
+static const struct
+{
+  const char *name;
+  struct snipe_reading reading;
+  snipe_time asked;
+  bool listed;
+  snipe_time due;
+} due_cases[] = {
+  { "reads for its domain", { .first = true }, 5000 * MS, true, 6000 * MS },
+  { "reads for its domain, told by another one",
+    { .first = true, .heard = 5900 * MS },
+    5000 * MS,
+    true,
+    6000 * MS },
+  { "nothing listed", { .first = false }, 5000 * MS, false, 6000 * MS },
+  { "nothing listed, but told",
+    { .owner = true, .heard = 5900 * MS },
+    5000 * MS,
+    false,
+    6000 * MS },
+  { "owner that nobody tells", { .owner = true }, 5000 * MS, true, 6000 * MS },
+  { "owner that is told",
+    { .owner = true, .heard = 5900 * MS },
+    5000 * MS,
+    true,
+    7200 * MS },
+  { "owner, news long ago",
+    { .owner = true, .heard = 1000 * MS },
+    5000 * MS,
+    true,
+    6000 * MS },
+  { "no pool, nobody tells", { .owner = false }, 5000 * MS, true, 13000 * MS },
+  { "no pool, told", { .heard = 12900 * MS }, 5000 * MS, true, 14200 * MS },
+};
+
+static const struct
+{
+  const char *name;
+  snipe_time asked;
+  snipe_time delay;
+  bool news;
+} news_cases[] = {
+  { "at once", 1000 * MS, 0, true },
+  { "slow store", 600 * MS, 0, false },
+  { "slow connection", 1000 * MS, 400 * MS, false },
+  { "sender whose clock is not known", 1000 * MS, INT64_MAX, false },
+};
+
+static void
+test_due (void)
+{
+  for (size_t i = 0; i < sizeof due_cases / sizeof due_cases[0]; i++)
+    {
+      snipe_time due = snipe_reading_due (
+          &due_cases[i].reading, due_cases[i].asked, due_cases[i].listed);
+
+      if (due != due_cases[i].due)
+        printf ("%s: %lld\n", due_cases[i].name, (long long)due);
+      CU_ASSERT_EQUAL (due, due_cases[i].due);
+    }
+}
+
+static void
+test_is_news (void)
+{
+  for (size_t i = 0; i < sizeof news_cases / sizeof news_cases[0]; i++)
+    CU_ASSERT_EQUAL (snipe_reading_is_news (news_cases[i].asked,
+                                            news_cases[i].delay, 1000 * MS),
+                     news_cases[i].news);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "when the list is read", test_due },
+    { "what counts as news", test_is_news },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("reading", tests);
+}
