--- a/src/member/member.c
+++ b/src/member/member.c
@@ -1,6 +1,7 @@
 #include "snipe/member.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "snipe/status.h"
@@ -455,42 +456,54 @@
   uint64_t highest;                 /**< of any claim, also of lost hosts */
 };
 
-static uint64_t
-claimed_token (const struct snipe_member *member,
-               const struct snipe_pool_id *pool)
+static void
+note_claim (struct standing *standing, const struct peer *peer, uint64_t token)
 {
-  for (uint32_t i = 0; i < member->claim_count; i++)
-    if (snipe_pool_id_equal (&member->claims[i].pool, pool))
-      return member->claims[i].token;
-  return 0;
+  standing->highest = MAX (standing->highest, token);
+  if (!peer->live || token <= standing->token)
+    return;
+  standing->owner = &peer->said;
+  standing->token = token;
+}
+
+static int
+compare_pools (const void *a, const void *b)
+{
+  return snipe_pool_id_compare (a, b);
 }
 
-static struct standing
-find_standing (const struct snipe_members *members,
-               const struct snipe_pool_id *pool, uint64_t own_token)
+/* Notes the claims of all hosts. Going through all hosts for each pool took
+ * 0.7 ms with 300 hosts and 192 pools, ten times a second. */
+static void
+find_standings (struct standing *standings,
+                const struct snipe_members *members,
+                const struct snipe_pool_id *pools, const uint64_t *own_tokens,
+                uint32_t count)
 {
-  struct standing standing = { .highest = own_token };
   GHashTableIter iter;
   gpointer value;
 
-  if (own_token > 0)
-    {
-      standing.owner = &members->self;
-      standing.token = own_token;
-    }
+  for (uint32_t i = 0; i < count; i++)
+    standings[i]
+        = (struct standing){ .owner
+                             = own_tokens[i] > 0 ? &members->self : NULL,
+                             .token = own_tokens[i],
+                             .highest = own_tokens[i] };
   g_hash_table_iter_init (&iter, members->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct peer *peer = value;
-      uint64_t token = claimed_token (&peer->said, pool);
 
-      standing.highest = MAX (standing.highest, token);
-      if (!peer->live || token <= standing.token)
-        continue;
-      standing.owner = &peer->said;
-      standing.token = token;
+      for (uint32_t i = 0; i < peer->said.claim_count; i++)
+        {
+          const struct snipe_claim *claim = &peer->said.claims[i];
+          const struct snipe_pool_id *pool = bsearch (
+              &claim->pool, pools, count, sizeof *pools, compare_pools);
+
+          if (pool != NULL)
+            note_claim (&standings[pool - pools], peer, claim->token);
+        }
     }
-  return standing;
 }
 
 snipe_time
@@ -503,7 +516,10 @@
 snipe_members_owner (const struct snipe_members *members,
                      const struct snipe_pool_id *pool)
 {
-  struct standing standing = find_standing (members, pool, 0);
+  const uint64_t no_token = 0;
+  struct standing standing;
+
+  find_standings (&standing, members, pool, &no_token, 1);
 
   return standing.owner == NULL ? 0 : standing.owner->incarnation;
 }
@@ -657,12 +673,10 @@
   GArray *candidates = list_candidates (members);
   struct standing *standings = g_new0 (struct standing, count + 1);
 
+  find_standings (standings, members, pools, own_tokens, count);
   for (uint32_t i = 0; i < count; i++)
-    {
-      standings[i] = find_standing (members, &pools[i], own_tokens[i]);
-      if (standings[i].owner != NULL)
-        count_pool (candidates, standings[i].owner);
-    }
+    if (standings[i].owner != NULL)
+      count_pool (candidates, standings[i].owner);
   for (uint32_t i = 0; i < count; i++)
     {
       bool in_domain = has_host (candidates, pools[i].domain);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -491,10 +491,22 @@
                            greeting->now);
 }
 
+static void
+note_heard (void *ctx, const struct snipe_member *member)
+{
+  struct greeting *greeting = ctx;
+  struct listed_host *host
+      = g_hash_table_lookup (greeting->node->listed, member->address);
+
+  if (host != NULL)
+    host->heard = greeting->now;
+}
+
 /* Greets the addresses at which no host is heard. */
 static void
 greet_listed (struct snipe_node *node, snipe_time now)
 {
+  struct greeting greeting = { .node = node, .now = now };
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -502,14 +514,13 @@
   if (now < node->greet_due)
     return;
   node->greet_due = now + GREET_INTERVAL;
+  snipe_members_each (node->members, note_heard, &greeting);
   g_hash_table_iter_init (&iter, node->listed);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
       struct listed_host *host = value;
 
-      if (snipe_members_at (node->members, key) != NULL)
-        host->heard = now;
-      else if (now >= host->due)
+      if (host->heard < now && now >= host->due)
         {
           host->due = now + snipe_members_greet_pause (now - host->heard);
           snipe_node_send_hello (node, key, 0, now);
