Heartbeats of large fleets stay as many as those of small ones

Change: in domains of more than 24 hosts, too, those without common work get them in proportion more rarely, at one in eight intervals at most (before: one in four, and only to other domains); the heartbeats to all come each 20 ms a host of the fleet. Hosts with common work hear each other as before, so that no work is noticed as lost later.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -96,6 +96,10 @@
  * a host hardly grow with the fleet. */
 snipe_time snipe_members_interval (const struct snipe_members *members,
                                    uint64_t incarnation, snipe_time now);
+/** @return how often all hosts get a heartbeat, also those that had another
+ * message: only heartbeats tell of claims and of the configuration's version.
+ */
+snipe_time snipe_members_full_interval (const struct snipe_members *members);
 /** A heartbeat with this promise was sent to the host. */
 void snipe_members_promised (struct snipe_members *members,
                              uint64_t incarnation, snipe_time promise,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -9,10 +9,18 @@
 /* Three heartbeats may be missed before a host counts as lost. */
 #define SIGNS_PER_SILENCE 4
 /* Up to this many other hosts all get heartbeats at the same interval. In
- * larger fleets those of other domains with which this host has no work get
- * them in proportion more rarely, down to one in FAR_FACTOR_MAX. */
-#define NEAR_HOSTS 8
-#define FAR_FACTOR_MAX 4
+ * larger fleets, and in domains of more than NEAR_HOSTS hosts, those with
+ * which this host has no work get them in proportion more rarely, so that
+ * their sum stays. At one in RARE_FACTOR_MAX a host without common work is
+ * lost after five seconds; 300 hosts that were told each 150 ms cost 1,100
+ * messages a second each. */
+#define ALL_HOSTS 8
+#define NEAR_HOSTS 24
+#define RARE_FACTOR_MAX 8
+/* What changes is told at once; so this only makes up for lost messages, and
+ * costs each host at most 50 messages a second. */
+#define FULL_INTERVAL_MIN (600 * SNIPE_MS)
+#define FULL_INTERVAL_HOST (20 * SNIPE_MS)
 /* An address at which nobody is heard is greeted after a part of the time that
  * it was silent: a cut that heals is noticed in a sixteenth of its length
  * more, and the rows of hosts that were lost for good cost next to nothing. */
@@ -60,6 +68,7 @@
   snipe_time settled;
   GHashTable *peers; /**< &incarnation -> struct peer */
   uint32_t live;     /**< peers that are */
+  uint32_t near;     /**< and of this domain */
 };
 
 static void
@@ -104,6 +113,12 @@
   return g_hash_table_lookup (members->peers, &incarnation);
 }
 
+static bool
+is_near (const struct snipe_members *members, const struct peer *peer)
+{
+  return strcmp (peer->said.domain, members->self.domain) == 0;
+}
+
 static bool
 is_related (const struct peer *peer, snipe_time now)
 {
@@ -193,6 +208,7 @@
   if (!peer->live)
     {
       members->live++;
+      members->near += is_near (members, peer);
       doubt_address (members, peer->said.address, peer, now);
     }
   peer->live = true;
@@ -271,11 +287,19 @@
   const struct peer *peer = find (members, incarnation);
   snipe_time near = members->silence / SIGNS_PER_SILENCE;
 
-  if (peer == NULL || is_related (peer, now)
-      || strcmp (peer->said.domain, members->self.domain) == 0)
+  snipe_time shared;
+
+  if (peer == NULL || is_related (peer, now))
     return near;
-  return CLAMP (near * members->live / NEAR_HOSTS, near,
-                near * FAR_FACTOR_MAX);
+  shared = is_near (members, peer) ? near * members->near / NEAR_HOSTS
+                                   : near * members->live / ALL_HOSTS;
+  return CLAMP (shared, near, near * RARE_FACTOR_MAX);
+}
+
+snipe_time
+snipe_members_full_interval (const struct snipe_members *members)
+{
+  return MAX (FULL_INTERVAL_MIN, members->live * FULL_INTERVAL_HOST);
 }
 
 void
@@ -378,6 +402,7 @@
       peer->live = false;
       peer->losses++;
       members->live--;
+      members->near -= is_near (members, peer);
       return peer->said.incarnation;
     }
   return 0;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,7 +19,6 @@
  */
 #define TICK_BUSY (20 * SNIPE_MS)
 #define TICK_IDLE (50 * SNIPE_MS)
-#define HELLO_FULL_INTERVAL (600 * SNIPE_MS)
 /* The listed addresses are looked through this often. */
 #define GREET_INTERVAL (300 * SNIPE_MS)
 /* A host that starts among others hears those that live within some 20 ms of
@@ -540,7 +539,7 @@
    * those that had no other message for an interval. */
   greeting.all = now >= node->hello_due;
   if (greeting.all)
-    node->hello_due = now + HELLO_FULL_INTERVAL;
+    node->hello_due = now + snipe_members_full_interval (node->members);
   node->check_due = now + HELLO_CHECK_INTERVAL;
   snipe_members_each (node->members, greet, &greeting);
   greet_listed (node, now);
