Rows of endpoints that only tell the time are no news

Cause: a row of an endpoint holds its clock (`clock_ms`) beside the count of its heartbeats, and the digest that finds unchanged rows left out the count only. Found with a profile (30 % in the JSON library) and a log of the news: 224 to 248 rows each second from 350 endpoints.

Change: the digest leaves out all numbers that change with a heartbeat, and a row is passed on only if the entry that it means differs. Tests: a heartbeat with another clock (test_formats), one with an unknown number, and an endpoint that drains (test_store).

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -46,6 +46,9 @@
   bool draining; /**< gets no new work */
 };
 
+bool snipe_endpoint_entry_equal (const struct snipe_endpoint_entry *a,
+                                 const struct snipe_endpoint_entry *b);
+
 /** How a task of a batch ended; part of the protocol between hosts. */
 enum snipe_task_end
 {
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -16,6 +16,19 @@
 #define SUSPEND_MIN (400 * SNIPE_MS)
 #define SUSPEND_MAX (6 * SNIPE_S)
 
+bool
+snipe_endpoint_entry_equal (const struct snipe_endpoint_entry *a,
+                            const struct snipe_endpoint_entry *b)
+{
+  return strcmp (a->id, b->id) == 0 && strcmp (a->address, b->address) == 0
+         && strcmp (a->service, b->service) == 0
+         && strcmp (a->domain, b->domain) == 0
+         && strcmp (a->kind, b->kind) == 0 && strcmp (a->rack, b->rack) == 0
+         && a->born_ms == b->born_ms && a->capacity.cpu == b->capacity.cpu
+         && a->capacity.mem_mb == b->capacity.mem_mb
+         && a->capacity.gpu == b->capacity.gpu && a->draining == b->draining;
+}
+
 struct snipe_pool_endpoint *
 snipe_pool_endpoint_new (const struct snipe_endpoint_entry *entry,
                          snipe_time lease_max, snipe_time now)
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -152,7 +152,8 @@
 }
 
 /* Guards against a change of an endpoint's entry being taken for one more
- * heartbeat. */
+ * heartbeat, and against a heartbeat that changes a clock, too, being taken
+ * for a change: all entries were decoded and passed on to all hosts. */
 static void
 test_digest (void)
 {
@@ -162,17 +163,27 @@
     const char *value;
     bool same;
   } cases[] = {
-    { "heartbeat", "{\"state\":\"ready\",\"seq_no\":1234,\"born\":17}", true },
-    { "drains", "{\"state\":\"draining\",\"seq_no\":9,\"born\":17}", false },
-    { "new life", "{\"state\":\"ready\",\"seq_no\":9,\"born\":18}", false },
-    { "no count", "{\"state\":\"ready\",\"born\":17}", false },
+    { "heartbeat",
+      "{\"state\":\"ready\",\"seq_no\":1234,\"born\":17,\"clock_ms\":7}",
+      true },
+    { "clock",
+      "{\"state\":\"ready\",\"seq_no\":9,\"born\":17,\"clock_ms\":12345}",
+      true },
+    { "drains",
+      "{\"state\":\"draining\",\"seq_no\":9,\"born\":17,\"clock_ms\":7}",
+      false },
+    { "new life",
+      "{\"state\":\"ready\",\"seq_no\":9,\"born\":18,\"clock_ms\":7}", false },
+    { "no count", "{\"state\":\"ready\",\"born\":17,\"clock_ms\":7}", false },
     { "count of another type",
-      "{\"state\":\"ready\",\"seq_no\":\"9\",\"born\":17}", false },
+      "{\"state\":\"ready\",\"seq_no\":\"9\",\"born\":17,\"clock_ms\":7}",
+      false },
     { "cut off", "{\"state\":\"ready\",\"seq_no\":9", false },
     { "empty", "", false },
   };
   struct platform_row first
-      = { .value = (char *)"{\"state\":\"ready\",\"seq_no\":9,\"born\":17}" };
+      = { .value = (char *)"{\"state\":\"ready\",\"seq_no\":9,"
+                           "\"born\":17,\"clock_ms\":7}" };
 
   first.len = strlen (first.value);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -25,6 +25,7 @@
   int http;             /**< of every answer, 0: 200 */
   int feed_http;        /**< of the next call that follows a table */
   const char *endpoint; /**< value of the entry i-1; NULL: no entry */
+  const char *later;    /**< its value in a call about changes, NULL: same */
   const char *config;
   bool cut_short; /**< the first answer about changes ends before version 20 */
   bool late_peer; /**< another host is listed once this one is */
@@ -51,6 +52,7 @@
   int registered;
   int news;
   uint64_t news_after; /**< of the first news */
+  int news_rows;
   void (*once_read) (struct seen *seen, snipe_time now); /**< called once */
 };
 
@@ -72,7 +74,8 @@
   if (strcmp (table, PLATFORM_TABLE_OPERATOR) == 0 && store->config != NULL)
     return row ("config", store->config);
   if (strcmp (table, PLATFORM_TABLE_ENDPOINTS) == 0 && store->endpoint != NULL)
-    return row ("i-1", store->endpoint);
+    return row ("i-1",
+                feed && store->later != NULL ? store->later : store->endpoint);
   if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->peer_leaves && feed)
     return g_strdup ("{\"table\":\"t\",\"part\":\"\",\"key\":\"h2\","
                      "\"ver\":11,\"deleted\":true}");
@@ -259,8 +262,7 @@
   CU_ASSERT_TRUE (asked > 0);
   CU_ASSERT_EQUAL_FATAL (platform_rows_decode (&decoded, rows), 0);
   CU_ASSERT_EQUAL (decoded.version, version);
-  /* The entry is the same as in the first read. */
-  CU_ASSERT_EQUAL (decoded.rows->len, 0);
+  seen->news_rows += (int)decoded.rows->len;
   platform_rows_clear (&decoded);
 }
 
@@ -314,11 +316,13 @@
   int whole_reads_min; /**< rows-get of the endpoints */
   const char *call;    /**< that has to be made, NULL: any */
   snipe_time later;    /**< time that passes after the first read */
+  int news_rows;       /**< rows that other hosts have to be told of */
 };
 
-#define ENTRY                                                                 \
+#define ENTRY_WITH(state, more)                                               \
   "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","            \
-  "\"state\":\"ready\",\"capacity\":{\"cpu\":16000}}"
+  "\"state\":\"" state "\",\"capacity\":{\"cpu\":16000}" more "}"
+#define ENTRY ENTRY_WITH ("ready", "")
 
 static int
 count_calls (const struct store *store, const char *call)
@@ -402,6 +406,32 @@
       0,
       2,
       "/api/rows-feed servers 9" },
+    { "heartbeat with an unknown number",
+      { .endpoint = ENTRY_WITH ("ready", ",\"odd\":1"),
+        .later = ENTRY_WITH ("ready", ",\"odd\":2"),
+        .config = "{}" },
+      600 * SNIPE_MS,
+      2,
+      1,
+      0,
+      0,
+      1,
+      NULL,
+      0,
+      0 },
+    { "endpoint drains",
+      { .endpoint = ENTRY_WITH ("ready", ""),
+        .later = ENTRY_WITH ("draining", ""),
+        .config = "{}" },
+      600 * SNIPE_MS,
+      2,
+      2,
+      0,
+      0,
+      1,
+      NULL,
+      0,
+      1 },
     { "store refuses", { .http = 503 }, 600 * SNIPE_MS, 0, 0, 0, 0, 1 },
   };
 
@@ -436,6 +466,7 @@
       CU_ASSERT_EQUAL (seen.hosts_gone > 0, row->store.peer_leaves);
       CU_ASSERT_TRUE (count_calls (&store, "/api/rows-get servers")
                       >= row->whole_reads_min);
+      CU_ASSERT_EQUAL (seen.news_rows, row->news_rows);
       if (row->call != NULL)
         CU_ASSERT_TRUE (count_calls (&store, row->call) > 0);
       CU_ASSERT_EQUAL (seen.registered, row->store.http == 0);
