One reader of settings for all programs

Now src/util/settings.c has all types; snipe_settings_read () of the daemons stands on the functions that the commands use, and a bad setting of a daemon is reported as one of a command is.

--- a/src/bin/snipe.c
+++ b/src/bin/snipe.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "ctl/job_text.h"
-#include "ctl/settings.h"
+#include "util/settings.h"
 #include "ctl/submit.h"
 #include "snipe/clock.h"
 #include "snipe/status.h"
--- a/src/bin/snipectl.c
+++ b/src/bin/snipectl.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "ctl/ctl.h"
-#include "ctl/settings.h"
+#include "util/settings.h"
 
 enum setting
 {
--- a/src/bin/snipelbd.c
+++ b/src/bin/snipelbd.c
@@ -107,13 +107,13 @@
 #define UINT_ROW(flag_, env_, arg_, help_, min_, max_, field)                 \
   {                                                                           \
     .flag = flag_, .env = "SNIPELBD_" env_, .arg = arg_, .help = help_,       \
-    .kind = SNIPE_SETTING_UINT, .min = min_, .max = max_,                     \
+    .type = SNIPE_SETTING_COUNT, .min = min_, .max = max_,                    \
     .out.number = &config.field                                               \
   }
-#define TEXT_ROW(flag_, env_, arg_, help_, kind_, required_, field)           \
+#define TEXT_ROW(flag_, env_, arg_, help_, type_, required_, field)           \
   {                                                                           \
     .flag = flag_, .env = "SNIPELBD_" env_, .arg = arg_, .help = help_,       \
-    .kind = kind_, .required = required_, .out.text = &config.field           \
+    .type = type_, .required = required_, .out.text = &config.field           \
   }
 
 static const struct snipe_setting settings[] = {
@@ -131,7 +131,7 @@
     .env = "SNIPELBD_SIZE",
     .arg = "N",
     .help = "capacity of this host relative to the others",
-    .kind = SNIPE_SETTING_DOUBLE,
+    .type = SNIPE_SETTING_DOUBLE,
     .min = 0.01,
     .max = 100,
     .out.real = &config.size },
@@ -147,14 +147,14 @@
     .env = "SNIPELBD_LOG_LEVEL",
     .arg = "LEVEL",
     .help = "least severe level; info has a line for each decision",
-    .kind = SNIPE_SETTING_CHOICE,
+    .type = SNIPE_SETTING_CHOICE,
     .choices = log_levels,
     .out.number = &config.log_level },
   { .flag = "test-hooks",
     .env = "SNIPELBD_TEST_HOOKS",
     .arg = "BOOL",
     .help = "offer PUT /v1/test/refuse, which cuts off named hosts",
-    .kind = SNIPE_SETTING_BOOL,
+    .type = SNIPE_SETTING_BOOL,
     .out.flag = &config.test_hooks },
   UINT_ROW ("http-threads", "HTTP_THREADS", "N", "threads for callers", 1, 64,
             http_threads),
@@ -178,14 +178,14 @@
     .env = "SNIPELBD_POLICY",
     .arg = "NAME",
     .help = "placement policy; all but pooled are baselines to compare with",
-    .kind = SNIPE_SETTING_CHOICE,
+    .type = SNIPE_SETTING_CHOICE,
     .choices = policies,
     .out.number = &config.policy },
   { .flag = "pass-gain",
     .env = "SNIPELBD_PASS_GAIN",
     .arg = "RATIO",
     .help = "how much faster a peer's endpoint must be to pass a task",
-    .kind = SNIPE_SETTING_DOUBLE,
+    .type = SNIPE_SETTING_DOUBLE,
     .min = 1,
     .max = 1000,
     .out.real = &config.pass_gain },
--- a/src/ctl/hosts.c
+++ b/src/ctl/hosts.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "ctl/settings.h"
+#include "util/settings.h"
 #include "snipe/status.h"
 #include "util/http.h"
 
--- a/src/util/settings.c
+++ b/src/util/settings.c
@@ -1,7 +1,6 @@
 #include "util/settings.h"
 
-#include <argp.h>
-#include <glib.h>
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,208 +8,435 @@
 #include "snipe/status.h"
 #include "util/address.h"
 
+#define HOSTS_MAX 256
+/* Above every character, which a setting may have as a short flag. */
 #define FIRST_KEY 1000
 
-/** What argp collected: the value of each row, or NULL. */
-struct reading
+void
+snipe_settings_options (struct argp_option *out,
+                        const struct snipe_setting *settings, size_t count)
 {
-  const struct snipe_setting *table;
-  const char **values;
-  size_t count;
-};
+  for (size_t i = 0; i < count; i++)
+    out[i] = (struct argp_option){
+      .name = settings[i].flag,
+      .key = settings[i].key,
+      .arg = settings[i].arg,
+      .doc = settings[i].help,
+      .flags
+      = settings[i].type == SNIPE_SETTING_BOOL ? OPTION_ARG_OPTIONAL : 0,
+    };
+  out[count] = (struct argp_option){ 0 };
+}
 
-static error_t
-on_option (int key, char *arg, struct argp_state *state)
+void
+snipe_settings_environment (struct snipe_setting *settings, size_t count)
 {
-  struct reading *reading = state->input;
+  for (size_t i = 0; i < count; i++)
+    {
+      const char *value
+          = settings[i].env == NULL ? NULL : getenv (settings[i].env);
 
-  if (key == ARGP_KEY_ARG)
-    argp_error (state, "unexpected argument \"%s\"", arg);
-  if (key < FIRST_KEY || (size_t)(key - FIRST_KEY) >= reading->count)
-    return ARGP_ERR_UNKNOWN;
-  reading->values[key - FIRST_KEY] = arg == NULL ? "true" : arg;
-  return 0;
+      if (value == NULL)
+        continue;
+      settings[i].value = value;
+      settings[i].from_env = true;
+    }
 }
 
-static void
-complain (const struct snipe_setting *row, const char *value,
-          const char *allowed)
+bool
+snipe_settings_give (struct snipe_setting *settings, size_t count, int key,
+                     const char *value)
 {
-  fprintf (stderr, "--%s (%s): \"%s\" is not allowed: %s\n", row->flag,
-           row->env, value, allowed);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (settings[i].key != key)
+        continue;
+      settings[i].value = value != NULL                            ? value
+                          : settings[i].type == SNIPE_SETTING_BOOL ? "true"
+                                                                   : "1";
+      settings[i].from_env = false;
+      return true;
+    }
+  return false;
 }
 
 static bool
-set_choice (const struct snipe_setting *row, const char *value)
+read_count (int64_t *out, const char *text, const char **rest)
 {
-  char *allowed;
+  gchar *end = NULL;
 
-  for (size_t i = 0; row->choices[i] != NULL; i++)
-    if (strcmp (row->choices[i], value) == 0)
+  if (!g_ascii_isdigit (*text))
+    return false;
+  *out = g_ascii_strtoll (text, &end, 10);
+  *rest = end;
+  return true;
+}
+
+static bool
+read_duration (int64_t *ms, const char *text)
+{
+  const char *unit;
+
+  if (!read_count (ms, text, &unit))
+    return false;
+  if (strcmp (unit, "ms") == 0)
+    return true;
+  if (strcmp (unit, "s") != 0 || *ms > INT64_MAX / 1000)
+    return false;
+  *ms *= 1000;
+  return true;
+}
+
+bool
+snipe_setting_is_address (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  const char *rest = "";
+  unsigned char address[sizeof (struct in6_addr)];
+  char *ip;
+  size_t len;
+  int64_t port = 0;
+  bool valid;
+
+  if (colon == NULL || !read_count (&port, colon + 1, &rest) || *rest != '\0'
+      || port < 1 || port > 65535)
+    return false;
+  len = (size_t)(colon - text);
+  if (len > 2 && text[0] == '[' && text[len - 1] == ']')
+    {
+      ip = g_strndup (text + 1, len - 2);
+      valid = inet_pton (AF_INET6, ip, address) == 1;
+    }
+  else
+    {
+      ip = g_strndup (text, len);
+      valid = inet_pton (AF_INET, ip, address) == 1;
+    }
+  g_free (ip);
+  return valid;
+}
+
+static bool
+is_host_list (const char *text)
+{
+  gchar **list = g_strsplit (text, ",", HOSTS_MAX + 1);
+  guint count = g_strv_length (list);
+  bool valid = count >= 1 && count <= HOSTS_MAX;
+
+  for (guint i = 0; i < count && valid; i++)
+    valid = snipe_setting_is_address (list[i]);
+  g_strfreev (list);
+  return valid;
+}
+
+static bool
+is_text (const struct snipe_setting *setting)
+{
+  size_t len = strlen (setting->value);
+
+  if (setting->max == 0)
+    return true;
+  if ((double)len < setting->min || (double)len > setting->max
+      || !g_utf8_validate (setting->value, (gssize)len, NULL))
+    return false;
+  for (const char *at = setting->value; *at != '\0';
+       at = g_utf8_next_char (at))
+    if (g_unichar_iscntrl (g_utf8_get_char (at)))
+      return false;
+  return true;
+}
+
+static bool
+is_choice (struct snipe_setting *setting)
+{
+  for (int i = 0; setting->choices[i] != NULL; i++)
+    if (strcmp (setting->choices[i], setting->value) == 0)
       {
-        *row->out.number = i;
+        setting->number = i;
         return true;
       }
-  allowed = g_strjoinv (", ", (char **)row->choices);
-  complain (row, value, allowed);
-  g_free (allowed);
   return false;
 }
 
+/* Whether the value is one of two words, of which the second is 1. */
 static bool
-set_number (const struct snipe_setting *row, const char *value)
+is_either (struct snipe_setting *setting, const char *no, const char *yes)
+{
+  setting->number = strcmp (setting->value, yes) == 0;
+  return setting->number == 1 || strcmp (setting->value, no) == 0;
+}
+
+static bool
+is_real (struct snipe_setting *setting)
 {
-  char allowed[96];
   char *end;
-  double real = g_ascii_strtod (value, &end);
-  bool whole = row->kind == SNIPE_SETTING_UINT;
-  guint64 number = 0;
-
-  if (*value != '\0' && *end == '\0' && real >= row->min && real <= row->max
-      && (!whole
-          || g_ascii_string_to_unsigned (value, 10, 0, UINT64_MAX, &number,
-                                         NULL)))
-    {
-      if (whole)
-        *row->out.number = number;
-      else
-        *row->out.real = real;
-      return true;
-    }
-  snprintf (allowed, sizeof allowed, "a %snumber from %.15g to %.15g",
-            whole ? "whole " : "", row->min, row->max);
-  complain (row, value, allowed);
-  return false;
+
+  setting->real = g_ascii_strtod (setting->value, &end);
+  return *setting->value != '\0' && *end == '\0'
+         && setting->real >= setting->min && setting->real <= setting->max;
 }
 
 static bool
-set_value (const struct snipe_setting *row, const char *value)
+is_valid (struct snipe_setting *setting)
 {
   struct sockaddr_in address;
+  const char *rest = "";
+  bool valid = false;
 
-  switch (row->kind)
+  switch (setting->type)
     {
     case SNIPE_SETTING_TEXT:
-      *row->out.text = value;
-      return true;
+      return is_text (setting);
     case SNIPE_SETTING_ADDRESS:
-      if (snipe_address_parse (&address, value) < 0)
-        {
-          complain (row, value, "an address ip:port");
-          return false;
-        }
-      *row->out.text = value;
-      return true;
-    case SNIPE_SETTING_UINT:
+      return snipe_address_parse (&address, setting->value) == SNIPE_OK;
+    case SNIPE_SETTING_URL:
+      return g_str_has_prefix (setting->value, "http://")
+             && snipe_setting_is_address (setting->value + strlen ("http://"));
+    case SNIPE_SETTING_HOSTS:
+      return is_host_list (setting->value);
+    case SNIPE_SETTING_DURATION:
+      valid = read_duration (&setting->number, setting->value);
+      break;
+    case SNIPE_SETTING_COUNT:
+      valid = read_count (&setting->number, setting->value, &rest)
+              && *rest == '\0';
+      break;
     case SNIPE_SETTING_DOUBLE:
-      return set_number (row, value);
+      return is_real (setting);
+    case SNIPE_SETTING_SWITCH:
+      return is_either (setting, "0", "1");
     case SNIPE_SETTING_BOOL:
-      if (strcmp (value, "true") != 0 && strcmp (value, "false") != 0)
-        {
-          complain (row, value, "true or false");
-          return false;
-        }
-      *row->out.flag = strcmp (value, "true") == 0;
-      return true;
+      return is_either (setting, "false", "true");
     case SNIPE_SETTING_CHOICE:
-      return set_choice (row, value);
+      return is_choice (setting);
     }
-  return false;
+  return valid && (double)setting->number >= setting->min
+         && (double)setting->number <= setting->max;
 }
 
-/** Help of a setting: what it is, allowed values, default, environment. */
-static char *
-help_text (const struct snipe_setting *row)
+static void
+append_range (GString *out, const struct snipe_setting *setting)
 {
-  GString *text = g_string_new (row->help);
   char *choices;
 
-  switch (row->kind)
+  switch (setting->type)
     {
-    case SNIPE_SETTING_UINT:
-      g_string_append_printf (text,
-                              "; %.15g to %.15g, default %" G_GUINT64_FORMAT,
-                              row->min, row->max, (guint64)*row->out.number);
+    case SNIPE_SETTING_TEXT:
+      if (setting->max == 0)
+        g_string_append (out, "any text");
+      else
+        g_string_append_printf (
+            out, "%.15g to %.15g bytes of UTF-8 without control characters",
+            setting->min, setting->max);
+      break;
+    case SNIPE_SETTING_ADDRESS:
+      g_string_append (out, "ip:port");
+      break;
+    case SNIPE_SETTING_URL:
+      g_string_append (out, "http://ip:port, port 1 to 65535");
       break;
+    case SNIPE_SETTING_HOSTS:
+      g_string_append_printf (
+          out, "1 to %d of ip:port divided by commas, port 1 to 65535",
+          HOSTS_MAX);
+      break;
+    case SNIPE_SETTING_DURATION:
+      g_string_append_printf (out,
+                              "%.15gms to %.15gms, written as 4s or 500ms",
+                              setting->min, setting->max);
+      break;
+    case SNIPE_SETTING_COUNT:
     case SNIPE_SETTING_DOUBLE:
-      g_string_append_printf (text, "; %.15g to %.15g, default %.15g",
-                              row->min, row->max, *row->out.real);
+      g_string_append_printf (out, "%.15g to %.15g", setting->min,
+                              setting->max);
+      break;
+    case SNIPE_SETTING_SWITCH:
+      g_string_append (out, "0 or 1");
+      break;
+    case SNIPE_SETTING_BOOL:
+      g_string_append (out, "true or false");
       break;
     case SNIPE_SETTING_CHOICE:
-      choices = g_strjoinv (", ", (char **)row->choices);
-      g_string_append_printf (text, "; one of %s, default %s", choices,
-                              row->choices[*row->out.number]);
+      choices = g_strjoinv (", ", (char **)setting->choices);
+      g_string_append_printf (out, "one of %s", choices);
       g_free (choices);
       break;
+    }
+}
+
+void
+snipe_settings_check (struct snipe_setting *settings, size_t count,
+                      GString *errors)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct snipe_setting *setting = &settings[i];
+
+      if (setting->value == NULL || is_valid (setting))
+        continue;
+      g_string_append_printf (errors, "--%s", setting->flag);
+      if (setting->from_env)
+        g_string_append_printf (errors, " (from %s)", setting->env);
+      g_string_append_printf (
+          errors, ": \"%s\" is not allowed, allowed: ", setting->value);
+      append_range (errors, setting);
+      g_string_append_c (errors, '\n');
+    }
+}
+
+void
+snipe_setting_require (const struct snipe_setting *setting, GString *errors)
+{
+  if (setting->value != NULL)
+    return;
+  g_string_append_printf (errors, "--%s", setting->flag);
+  if (setting->env != NULL)
+    g_string_append_printf (errors, " (or %s)", setting->env);
+  g_string_append (errors, ": required, allowed: ");
+  append_range (errors, setting);
+  g_string_append_c (errors, '\n');
+}
+
+/** What argp fills in. */
+struct reading
+{
+  struct snipe_setting *rows;
+  size_t count;
+};
+
+static error_t
+on_option (int key, char *arg, struct argp_state *state)
+{
+  struct reading *reading = state->input;
+
+  if (key == ARGP_KEY_ARG)
+    argp_error (state, "unexpected argument \"%s\"", arg);
+  return snipe_settings_give (reading->rows, reading->count, key, arg)
+             ? 0
+             : ARGP_ERR_UNKNOWN;
+}
+
+/* @return the default as text, "required", or NULL if there is neither. */
+static char *
+default_text (const struct snipe_setting *row)
+{
+  switch (row->type)
+    {
+    case SNIPE_SETTING_COUNT:
+      return g_strdup_printf ("default %" G_GUINT64_FORMAT,
+                              (guint64)*row->out.number);
+    case SNIPE_SETTING_DOUBLE:
+      return g_strdup_printf ("default %.15g", *row->out.real);
+    case SNIPE_SETTING_CHOICE:
+      return g_strdup_printf ("default %s", row->choices[*row->out.number]);
     case SNIPE_SETTING_BOOL:
-      g_string_append (text, "; true or false, default false");
-      break;
-    case SNIPE_SETTING_TEXT:
-    case SNIPE_SETTING_ADDRESS:
+      return g_strdup_printf ("default %s", *row->out.flag ? "true" : "false");
+    default:
       if (row->required)
-        g_string_append (text, "; required");
-      else if (*row->out.text != NULL)
-        g_string_append_printf (text, "; default %s", *row->out.text);
-      break;
+        return g_strdup ("required");
+      return *row->out.text == NULL
+                 ? NULL
+                 : g_strdup_printf ("default %s", *row->out.text);
+    }
+}
+
+/** Help of a setting: what it is, allowed values, default, environment. */
+static char *
+help_text (const struct snipe_setting *row)
+{
+  GString *text = g_string_new (row->help);
+  char *preset = default_text (row);
+
+  if (row->type != SNIPE_SETTING_TEXT)
+    {
+      g_string_append (text, "; ");
+      append_range (text, row);
     }
+  if (preset != NULL)
+    g_string_append_printf (
+        text, "%s%s", row->type == SNIPE_SETTING_TEXT ? "; " : ", ", preset);
   g_string_append_printf (text, " [%s]", row->env);
+  g_free (preset);
   return g_string_free (text, FALSE);
 }
 
-static struct argp_option *
-make_options (const struct snipe_setting *table, size_t count)
+/* Takes over a value that was checked. */
+static void
+store_value (const struct snipe_setting *row)
 {
-  struct argp_option *options = g_new0 (struct argp_option, count + 1);
+  switch (row->type)
+    {
+    case SNIPE_SETTING_COUNT:
+    case SNIPE_SETTING_DURATION:
+    case SNIPE_SETTING_CHOICE:
+      *row->out.number = (uint64_t)row->number;
+      break;
+    case SNIPE_SETTING_DOUBLE:
+      *row->out.real = row->real;
+      break;
+    case SNIPE_SETTING_SWITCH:
+    case SNIPE_SETTING_BOOL:
+      *row->out.flag = row->number == 1;
+      break;
+    case SNIPE_SETTING_TEXT:
+    case SNIPE_SETTING_ADDRESS:
+    case SNIPE_SETTING_URL:
+    case SNIPE_SETTING_HOSTS:
+      *row->out.text = row->value;
+      break;
+    }
+}
 
-  for (size_t i = 0; i < count; i++)
+/* Stores the good values; appends a line to @p errors for each other one. */
+static void
+store_values (const struct reading *reading, GString *errors)
+{
+  for (size_t i = 0; i < reading->count; i++)
     {
-      char *doc = help_text (&table[i]);
-
-      options[i].name = table[i].flag;
-      options[i].key = FIRST_KEY + (int)i;
-      options[i].arg = table[i].arg;
-      options[i].flags
-          = table[i].kind == SNIPE_SETTING_BOOL ? OPTION_ARG_OPTIONAL : 0;
-      options[i].doc = doc;
+      struct snipe_setting *row = &reading->rows[i];
+      gsize before = errors->len;
+
+      snipe_settings_check (row, 1, errors);
+      if (row->required)
+        snipe_setting_require (row, errors);
+      if (row->value != NULL && errors->len == before)
+        store_value (row);
     }
-  return options;
 }
 
 int
 snipe_settings_read (const struct snipe_setting *table, int argc, char **argv,
                      const char *doc)
 {
-  struct reading reading = { .table = table };
-  struct argp_option *options;
+  struct reading reading = { 0 };
   struct argp argp = { .parser = on_option, .doc = doc };
+  GString *errors = g_string_new (NULL);
+  struct argp_option *options;
   int status = SNIPE_OK;
 
   while (table[reading.count].flag != NULL)
     reading.count++;
-  reading.values = g_new0 (const char *, reading.count);
-  options = make_options (table, reading.count);
+  reading.rows = g_memdup2 (table, reading.count * sizeof *table);
+  for (size_t i = 0; i < reading.count; i++)
+    {
+      reading.rows[i].key = FIRST_KEY + (int)i;
+      reading.rows[i].help = help_text (&table[i]);
+    }
+  options = g_new (struct argp_option, reading.count + 1);
+  snipe_settings_options (options, reading.rows, reading.count);
   argp.options = options;
   argp_program_version = "snipelb " SNIPE_VERSION;
+  snipe_settings_environment (reading.rows, reading.count);
   if (argp_parse (&argp, argc, argv, 0, NULL, &reading) != 0)
     status = SNIPE_E_INVALID;
+  store_values (&reading, errors);
+  if (errors->len > 0)
+    status = SNIPE_E_INVALID;
+  fputs (errors->str, stderr);
   for (size_t i = 0; i < reading.count; i++)
-    {
-      const char *value = reading.values[i];
-
-      if (value == NULL)
-        value = getenv (table[i].env);
-      if (value != NULL && !set_value (&table[i], value))
-        status = SNIPE_E_INVALID;
-      if (value == NULL && table[i].required)
-        {
-          fprintf (stderr, "--%s (%s): missing; %s\n", table[i].flag,
-                   table[i].env, table[i].help);
-          status = SNIPE_E_INVALID;
-        }
-    }
-  for (size_t i = 0; i < reading.count; i++)
-    g_free ((char *)options[i].doc);
+    g_free ((char *)reading.rows[i].help);
+  g_string_free (errors, TRUE);
   g_free (options);
-  g_free (reading.values);
+  g_free (reading.rows);
   return status;
 }
--- a/src/util/settings.h
+++ b/src/util/settings.h
@@ -1,52 +1,84 @@
 /**
  * @file settings.h
  * Settings of a program as a table: each has a flag, an environment variable
- * and a range. They are checked as a whole, so that every mistake is listed
- * at once.
+ * and a range. A flag goes before its variable, which goes before the default.
+ * All bad ones are reported together.
  */
 #ifndef SNIPE_UTIL_SETTINGS_H
 #define SNIPE_UTIL_SETTINGS_H
 
+#include <argp.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-enum snipe_setting_kind
+enum snipe_setting_type
 {
-  SNIPE_SETTING_TEXT,
-  SNIPE_SETTING_UINT,
-  SNIPE_SETTING_DOUBLE,
-  SNIPE_SETTING_BOOL,
-  SNIPE_SETTING_CHOICE,
-  SNIPE_SETTING_ADDRESS,
+  SNIPE_SETTING_TEXT,     /**< min to max bytes without control characters;
+                             max 0: any */
+  SNIPE_SETTING_ADDRESS,  /**< "ip:port", port 0: any that is free */
+  SNIPE_SETTING_URL,      /**< "http://ip:port" */
+  SNIPE_SETTING_HOSTS,    /**< "ip:port", divided by commas */
+  SNIPE_SETTING_DURATION, /**< "4s" or "500ms"; min and max in ms */
+  SNIPE_SETTING_COUNT,    /**< a whole number from min to max */
+  SNIPE_SETTING_DOUBLE,   /**< a number from min to max */
+  SNIPE_SETTING_SWITCH,   /**< flag without a value; variable 0 or 1 */
+  SNIPE_SETTING_BOOL,     /**< "true" or "false"; flag alone: true */
+  SNIPE_SETTING_CHOICE,   /**< one of the choices */
 };
 
 struct snipe_setting
 {
-  const char *flag; /**< without dashes */
-  const char *env;
-  const char *arg; /**< name of the value in --help */
+  const char *flag; /**< "hosts", without the dashes */
+  const char *env;  /**< environment variable, NULL: none */
+  const char *arg;  /**< name of the value in --help, NULL for a switch */
   const char *help;
-  enum snipe_setting_kind kind;
+  enum snipe_setting_type type;
   bool required;
-  double min; /**< of UINT and DOUBLE */
+  double min;
   double max;
   const char *const *choices; /**< of CHOICE, NULL-terminated */
   union
   {
     const char **text; /**< TEXT, ADDRESS */
-    uint64_t *number;  /**< UINT; index of the choice for CHOICE */
+    uint64_t *number;  /**< COUNT; index of the choice for CHOICE */
     double *real;
     bool *flag;
-  } out; /**< holds the default before parsing */
+  } out;   /**< for snipe_settings_read (); holds the default before */
+  int key; /**< of argp; snipe_settings_read () gives its own */
+  const char *value; /**< as given, or the default; NULL: none */
+  int64_t number;    /**< once checked: duration in ms, count, index of the
+                        choice, or 0 or 1 */
+  double real;       /**< once checked, of DOUBLE */
+  bool from_env;     /**< value came from the environment */
 };
 
 /**
- * Reads settings: a flag goes before its environment variable, which goes
- * before the default. The table ends with a row whose flag is NULL.
- * --help and --version print and exit.
+ * Reads all settings of a program that takes no other arguments. The table
+ * ends with a row whose flag is NULL. --help and --version print and exit.
  * @return 0, or SNIPE_E_INVALID after every mistake was printed to stderr.
  */
 int snipe_settings_read (const struct snipe_setting *table, int argc,
                          char **argv, const char *doc);
 
+/** Fills @p out with an argp option for each setting and an empty last one;
+ * it has room for @p count + 1. */
+void snipe_settings_options (struct argp_option *out,
+                             const struct snipe_setting *settings,
+                             size_t count);
+/** Reads the environment; flags given later override it. */
+void snipe_settings_environment (struct snipe_setting *settings, size_t count);
+/** Takes the value of a flag. @return false if no setting has the key. */
+bool snipe_settings_give (struct snipe_setting *settings, size_t count,
+                          int key, const char *value);
+/** Checks every value; appends a line to @p errors for each bad one: flag,
+ * value and allowed range. */
+void snipe_settings_check (struct snipe_setting *settings, size_t count,
+                           GString *errors);
+/** Appends a line to @p errors if the setting has no value. */
+void snipe_setting_require (const struct snipe_setting *setting,
+                            GString *errors);
+/** @return whether @p text is "ip:port" ("[ip]:port" for IPv6). */
+bool snipe_setting_is_address (const char *text);
+
 #endif
--- a/tests/ctl/test_snipectl.c
+++ b/tests/ctl/test_snipectl.c
@@ -6,7 +6,7 @@
 #include "ctl/ctl.h"
 #include "ctl/diff.h"
 #include "ctl/fake.h"
-#include "ctl/settings.h"
+#include "util/settings.h"
 #include "suite.h"
 
 #define OLD_TEXT "limit team=a slots=1 # asked by Lee Park\n"
