Read the list of endpoints anew after the store was away, also when told

Cause (found by reading the code): a host whose own path to the store broke forgets that its list is whole, and only an own read makes it whole again. A host that goes on being told by another one put off its own reads for good, and so never called a job one that no endpoint can run. It now reads within a second, as if nothing were listed. Test: "nothing known, but told".

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -295,9 +295,10 @@
   struct snipe_reading reading
       = { .first = snipe_members_is_first (node->members),
           .owner = node->pools->len > 0,
+          .known = listed && node->directory_age.whole_since > 0,
           .heard = node->told_at };
 
-  return snipe_reading_due (&reading, asked, listed);
+  return snipe_reading_due (&reading, asked);
 }
 
 static enum snipe_home_fit
--- a/src/node/reading.c
+++ b/src/node/reading.c
@@ -12,12 +12,11 @@
 #define IDLE_INTERVAL (8000 * SNIPE_MS)
 
 snipe_time
-snipe_reading_due (const struct snipe_reading *reading, snipe_time asked,
-                   bool listed)
+snipe_reading_due (const struct snipe_reading *reading, snipe_time asked)
 {
   snipe_time due = asked + INTERVAL;
 
-  if (!listed || reading->first)
+  if (!reading->known || reading->first)
     return due;
   if (!reading->owner)
     due = asked + IDLE_INTERVAL;
--- a/src/node/reading.h
+++ b/src/node/reading.h
@@ -16,16 +16,17 @@
 /** How a host follows the list of endpoints. */
 struct snipe_reading
 {
-  bool first;       /**< this host reads for the others of its domain */
-  bool owner;       /**< it schedules a pool */
+  bool first; /**< this host reads for the others of its domain */
+  bool owner; /**< it schedules a pool */
+  bool known; /**< an endpoint is listed, and the whole list was read since
+                 the store was away */
   snipe_time heard; /**< last time that another host told it, 0: never */
 };
 
 /** @param asked when this host last asked for the list
- * @param listed whether an endpoint is listed
  * @return when the list has to be read again. */
 snipe_time snipe_reading_due (const struct snipe_reading *reading,
-                              snipe_time asked, bool listed);
+                              snipe_time asked);
 /** @param asked when the host that tells has asked for the changes
  * @param delay of its message
  * @return whether the changes are new enough to rely on; a host that was
--- a/tests/node/test_reading.c
+++ b/tests/node/test_reading.c
@@ -1,6 +1,8 @@
 /* Guards against every host following the rows of all endpoints (507 KB/s a
    host with 300 hosts), and against an owner that is told late that an
-   endpoint leaves (DRAIN). */
+   endpoint leaves (DRAIN), and against one that was without the store and
+   never reads the list anew because another host tells it (jobs that fit no
+   endpoint would wait). */
 
 #include "node/reading.h"
 
@@ -10,40 +12,31 @@
 #include "suite.h"
 
 #define MS SNIPE_MS
+#define ASKED (5000 * MS)
 
 static const struct
 {
   const char *name;
   struct snipe_reading reading;
-  snipe_time asked;
-  bool listed;
   snipe_time due;
 } due_cases[] = {
-  { "reads for its domain", { .first = true }, 5000 * MS, true, 6000 * MS },
+  { "reads for its domain", { .known = true, .first = true }, 6000 * MS },
   { "reads for its domain, told by another one",
-    { .first = true, .heard = 5900 * MS },
-    5000 * MS,
-    true,
+    { .known = true, .first = true, .heard = 5900 * MS },
     6000 * MS },
-  { "nothing listed", { .first = false }, 5000 * MS, false, 6000 * MS },
-  { "nothing listed, but told",
+  { "nothing known", { .first = false }, 6000 * MS },
+  { "nothing known, but told",
     { .owner = true, .heard = 5900 * MS },
-    5000 * MS,
-    false,
     6000 * MS },
-  { "owner that nobody tells", { .owner = true }, 5000 * MS, true, 6000 * MS },
+  { "owner that nobody tells", { .known = true, .owner = true }, 6000 * MS },
   { "owner that is told",
-    { .owner = true, .heard = 5900 * MS },
-    5000 * MS,
-    true,
+    { .known = true, .owner = true, .heard = 5900 * MS },
     7200 * MS },
   { "owner, news long ago",
-    { .owner = true, .heard = 1000 * MS },
-    5000 * MS,
-    true,
+    { .known = true, .owner = true, .heard = 1000 * MS },
     6000 * MS },
-  { "no pool, nobody tells", { .owner = false }, 5000 * MS, true, 13000 * MS },
-  { "no pool, told", { .heard = 12900 * MS }, 5000 * MS, true, 14200 * MS },
+  { "no pool, nobody tells", { .known = true }, 13000 * MS },
+  { "no pool, told", { .known = true, .heard = 12900 * MS }, 14200 * MS },
 };
 
 static const struct
@@ -64,8 +57,7 @@
 {
   for (size_t i = 0; i < sizeof due_cases / sizeof due_cases[0]; i++)
     {
-      snipe_time due = snipe_reading_due (
-          &due_cases[i].reading, due_cases[i].asked, due_cases[i].listed);
+      snipe_time due = snipe_reading_due (&due_cases[i].reading, ASKED);
 
       if (due != due_cases[i].due)
         printf ("%s: %lld\n", due_cases[i].name, (long long)due);
