One blocking caller of libcurl

Now a client of src/util/http.c keeps its connection between calls; src/platform/http.c adds the platform's headers, counters and codes. A connect that timed out is SNIPE_E_UNREACHABLE for the store, too: it was called unknown although nothing had been sent. libcurl is set up in one place. Tests of both stay as they are (test_http, test_platform, test_snipectl).

--- a/src/platform/internal.h
+++ b/src/platform/internal.h
@@ -5,17 +5,16 @@
 #ifndef SNIPE_PLATFORM_INTERNAL_H
 #define SNIPE_PLATFORM_INTERNAL_H
 
-#include <curl/curl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
 
 #include "platform/platform.h"
 #include "snipe/share.h"
+#include "util/http.h"
 
 #define SNIPE_INC_TEXT 17 /**< 16 hex digits and NUL */
 #define SNIPE_CLAIM_BATCH 500
-#define SNIPE_ETAG_BYTES 80
 /** Rows of hosts are read whole each so many polls, which shows deleted ones;
  * between them only what changed. */
 #define SNIPE_WHOLE_POLLS 30
@@ -34,13 +33,10 @@
 /** A connection to the platform, used by one thread at a time. */
 struct snipe_http
 {
-  CURL *easy;
-  struct curl_slist *headers;
+  struct snipe_http_client *client;
   const char *url;
-  bool sent; /**< the request of this call was already written once */
-  struct snipe_str reply;
-  long status;                 /**< HTTP status of the last call */
-  char etag[SNIPE_ETAG_BYTES]; /**< of the last reply, "" without one */
+  char *host_header;
+  struct snipe_http_response reply; /**< to the last call */
 };
 
 int snipe_platform_http_init (struct snipe_http *http, const char *url,
@@ -170,7 +166,7 @@
   struct snipe_http watch_http;
   uint64_t rules_version;
   json_t *hosts; /**< last list of hosts, NULL before the first */
-  char hosts_etag[SNIPE_ETAG_BYTES];
+  char hosts_etag[SNIPE_HTTP_ETAG_BYTES];
   json_t *entries; /**< last entry rows by key, NULL before the first */
   /** Versions of the last reads, 0 if the next must read all. */
   uint64_t entries_since;
--- a/src/platform/object.c
+++ b/src/platform/object.c
@@ -28,12 +28,12 @@
 static int
 check_status (const struct snipe_http *http, const char *name)
 {
-  if (http->status == 404)
+  if (http->reply.status == 404)
     return snipe_status_set (SNIPE_E_NOT_FOUND, "object '%s' does not exist",
                              name);
-  if (http->status >= 300)
-    return snipe_status_set (SNIPE_E_PLATFORM, "object '%s': status %ld", name,
-                             http->status);
+  if (http->reply.status >= 300)
+    return snipe_status_set (SNIPE_E_PLATFORM, "object '%s': status %d", name,
+                             http->reply.status);
   return SNIPE_OK;
 }
 
@@ -69,8 +69,8 @@
     rc = check_status (http, name);
   if (rc == SNIPE_OK)
     {
-      snipe_str_take (out, http->reply.data, http->reply.len);
-      memset (&http->reply, 0, sizeof http->reply);
+      snipe_str_take (out, http->reply.body.data, http->reply.body.len);
+      http->reply.body = (struct snipe_str)SNIPE_STR_INIT;
     }
   snipe_platform_http_put (platform, http);
   g_free (path);
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -124,7 +124,6 @@
 static void
 global_init (void)
 {
-  curl_global_init (CURL_GLOBAL_DEFAULT);
   /* Seeding at first use is not thread-safe on every build of jansson. */
   json_object_seed (0);
 }
--- a/src/platform/txn.c
+++ b/src/platform/txn.c
@@ -77,7 +77,7 @@
   rc = snipe_platform_http_json (&reply, http, &call);
   if (rc != SNIPE_OK)
     goto cleanup;
-  if (http->status == 409)
+  if (http->reply.status == 409)
     {
       json_t *list = json_object_get (reply, "conflicts");
 
@@ -124,7 +124,7 @@
     return rc;
   rows = json_object_get (reply, "rows");
   number = json_object_get (reply, "version");
-  if (http->status != 200 || !json_is_array (rows)
+  if (http->reply.status != 200 || !json_is_array (rows)
       || (version != NULL && !json_is_integer (number)))
     rc = snipe_status_set (SNIPE_E_PLATFORM,
                            "range %s: reply without rows or version",
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -199,7 +199,7 @@
   if (p->hosts != NULL && p->hosts_etag[0] != '\0')
     call.etag = p->hosts_etag;
   rc = snipe_platform_http_json (&reply, &p->watch_http, &call);
-  if (rc != SNIPE_OK || p->watch_http.status == 304)
+  if (rc != SNIPE_OK || p->watch_http.reply.status == 304)
     return rc;
   hosts = json_object_get (reply, "hosts");
   if (!json_is_array (hosts))
@@ -213,7 +213,7 @@
       *changed = true;
     }
   if (rc == SNIPE_OK)
-    g_strlcpy (p->hosts_etag, p->watch_http.etag, sizeof p->hosts_etag);
+    g_strlcpy (p->hosts_etag, p->watch_http.reply.etag, sizeof p->hosts_etag);
   json_decref (reply);
   return rc;
 }
--- a/src/util/http.c
+++ b/src/util/http.c
@@ -8,11 +8,15 @@
 
 #include "snipe/status.h"
 
-#define BODY_MAX (16U * 1024 * 1024)
+struct snipe_http_client
+{
+  CURL *easy;
+};
 
 struct call
 {
   CURL *easy;
+  const struct snipe_http_request *request;
   struct curl_slist *headers;
   char *data;
   size_t len;
@@ -41,8 +45,10 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
-  if (call->connected)
-    return CURL_PREREQFUNC_ABORT; /* a second request on a new connection */
+  /* libcurl writes a request again on a new connection if a kept one closes
+   * before the answer. */
+  if (call->connected && !call->request->repeat)
+    return CURL_PREREQFUNC_ABORT;
   call->connected = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -53,7 +59,7 @@
   struct call *call = ctx;
   size_t len = size * count;
 
-  if (call->len + len > BODY_MAX)
+  if (call->len + len > call->request->answer_max)
     {
       call->too_large = true;
       return 0;
@@ -74,6 +80,29 @@
   return len;
 }
 
+/* The sizes that curl_easy_getinfo () gives leave it open whether a short body
+ * is part of the request's size. */
+static int
+on_trace (CURL *easy, curl_infotype type, char *data, size_t size, void *ctx)
+{
+  const struct call *call = ctx;
+
+  (void)easy;
+  (void)data;
+  switch (type)
+    {
+    case CURLINFO_HEADER_IN:
+    case CURLINFO_HEADER_OUT:
+    case CURLINFO_DATA_IN:
+    case CURLINFO_DATA_OUT:
+      call->request->traffic (size);
+      break;
+    default:
+      break;
+    }
+  return 0;
+}
+
 static int
 add_header (struct call *call, const char *header)
 {
@@ -105,10 +134,18 @@
 {
   CURL *easy = call->easy;
 
+  curl_easy_reset (easy);
+  if (request->traffic != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_DEBUGFUNCTION, on_trace);
+      curl_easy_setopt (easy, CURLOPT_DEBUGDATA, call);
+      curl_easy_setopt (easy, CURLOPT_VERBOSE, 1L);
+    }
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_ERRORBUFFER, call->message);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_ready);
@@ -137,28 +174,64 @@
   if (code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
     return snipe_status_set (SNIPE_E_INVALID, "%s: %s", request->url, why);
   if (call->too_large)
-    return snipe_status_set (SNIPE_E_TOO_LARGE, "%s: answer over %u bytes",
-                             request->url, BODY_MAX);
+    return snipe_status_set (SNIPE_E_TOO_LARGE, "%s: answer over %zu bytes",
+                             request->url, request->answer_max);
   return snipe_status_set (call->connected ? SNIPE_E_TIMEOUT
                                            : SNIPE_E_UNREACHABLE,
                            "%s %s: %s", request->method, request->url, why);
 }
 
+static void
+keep_etag (struct snipe_http_response *out, CURL *easy)
+{
+  struct curl_header *header;
+
+  out->etag[0] = '\0';
+  if (curl_easy_header (easy, "ETag", 0, CURLH_HEADER, -1, &header)
+          == CURLHE_OK
+      && strlen (header->value) < sizeof out->etag)
+    strcpy (out->etag, header->value);
+}
+
 int
-snipe_http_call (struct snipe_http_response *out,
-                 const struct snipe_http_request *request)
+snipe_http_client_new (struct snipe_http_client **out)
+{
+  struct snipe_http_client *client;
+
+  pthread_once (&curl_once, init_curl);
+  client = calloc (1, sizeof *client);
+  if (client != NULL)
+    client->easy = curl_easy_init ();
+  if (client == NULL || client->easy == NULL)
+    {
+      free (client);
+      return snipe_status_set (SNIPE_E_NOMEM, "no memory for a connection");
+    }
+  *out = client;
+  return SNIPE_OK;
+}
+
+void
+snipe_http_client_free (struct snipe_http_client *client)
+{
+  if (client == NULL)
+    return;
+  curl_easy_cleanup (client->easy);
+  free (client);
+}
+
+int
+snipe_http_client_call (struct snipe_http_client *client,
+                        struct snipe_http_response *out,
+                        const struct snipe_http_request *request)
 {
-  struct call call = { 0 };
+  struct call call = { .easy = client->easy, .request = request };
   long http_status = 0;
   int status;
 
   if (request->version != SNIPE_HTTP_REQUEST_VERSION)
     return snipe_status_set (SNIPE_E_INVALID, "unknown version %u of request",
                              request->version);
-  pthread_once (&curl_once, init_curl);
-  call.easy = curl_easy_init ();
-  if (call.easy == NULL)
-    return snipe_status_set (SNIPE_E_NOMEM, "no memory for a request");
   status = set_headers (&call, request);
   if (status != SNIPE_OK)
     goto cleanup;
@@ -168,16 +241,30 @@
     goto cleanup;
   curl_easy_getinfo (call.easy, CURLINFO_RESPONSE_CODE, &http_status);
   out->status = (int)http_status;
+  keep_etag (out, call.easy);
   snipe_str_take (&out->body, call.data, call.len);
   call.data = NULL;
 
 cleanup:
   curl_slist_free_all (call.headers);
-  curl_easy_cleanup (call.easy);
   free (call.data);
   return status;
 }
 
+int
+snipe_http_call (struct snipe_http_response *out,
+                 const struct snipe_http_request *request)
+{
+  struct snipe_http_client *client;
+  int status = snipe_http_client_new (&client);
+
+  if (status != SNIPE_OK)
+    return status;
+  status = snipe_http_client_call (client, out, request);
+  snipe_http_client_free (client);
+  return status;
+}
+
 void
 snipe_http_response_clear (struct snipe_http_response *response)
 {
