--- a/src/node/node.c
+++ b/src/node/node.c
@@ -288,19 +288,44 @@
     snipe_node_send_news (node, after, version, rows, now);
 }
 
+static struct snipe_reading
+reading_of (const struct snipe_node *node)
+{
+  return (struct snipe_reading){
+    .first = snipe_members_is_first (node->members),
+    .owner = node->pools->len > 0,
+    .known = g_hash_table_size (node->directory) > 0
+             && node->directory_age.whole_since > 0,
+    .heard = node->told_at,
+  };
+}
+
 snipe_time
-snipe_node_endpoints_due (const struct snipe_node *node, snipe_time asked,
-                          bool listed)
+snipe_node_endpoints_due (const struct snipe_node *node, snipe_time asked)
 {
-  struct snipe_reading reading
-      = { .first = snipe_members_is_first (node->members),
-          .owner = node->pools->len > 0,
-          .known = listed && node->directory_age.whole_since > 0,
-          .heard = node->told_at };
+  struct snipe_reading reading = reading_of (node);
 
   return snipe_reading_due (&reading, asked);
 }
 
+static void
+note_source (struct snipe_node *node, snipe_time now)
+{
+  static const char *const names[] = { [SNIPE_READING_ALONE] = "store",
+                                       [SNIPE_READING_FIRST] = "store_for_all",
+                                       [SNIPE_READING_TOLD] = "peer" };
+  struct snipe_reading reading = reading_of (node);
+  enum snipe_reading_source source = snipe_reading_source (&reading, now);
+
+  if (source == node->source)
+    return;
+  node->source = source;
+  g_message ("store: event=endpoints_from source=%s known=%d "
+             "told_ms_ago=%" G_GINT64_FORMAT,
+             names[source], (int)reading.known,
+             reading.heard == 0 ? -1 : (now - reading.heard) / SNIPE_MS);
+}
+
 static enum snipe_home_fit
 fit_of (void *ctx, const struct snipe_home_job *job, snipe_time now)
 {
@@ -603,6 +628,7 @@
   drop_lost (node, now);
   send_hellos (node, now);
   check_settled (node, now);
+  note_source (node, now);
   snipe_node_decide_owners (node, now);
   for (guint i = 0; i < node->pools->len; i++)
     {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -98,10 +98,9 @@
                                uint64_t version, const struct snipe_str *rows,
                                snipe_time asked, snipe_time now);
 /** @param asked when the list of endpoints was last asked for
- * @param listed whether it has any
  * @return when it has to be read again. */
 snipe_time snipe_node_endpoints_due (const struct snipe_node *node,
-                                     snipe_time asked, bool listed);
+                                     snipe_time asked);
 void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
 
 void snipe_node_submit (struct snipe_node *node,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -119,7 +119,8 @@
   snipe_time owner_due;
   struct snipe_directory_age directory_age;
   snipe_time told_at; /**< when a peer last told of changes of the endpoints */
-  bool being_told;    /**< while the changes are taken over */
+  enum snipe_reading_source source;
+  bool being_told;              /**< while the changes are taken over */
   struct snipe_pool_id reached; /**< pool whose endpoints have answered */
   snipe_time reached_since;
   snipe_time reached_at;
--- a/src/node/reading.c
+++ b/src/node/reading.c
@@ -11,6 +11,17 @@
  * then only needs to know what endpoints there are. */
 #define IDLE_INTERVAL (8000 * SNIPE_MS)
 
+enum snipe_reading_source
+snipe_reading_source (const struct snipe_reading *reading, snipe_time now)
+{
+  if (reading->first)
+    return SNIPE_READING_FIRST;
+  return reading->known && reading->heard > 0
+                 && now - reading->heard < NEWS_PATIENCE
+             ? SNIPE_READING_TOLD
+             : SNIPE_READING_ALONE;
+}
+
 snipe_time
 snipe_reading_due (const struct snipe_reading *reading, snipe_time asked)
 {
--- a/src/node/reading.h
+++ b/src/node/reading.h
@@ -23,6 +23,16 @@
   snipe_time heard; /**< last time that another host told it, 0: never */
 };
 
+/** Where a host learns from which endpoints are listed. */
+enum snipe_reading_source
+{
+  SNIPE_READING_ALONE, /**< it reads the store, for itself */
+  SNIPE_READING_FIRST, /**< it reads for the others of its domain, too */
+  SNIPE_READING_TOLD,  /**< another host tells it */
+};
+
+enum snipe_reading_source
+snipe_reading_source (const struct snipe_reading *reading, snipe_time now);
 /** @param asked when this host last asked for the list
  * @return when the list has to be read again. */
 snipe_time snipe_reading_due (const struct snipe_reading *reading,
--- a/src/util/http.c
+++ b/src/util/http.c
@@ -196,7 +196,7 @@
 int
 snipe_http_client_new (struct snipe_http_client **out)
 {
-  struct snipe_http_client *client;
+  struct snipe_http_client *client = NULL;
 
   pthread_once (&curl_once, init_curl);
   client = calloc (1, sizeof *client);
@@ -255,7 +255,7 @@
 snipe_http_call (struct snipe_http_response *out,
                  const struct snipe_http_request *request)
 {
-  struct snipe_http_client *client;
+  struct snipe_http_client *client = NULL;
   int status = snipe_http_client_new (&client);
 
   if (status != SNIPE_OK)
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -244,10 +244,9 @@
 }
 
 static snipe_time
-endpoints_due (void *ctx, snipe_time asked, bool listed)
+endpoints_due (void *ctx, snipe_time asked)
 {
   (void)ctx;
-  (void)listed;
   return asked + ENDPOINTS_INTERVAL;
 }
 
--- a/tests/node/test_reading.c
+++ b/tests/node/test_reading.c
@@ -19,24 +19,45 @@
   const char *name;
   struct snipe_reading reading;
   snipe_time due;
+  enum snipe_reading_source source; /**< a second after the list was read */
 } due_cases[] = {
-  { "reads for its domain", { .known = true, .first = true }, 6000 * MS },
+  { "reads for its domain",
+    { .known = true, .first = true },
+    6000 * MS,
+    SNIPE_READING_FIRST },
   { "reads for its domain, told by another one",
     { .known = true, .first = true, .heard = 5900 * MS },
-    6000 * MS },
-  { "nothing known", { .first = false }, 6000 * MS },
+    6000 * MS,
+    SNIPE_READING_FIRST },
+  { "nothing known", { .first = false }, 6000 * MS, SNIPE_READING_ALONE },
   { "nothing known, but told",
     { .owner = true, .heard = 5900 * MS },
-    6000 * MS },
-  { "owner that nobody tells", { .known = true, .owner = true }, 6000 * MS },
+    6000 * MS,
+    SNIPE_READING_ALONE },
+  { "owner that nobody tells",
+    { .known = true, .owner = true },
+    6000 * MS,
+    SNIPE_READING_ALONE },
   { "owner that is told",
     { .known = true, .owner = true, .heard = 5900 * MS },
-    7200 * MS },
+    7200 * MS,
+    SNIPE_READING_TOLD },
   { "owner, news long ago",
     { .known = true, .owner = true, .heard = 1000 * MS },
-    6000 * MS },
-  { "no pool, nobody tells", { .known = true }, 13000 * MS },
-  { "no pool, told", { .known = true, .heard = 12900 * MS }, 14200 * MS },
+    6000 * MS,
+    SNIPE_READING_ALONE },
+  { "no pool, nobody tells",
+    { .known = true },
+    13000 * MS,
+    SNIPE_READING_ALONE },
+  { "no pool, told",
+    { .known = true, .heard = 5900 * MS },
+    13000 * MS,
+    SNIPE_READING_TOLD },
+  { "no pool, told since",
+    { .known = true, .heard = 12900 * MS },
+    14200 * MS,
+    SNIPE_READING_TOLD },
 };
 
 static const struct
@@ -62,6 +83,9 @@
       if (due != due_cases[i].due)
         printf ("%s: %lld\n", due_cases[i].name, (long long)due);
       CU_ASSERT_EQUAL (due, due_cases[i].due);
+      CU_ASSERT_EQUAL (
+          snipe_reading_source (&due_cases[i].reading, ASKED + 1000 * MS),
+          due_cases[i].source);
     }
 }
 
