Serve jobs whose pool's owner cannot be reached for a moment

Ruled out: the list of endpoints and the claims (both in place), overload (pools were empty).

Change: a host that is heard anew is connected to anew; a batch that cannot be sent goes to another pool, and a job that no pool can take for that reason is held like one that comes before any owner is known. Tests: test_link "retry", test_home "unreachable"; both fail without the change. A batch that cannot be sent has a log line now.

--- a/src/home/home.c
+++ b/src/home/home.c
@@ -15,6 +15,8 @@
  * claim 0.3 s later. An answer that comes late serves its caller better than a
  * refusal. */
 #define HELD_MAX (800 * SNIPE_MS)
+/* A connection that could not be made is tried again no sooner. */
+#define UNREACHED_PAUSE (100 * SNIPE_MS)
 /* The list of endpoints is read within a few milliseconds; without it the
  * pools decide. */
 #define REVIEW_MAX (100 * SNIPE_MS)
@@ -196,45 +198,77 @@
   return status;
 }
 
-/* Distributes tasks of a job. @return 0, or a code if it was given up and
- * freed. */
+/* Sends a share of a job's tasks to its pool. */
 static int
+send_share (struct snipe_home *home, struct job *job,
+            const struct share *share, const uint32_t *indexes, snipe_time now)
+{
+  struct batch *batch = g_new0 (struct batch, 1);
+  int status;
+
+  batch->number = ++home->next_number;
+  batch->job = job;
+  batch->pool = share->pool;
+  batch->count = share->count;
+  batch->indexes = g_memdup2 (indexes, share->count * sizeof *indexes);
+  g_hash_table_insert (home->batches, &batch->number, batch);
+  g_ptr_array_add (job->batches, batch);
+  status = send_batch (home, batch, false);
+  if (status == SNIPE_OK)
+    {
+      job->started = true;
+      snipe_home_take_room (share->pool, &job->spec.each, share->count,
+                            job->spec.estimate);
+      return SNIPE_OK;
+    }
+  if (status == SNIPE_E_UNREACHABLE)
+    share->pool->retry = now + UNREACHED_PAUSE;
+  drop_batch (home, batch);
+  return status;
+}
+
+/* Whether all of the job waits for a pool that can be reached. */
+static bool
+can_hold (const struct snipe_home *home, const struct job *job, snipe_time now)
+{
+  return !job->started && job->batches->len == 0
+         && job->open == job->spec.count
+         && !snipe_views_serve (home->pools, job->spec.service, now);
+}
+
+/* Distributes tasks of a job, which is given up and freed if that fails. Pools
+ * whose owner cannot be reached are left out. */
+static void
 dispatch (struct snipe_home *home, struct job *job, const uint32_t *indexes,
           uint32_t count, snipe_time now)
 {
   struct share *shares = g_new0 (struct share, home->pools->len + 1);
   snipe_time wait = 0;
-  uint32_t share_count
-      = snipe_home_route (home->pools, home->domain, &job->spec, count,
-                          job->due, job->late, shares, &wait, now);
   uint32_t sent = 0;
-  int status = share_count == 0 ? SNIPE_E_OVERLOAD : SNIPE_OK;
+  int status = SNIPE_OK;
 
-  for (uint32_t i = 0; i < share_count && status == SNIPE_OK; i++)
+  while (sent < count && status == SNIPE_OK)
     {
-      struct batch *batch = g_new0 (struct batch, 1);
-
-      batch->number = ++home->next_number;
-      batch->job = job;
-      batch->pool = shares[i].pool;
-      batch->count = shares[i].count;
-      batch->indexes
-          = g_memdup2 (indexes + sent, batch->count * sizeof *indexes);
-      sent += batch->count;
-      g_hash_table_insert (home->batches, &batch->number, batch);
-      g_ptr_array_add (job->batches, batch);
-      status = send_batch (home, batch, false);
-      if (status == SNIPE_OK)
+      uint32_t share_count = snipe_home_route (
+          home->pools, home->domain, &job->spec, count - sent, job->due,
+          job->late, shares, &wait, now);
+
+      if (share_count == 0)
+        status = SNIPE_E_OVERLOAD;
+      for (uint32_t i = 0; i < share_count && status == SNIPE_OK; i++)
         {
-          job->started = true;
-          snipe_home_take_room (batch->pool, &job->spec.each, batch->count,
-                                job->spec.estimate);
+          status = send_share (home, job, &shares[i], indexes + sent, now);
+          if (status == SNIPE_OK)
+            sent += shares[i].count;
         }
+      if (status == SNIPE_E_UNREACHABLE)
+        status = SNIPE_OK;
     }
   g_free (shares);
-  if (status != SNIPE_OK)
+  if (status == SNIPE_E_OVERLOAD && can_hold (home, job, now))
+    job->held = true;
+  else if (status != SNIPE_OK)
     give_up (home, job, status, wait);
-  return status;
 }
 
 static void
@@ -252,7 +286,7 @@
 bool
 snipe_home_can_serve (const struct snipe_home *home)
 {
-  return snipe_views_serve (home->pools, NULL);
+  return snipe_views_serve (home->pools, NULL, INT64_MAX);
 }
 
 void
@@ -299,7 +333,7 @@
   job->late = MIN (now + LATE_FACTOR * (job->due - now), spec->give_up);
   g_hash_table_insert (home->jobs, (char *)job->spec.id, job);
   job->held = spec->fit == SNIPE_FIT_STALE
-              || !snipe_views_serve (home->pools, spec->service);
+              || !snipe_views_serve (home->pools, spec->service, now);
   if (!job->held)
     dispatch_all (home, job, now);
 }
@@ -573,7 +607,7 @@
       if (job->spec.fit == SNIPE_FIT_NONE)
         g_ptr_array_add (unfit, job);
       else if (job->spec.fit == SNIPE_FIT_MAYBE
-               && snipe_views_serve (home->pools, job->spec.service))
+               && snipe_views_serve (home->pools, job->spec.service, now))
         g_ptr_array_add (ready, job);
     }
   for (guint i = 0; i < unfit->len; i++)
@@ -601,7 +635,7 @@
       if (check_job (home, job, now) != SNIPE_OK)
         g_ptr_array_add (ended, job);
       else if (job->held && job->spec.fit == SNIPE_FIT_MAYBE
-               && snipe_views_serve (home->pools, job->spec.service))
+               && snipe_views_serve (home->pools, job->spec.service, now))
         g_ptr_array_add (ready, job);
     }
   release (home, ready, now);
--- a/src/home/private.h
+++ b/src/home/private.h
@@ -20,6 +20,7 @@
   double slowness;
   uint64_t endpoints; /**< digest of the ids that its owner told last */
   snipe_time lost;    /**< when its owner was lost, 0: it was not */
+  snipe_time retry;   /**< nothing can be sent to its owner before */
 };
 
 /* view.c: @p pools has struct pool_view */
@@ -28,8 +29,10 @@
  * endpoints were divided into more pools since. */
 struct pool_view *snipe_views_find (GPtrArray *pools,
                                     const struct snipe_pool_id *id);
-/** @return whether the owner of a pool of the service (NULL: any) is known. */
-bool snipe_views_serve (const GPtrArray *pools, const char *service);
+/** @return whether the owner of a pool of the service (NULL: any) is known,
+ * and can be reached as far as is known. */
+bool snipe_views_serve (const GPtrArray *pools, const char *service,
+                        snipe_time now);
 /** Pools with fewer shards than @p id in its group lose their owner. */
 void snipe_views_divided (GPtrArray *pools, const struct snipe_pool_id *id,
                           snipe_time now);
--- a/src/home/route.c
+++ b/src/home/route.c
@@ -102,7 +102,7 @@
       snipe_time length;
 
       if (strcmp (pool->id.service, job->service) != 0 || pool->owner == 0
-          || pool->total_cpu <= 0)
+          || pool->total_cpu <= 0 || now < pool->retry)
         continue;
       length = length_at (pool, job);
       option.room = room_for (pool, &job->each);
--- a/src/home/view.c
+++ b/src/home/view.c
@@ -50,13 +50,13 @@
 }
 
 bool
-snipe_views_serve (const GPtrArray *pools, const char *service)
+snipe_views_serve (const GPtrArray *pools, const char *service, snipe_time now)
 {
   for (guint i = 0; i < pools->len; i++)
     {
       const struct pool_view *pool = g_ptr_array_index (pools, i);
 
-      if (pool->owner != 0 && pool->total_cpu > 0
+      if (pool->owner != 0 && pool->total_cpu > 0 && now >= pool->retry
           && (service == NULL || strcmp (pool->id.service, service) == 0))
         return true;
     }
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -22,6 +22,10 @@
 /* Pause after a connection attempt that failed. */
 #define RETRY_PAUSE (100 * SNIPE_MS)
 
+/* A connection between hosts of a site stands after some milliseconds. An
+ * attempt that is older was made to a host that was not there. */
+#define CONNECT_TIME (50 * SNIPE_MS)
+
 /** A connection with its place in the loop. */
 struct channel
 {
@@ -30,6 +34,7 @@
   struct snipe_peer_connection *connection;
   char address[64];     /**< outgoing only */
   uint64_t incarnation; /**< incoming only, after its HELLO */
+  snipe_time opened;    /**< outgoing only */
   bool connecting;
   bool blocked; /**< waits until the socket takes more */
 };
@@ -270,6 +275,7 @@
     }
   channel = channel_new (link, fd, on_outgoing);
   g_strlcpy (channel->address, address, sizeof channel->address);
+  channel->opened = snipe_clock_now ();
   channel->connecting = true;
   channel->blocked = true;
   g_hash_table_insert (link->outgoing, channel->address, channel);
@@ -364,6 +370,17 @@
     }
 }
 
+void
+snipe_link_retry (struct snipe_link *link, const char *address, snipe_time now)
+{
+  struct channel *channel = g_hash_table_lookup (link->outgoing, address);
+
+  if (channel != NULL && channel->connecting
+      && now - channel->opened > CONNECT_TIME)
+    drop_outgoing (channel, "unanswered");
+  g_hash_table_remove (link->failed, address);
+}
+
 static int
 listen_at (struct snipe_link *link, const char *address)
 {
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -73,6 +73,11 @@
                        const struct snipe_link_message *message);
 int snipe_link_send_encoded (struct snipe_link *link, const char *address,
                              const struct snipe_str *message);
+/** The host at @p address is there. An attempt to connect that has gone
+ * unanswered since before is given up, with what was sent on it, and the next
+ * message makes a new one. */
+void snipe_link_retry (struct snipe_link *link, const char *address,
+                       snipe_time now);
 /** Closes the connection to @p address: it seems to carry nothing. */
 void snipe_link_reset (struct snipe_link *link, const char *address);
 
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -91,6 +91,7 @@
 {
   struct snipe_node *node = ctx;
   snipe_time now = snipe_clock_now ();
+  int status;
   struct snipe_link_message message = {
     .procedure = LINK_SEND_BATCH,
     .args.batch = {
@@ -132,7 +133,13 @@
                   message.args.batch.late_ms, (int)batch->resent);
   if (owner == node->incarnation)
     return queue_batch (node, pool, batch);
-  return send_to (node, owner, &message);
+  status = send_to (node, owner, &message);
+  if (status < 0)
+    snipe_node_log (node,
+                    "event=batch_unsent job=%s batch=%" G_GUINT64_FORMAT
+                    " reason=\"%s\"",
+                    batch->job, batch->number, snipe_status_last ());
+  return status;
 }
 
 void
@@ -439,6 +446,7 @@
       g_message ("host: event=heard name=%s domain=%s "
                  "incarnation=%016" G_GINT64_MODIFIER "x",
                  member.name, member.domain, member.incarnation);
+      snipe_link_retry (node->link, member.address, now);
       snipe_node_send_hello (node, member.address, member.incarnation, now);
     }
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
--- a/tests/home/test_home.c
+++ b/tests/home/test_home.c
@@ -31,7 +31,7 @@
   uint32_t cancels;
   uint32_t answers;
   struct snipe_home_answer answer;
-  bool unreachable;
+  uint64_t unreachable; /**< owner to which nothing can be sent, 0: none */
 };
 
 static int
@@ -40,7 +40,7 @@
 {
   struct record *record = ctx;
 
-  if (record->unreachable)
+  if (record->unreachable == owner)
     return SNIPE_E_UNREACHABLE;
   CU_ASSERT_FATAL (record->sent_count < SENT_MAX && batch->count <= 64);
   record->sent[record->sent_count].owner = owner;
@@ -425,6 +425,61 @@
     }
 }
 
+struct unreachable_case
+{
+  const char *name;
+  uint64_t owners[2];     /**< of the pools, 0: there is none */
+  snipe_time until;       /**< nothing can be sent to OWNER_A before */
+  const char *domains[2]; /**< of the pools that got a batch, in order */
+  uint32_t answers;
+};
+
+/* Guards against a job being refused because a message to the owner of its
+ * pool could not be sent, though another pool has room, or the owner is back
+ * in time (inc-ab90: 13 refusals within 0.1 s as hosts came back). */
+static void
+test_unreachable (void)
+{
+  const struct unreachable_case cases[] = {
+    { "another pool", { OWNER_A, OWNER_B }, SNIPE_S, { "b" }, 0 },
+    { "back in time", { OWNER_A }, 200 * SNIPE_MS, { "a" }, 0 },
+    { "back too late", { OWNER_A }, 900 * SNIPE_MS, { NULL }, 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct unreachable_case *row = &cases[i];
+      struct record record;
+      struct snipe_home *home = new_home (&record);
+      uint32_t expected = 0;
+
+      for (uint32_t k = 0; k < 2 && row->owners[k] != 0; k++)
+        tell (home,
+              &(struct pool_case){ k == 0 ? "a" : "b", row->owners[k], 4,
+                                   64000, 8, 0, 1.0 },
+              1, NOW);
+      record.unreachable = OWNER_A;
+      submit (home, 2, 200 * SNIPE_MS, NOW);
+      for (snipe_time after = 0; after < SNIPE_S; after += 10 * SNIPE_MS)
+        {
+          if (after == row->until)
+            record.unreachable = 0;
+          snipe_home_tick (home, NOW + after);
+        }
+      while (expected < 2 && row->domains[expected] != NULL)
+        expected++;
+      if (record.sent_count != expected)
+        printf ("%s: %u sent\n", row->name, record.sent_count);
+      CU_ASSERT_EQUAL_FATAL (record.sent_count, expected);
+      for (uint32_t k = 0; k < expected; k++)
+        CU_ASSERT_STRING_EQUAL (record.sent[k].domain, row->domains[k]);
+      CU_ASSERT_EQUAL (record.answers, row->answers);
+      if (row->answers > 0)
+        CU_ASSERT_EQUAL (record.answer.outcome, SNIPE_HOME_NOT_RUN);
+      snipe_home_free (home);
+    }
+}
+
 /* Guards against jobs going to a pool that does not exist any more, because a
  * heartbeat from before the division came after it (55 refusals on a quiet day
  * of the grown site: batch_misdirected). */
@@ -631,6 +686,7 @@
     { "owner change", test_owner_change },
     { "owner back", test_owner_back },
     { "held", test_held },
+    { "unreachable", test_unreachable },
     { "review", test_review },
     { "divided", test_divided },
     { "late refusal", test_late_refusal },
--- a/tests/link/test_link.c
+++ b/tests/link/test_link.c
@@ -1,6 +1,10 @@
 #include <CUnit/Basic.h>
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "link/link.h"
 #include "snipe/status.h"
@@ -20,6 +24,10 @@
   int received;
   int refused;
   int closed;
+  void (*step) (struct end *end); /**< called once, halfway */
+  struct end *other;
+  const char *address; /**< of the other end */
+  int silent[2];       /**< sockets that keep its port from answering */
 };
 
 static void
@@ -68,19 +76,24 @@
 {
   struct end *end = ctx;
 
+  if (end->step != NULL && now >= end->until - TIME)
+    {
+      end->step (end);
+      end->step = NULL;
+    }
   if (now >= end->until)
     snipe_loop_stop (end->loop);
   return 5 * SNIPE_MS;
 }
 
 static void
-begin (struct end *end, struct snipe_loop *loop)
+begin_at (struct end *end, struct snipe_loop *loop, const char *address)
 {
   struct snipe_link_options options = SNIPE_LINK_OPTIONS_INIT;
 
   end->loop = loop;
   options.loop = loop;
-  options.listen = "127.0.0.1:0";
+  options.listen = address;
   options.received = on_received;
   options.closed = on_closed;
   options.opened = on_opened;
@@ -89,6 +102,12 @@
   CU_ASSERT_EQUAL_FATAL (snipe_link_new (&end->link, &options), SNIPE_OK);
 }
 
+static void
+begin (struct end *end, struct snipe_loop *loop)
+{
+  begin_at (end, loop, "127.0.0.1:0");
+}
+
 /* Guards against a result being dropped because it is the first message on a
  * new connection, whose sender is not known before its HELLO (idle fleet of 35
  * hosts). */
@@ -143,12 +162,76 @@
   snipe_loop_free (loop);
 }
 
+/** Opens a port whose queue of connections is full, so that an attempt to
+ * connect to it is not answered. */
+static void
+open_silent_port (int *sockets, struct sockaddr_in *address)
+{
+  socklen_t len = sizeof *address;
+
+  *address = (struct sockaddr_in){ .sin_family = AF_INET };
+  address->sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  sockets[0] = socket (AF_INET, SOCK_STREAM, 0);
+  sockets[1] = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (sockets[0], (struct sockaddr *)address, sizeof *address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (sockets[0], 0), 0);
+  CU_ASSERT_EQUAL_FATAL (
+      getsockname (sockets[0], (struct sockaddr *)address, &len), 0);
+  CU_ASSERT_EQUAL_FATAL (
+      connect (sockets[1], (struct sockaddr *)address, sizeof *address), 0);
+}
+
+/* The other host comes back, and is heard. */
+static void
+come_back (struct end *end)
+{
+  struct snipe_link_message cancel = { .procedure = LINK_SEND_CANCEL };
+
+  close (end->silent[0]);
+  close (end->silent[1]);
+  begin_at (end->other, end->loop, end->address);
+  snipe_link_retry (end->link, end->address, snipe_clock_now ());
+  CU_ASSERT_EQUAL (snipe_link_send (end->link, end->address, &cancel),
+                   SNIPE_OK);
+}
+
+/* Guards against a host that comes back getting nothing for half a second,
+ * because this one had tried to connect to it while it was away (inc-ab90:
+ * jobs refused after all hosts lost power). */
+static void
+test_retry (void)
+{
+  struct end receiver = { 0 };
+  struct end sender = { .step = come_back, .other = &receiver };
+  struct snipe_link_message fetch = { .procedure = LINK_SEND_FETCH };
+  struct snipe_loop *loop;
+  struct sockaddr_in at;
+  char address[32];
+
+  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&loop), SNIPE_OK);
+  open_silent_port (sender.silent, &at);
+  snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (at.sin_port));
+  sender.address = address;
+  begin (&sender, loop);
+  CU_ASSERT_EQUAL (snipe_link_send (sender.link, address, &fetch), SNIPE_OK);
+  sender.until = snipe_clock_now () + 2 * TIME;
+  snipe_loop_run (loop, on_tick, &sender);
+  CU_ASSERT_EQUAL_FATAL (receiver.received, 2);
+  CU_ASSERT_EQUAL (receiver.procedures[0], LINK_SEND_HELLO);
+  CU_ASSERT_EQUAL (receiver.procedures[1], LINK_SEND_CANCEL);
+  snipe_link_free (sender.link);
+  snipe_link_free (receiver.link);
+  snipe_loop_free (loop);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "first message", test_first_message },
     { "refused", test_refused },
+    { "retry", test_retry },
     CU_TEST_INFO_NULL,
   };
 
