Take hosts that were lost for good off the list

Change: after half an hour of silence the first live host of a domain removes the row, if its version is still the one that it read. A host that finds its own row removed writes it again. Tests: test_member "forgets", test_store "lost host" and "this host is taken for lost".

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -142,6 +142,11 @@
  * of them needs to do: the largest live host that does not leave, by its view.
  * Views may differ for a moment; then two do it, or none. */
 bool snipe_members_is_first (const struct snipe_members *members);
+/** @param silent since a host was last heard at a listed address
+ * @return whether this host has to take it off the list: it was lost for good.
+ * One that lives lists itself again. */
+bool snipe_members_forgets (const struct snipe_members *members,
+                            snipe_time silent);
 /** @param silent since a host was last heard at an address, or was listed
  * there
  * @return pause until that address is greeted again. */
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -27,6 +27,9 @@
 #define GREET_PAUSE_MIN (300 * SNIPE_MS)
 #define GREET_PAUSE_MAX (15 * SNIPE_S)
 #define GREET_PAUSE_PART 16
+/* Regions lose each other for minutes. Seven hosts a day are lost for good at
+ * the target, and each one that stays listed is greeted by all others. */
+#define FORGET_AFTER (1800 * SNIPE_S)
 /* Work that was just answered is often followed by more. */
 #define RELATED_TIME (1 * SNIPE_S)
 /* Time in which a live host opens a new connection after one was reset: it
@@ -664,6 +667,12 @@
   return true;
 }
 
+bool
+snipe_members_forgets (const struct snipe_members *members, snipe_time silent)
+{
+  return silent > FORGET_AFTER && snipe_members_is_first (members);
+}
+
 static struct snipe_ownership_result
 decide (const struct snipe_members *members, const struct standing *standing,
         uint64_t own_token, const struct candidate *heir, snipe_time now)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -545,7 +545,12 @@
     {
       struct listed_host *host = value;
 
-      if (host->heard < now && now >= host->due)
+      if (snipe_members_forgets (node->members, now - host->heard))
+        {
+          host->heard = now;
+          node->options.port.forget_host (node->options.port.ctx, key);
+        }
+      else if (host->heard < now && now >= host->due)
         {
           host->due = now + snipe_members_greet_pause (now - host->heard);
           snipe_node_send_hello (node, key, 0, now);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -31,6 +31,9 @@
   /** The list of endpoints is needed anew: a pool was claimed, or a job fits
    * no endpoint that is listed. */
   void (*refresh_directory) (void *ctx);
+  /** No host was heard at a listed address for long: it is to be listed no
+   * more. */
+  void (*forget_host) (void *ctx, const char *address);
   /** A host of this domain tells what has changed in the list of endpoints
    * between two versions of the store, as snipe_node_endpoint_news () there
    * was told.
--- a/src/util/http.c
+++ b/src/util/http.c
@@ -185,12 +185,15 @@
 keep_etag (struct snipe_http_response *out, CURL *easy)
 {
   struct curl_header *header;
+  size_t len;
 
   out->etag[0] = '\0';
   if (curl_easy_header (easy, "ETag", 0, CURLH_HEADER, -1, &header)
-          == CURLHE_OK
-      && strlen (header->value) < sizeof out->etag)
-    strcpy (out->etag, header->value);
+      != CURLHE_OK)
+    return;
+  len = strlen (header->value);
+  if (len < sizeof out->etag)
+    memcpy (out->etag, header->value, len + 1);
 }
 
 int
@@ -258,7 +261,7 @@
   struct snipe_http_client *client = NULL;
   int status = snipe_http_client_new (&client);
 
-  if (status != SNIPE_OK)
+  if (client == NULL)
     return status;
   status = snipe_http_client_call (client, out, request);
   snipe_http_client_free (client);
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -341,7 +341,7 @@
       CU_ASSERT_EQUAL (is->deleted, was->deleted);
       CU_ASSERT_EQUAL (is->len, was->len);
       CU_ASSERT_EQUAL (is->value == NULL, was->value == NULL);
-      if (was->value != NULL)
+      if (is->value != NULL && was->value != NULL)
         CU_ASSERT_EQUAL (memcmp (is->value, was->value, was->len), 0);
     }
   platform_rows_clear (&rows[0]);
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -31,7 +31,9 @@
   bool cut_short; /**< the first answer about changes ends before version 20 */
   bool late_peer; /**< another host is listed once this one is */
   bool registered;
-  bool peer_leaves; /**< its row is dropped with the first change */
+  bool peer_leaves;  /**< its row is dropped with the first change */
+  char written[256]; /**< body of the last write */
+  bool self_removed; /**< this host's row is dropped once */
   bool parts; /**< the endpoints come in two parts, with a change in between */
 };
 
@@ -54,7 +56,8 @@
   int news;
   uint64_t news_after; /**< of the first news */
   int news_rows;
-  void (*once_read) (struct seen *seen, snipe_time now); /**< called once */
+  void (*once_read) (struct seen *seen, snipe_time now);  /**< called once */
+  void (*once_hosts) (struct seen *seen, snipe_time now); /**< the same */
 };
 
 static char *
@@ -80,6 +83,9 @@
   if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->peer_leaves && feed)
     return g_strdup ("{\"table\":\"t\",\"part\":\"\",\"key\":\"h2\","
                      "\"ver\":11,\"deleted\":true}");
+  if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->self_removed && feed)
+    return g_strdup ("{\"table\":\"t\",\"part\":\"\",\"key\":\"h1\","
+                     "\"ver\":11,\"deleted\":true}");
   if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0
       && (store->late_peer ? store->registered : store->peer_leaves))
     return row ("h2", "{\"address\":\"127.0.0.2:1\",\"domain\":\"a\"}");
@@ -106,7 +112,6 @@
 
   (void)method;
   (void)version;
-  (void)data;
   if (*state == NULL)
     {
       *state = store;
@@ -114,6 +119,9 @@
     }
   if (*size > 0)
     {
+      g_mutex_lock (&store->lock);
+      g_strlcpy (store->written, data, MIN (*size + 1, sizeof store->written));
+      g_mutex_unlock (&store->lock);
       *size = 0;
       return MHD_YES;
     }
@@ -276,6 +284,11 @@
       seen->once_read (seen, now + seen->later);
       seen->once_read = NULL;
     }
+  if (seen->hosts > 0 && seen->once_hosts != NULL)
+    {
+      seen->once_hosts (seen, now);
+      seen->once_hosts = NULL;
+    }
   platform_store_tick (seen->client,
                        now + (seen->reads > 0 ? seen->later : 0));
   if (now >= seen->until)
@@ -339,7 +352,8 @@
  * skipped (DRAIN and TWICE on the grown site), a host that reads the list
  * rarely having to go through all changes since (hosts of a tenth of a core
  * stood still for half a second), and changes of a part that was read being
- * missed while the other parts are read. */
+ * missed while the other parts are read, and a host that others have taken off
+ * the list staying away from it. */
 static void
 test_cases (void)
 {
@@ -386,6 +400,7 @@
       .configs_min = 2,
       .endpoints_min = 2,
       .news_rows = 1 },
+    { "this host is taken for lost", { .self_removed = true } },
     { "store refuses", { .http = 503 } },
   };
 
@@ -423,7 +438,9 @@
       CU_ASSERT_EQUAL (seen.news_rows, row->news_rows);
       if (row->call != NULL)
         CU_ASSERT_TRUE (count_calls (&store, row->call) > 0);
-      CU_ASSERT_EQUAL (seen.registered, row->store.http == 0);
+      CU_ASSERT_EQUAL (seen.registered, row->store.http != 0      ? 0
+                                        : row->store.self_removed ? 2
+                                                                  : 1);
     }
 }
 
@@ -515,12 +532,50 @@
   MHD_stop_daemon (store.daemon);
 }
 
+static void
+forget_peer (struct seen *seen, snipe_time now)
+{
+  (void)now;
+  platform_store_forget_host (seen->client, "127.0.0.9:1");
+  platform_store_forget_host (seen->client, "127.0.0.2:1");
+}
+
+/* Guards against the row of a lost host staying in the store, and against that
+ * of a host that lists itself anew at the same time being removed. */
+static void
+test_forget (void)
+{
+  struct store store
+      = { .endpoint = ENTRY, .config = "{}", .late_peer = true };
+  struct seen seen = { .store = &store, .once_hosts = forget_peer };
+  struct snipe_web *web;
+  struct platform_store_options options = options_for (&store, &seen);
+
+  start_store (&store);
+  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
+  CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
+  options.web = web;
+  platform_store_new (&seen.client, &options);
+  seen.until = snipe_clock_now () + CASE_TIME;
+  snipe_loop_run (seen.loop, on_tick, &seen);
+  /* This host's own row, and the removal of the other one's. */
+  CU_ASSERT_EQUAL (count_calls (&store, "/api/rows-tx "), 2);
+  CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"key\":\"h2\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"ver\":11"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"puts\":[]"));
+  snipe_web_free (web);
+  platform_store_free (seen.client);
+  snipe_loop_free (seen.loop);
+  MHD_stop_daemon (store.daemon);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "cases", test_cases },
     { "news of another host", test_news },
+    { "lost host", test_forget },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -412,6 +412,40 @@
     }
 }
 
+/* Guards against rows of lost hosts that stay listed for ever, and against a
+ * host that is only cut off for minutes being taken off the list. */
+static void
+test_forgets (void)
+{
+  const struct
+  {
+    const char *name;
+    snipe_time silent;
+    bool larger; /**< another host of the domain comes first */
+    bool forgets;
+  } cases[] = {
+    { "a cut between regions", 600 * SNIPE_S, false, false },
+    { "lost for good", 1801 * SNIPE_S, false, true },
+    { "left to another host", 1801 * SNIPE_S, true, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct snipe_members *members = new_members ("a");
+
+      if (cases[i].larger)
+        hear (members,
+              &(struct host_case){
+                  .incarnation = 20, .domain = "a", .size = 100 },
+              START);
+      if (snipe_members_forgets (members, cases[i].silent) != cases[i].forgets)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (snipe_members_forgets (members, cases[i].silent),
+                       cases[i].forgets);
+      snipe_members_free (members);
+    }
+}
+
 struct lost_case
 {
   const char *name;
@@ -619,12 +653,19 @@
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "decide", test_decide },     { "one heir", test_one_heir },
-    { "suspect", test_suspect },   { "interval", test_interval },
-    { "first", test_first },       { "lost", test_lost },
-    { "replaced", test_replaced }, { "losses", test_losses },
-    { "owner", test_owner },       { "greet pause", test_greet_pause },
-    { "delay", test_delay },       CU_TEST_INFO_NULL,
+    { "decide", test_decide },
+    { "one heir", test_one_heir },
+    { "suspect", test_suspect },
+    { "interval", test_interval },
+    { "first", test_first },
+    { "forgets", test_forgets },
+    { "lost", test_lost },
+    { "replaced", test_replaced },
+    { "losses", test_losses },
+    { "owner", test_owner },
+    { "greet pause", test_greet_pause },
+    { "delay", test_delay },
+    CU_TEST_INFO_NULL,
   };
 
   return suite_run ("member", tests);
