--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -568,6 +568,7 @@
   uint64_t changes = node->directory_changes;
   bool taken;
 
+  /* Its sender has made sure that the store's answer was quick. */
   if (!snipe_reading_is_news (now, delay, now))
     return;
   node->being_told = true;
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -412,8 +412,9 @@
     }
 }
 
-/* Guards against rows of lost hosts that stay listed for ever, and against a
- * host that is only cut off for minutes being taken off the list. */
+/* Guards against rows of lost hosts that stay listed for ever, against a host
+ * that is only cut off for minutes being taken off the list, and against the
+ * memory of hosts that grows with each one that was ever heard. */
 static void
 test_forgets (void)
 {
@@ -444,6 +445,19 @@
                        cases[i].forgets);
       snipe_members_free (members);
     }
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct snipe_members *members = new_members ("a");
+
+      hear (members, &(struct host_case){ .incarnation = 20, .domain = "a" },
+            START);
+      CU_ASSERT_EQUAL (snipe_members_lost (members, START + SNIPE_S), 20);
+      CU_ASSERT_EQUAL (snipe_members_lost (members, START + cases[i].silent),
+                       0);
+      CU_ASSERT_EQUAL (snipe_members_losses (members, 20),
+                       cases[i].silent < 1800 * SNIPE_S);
+      snipe_members_free (members);
+    }
 }
 
 struct lost_case
