Decide in the product when an endpoint has gone

The rule and its clock are in src/node now (directory.c, endpoints.c); platform/ tells what is listed and whether the store answers. The rule is as before, but that the 2.5 s count from the store's return also for an entry that went away during its outage.

--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -5,10 +5,18 @@
 /* Endpoints whose entries lapsed with the store are listed again within two
  * seconds of its return. */
 #define SETTLE (3 * SNIPE_S)
+#define RETURN_TIME (2500 * SNIPE_MS)
 /* Hosts that own no pool read the list rarely. Before a job is failed for good
  * the list is read again, at most five times a second. */
 #define FRESH (200 * SNIPE_MS)
 
+bool
+snipe_directory_is_gone (snipe_time unlisted, snipe_time store_since,
+                         snipe_time now)
+{
+  return store_since > 0 && now >= MAX (unlisted, store_since + RETURN_TIME);
+}
+
 enum snipe_home_fit
 snipe_directory_fit (GHashTable *endpoints,
                      const struct snipe_directory_age *age,
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -17,6 +17,11 @@
   snipe_time asked; /**< when the last whole read was asked for */
 };
 
+/** @param unlisted when an endpoint was missing from the list
+ * @param store_since the store answers, 0: it does not
+ * @return whether the endpoint has gone. */
+bool snipe_directory_is_gone (snipe_time unlisted, snipe_time store_since,
+                              snipe_time now);
 /** @param endpoints id -> struct snipe_endpoint_entry
  * @return whether one of the endpoints could ever run a task of the job. */
 enum snipe_home_fit snipe_directory_fit (GHashTable *endpoints,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -59,6 +59,8 @@
   node->pools = g_ptr_array_new_with_free_func (snipe_held_pool_free);
   node->directory
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  node->unlisted
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   node->listed
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   node->groups = g_ptr_array_new_with_free_func (g_free);
@@ -123,6 +125,7 @@
   snipe_members_free (node->members);
   g_ptr_array_free (node->pools, TRUE);
   g_hash_table_destroy (node->directory);
+  g_hash_table_destroy (node->unlisted);
   g_hash_table_destroy (node->listed);
   g_ptr_array_free (node->groups, TRUE);
   g_array_free (node->known_pools, TRUE);
@@ -218,152 +221,6 @@
   node->hello_due = 0;
 }
 
-void
-snipe_node_endpoint_set (struct snipe_node *node,
-                         const struct snipe_endpoint_entry *entry,
-                         snipe_time now)
-{
-  struct snipe_endpoint_entry *copy = g_memdup2 (entry, sizeof *entry);
-  const struct snipe_endpoint_entry *old
-      = g_hash_table_lookup (node->directory, entry->id);
-  bool begins_to_drain = entry->draining && old != NULL && !old->draining;
-  struct snipe_pool_id id;
-  struct held_pool *pool;
-
-  /* Hundreds of lines at once would hold up a small host that has to claim its
-   * pools; the first list is logged by its length. */
-  if (node->directory_age.whole_since > 0
-      && (old == NULL || old->draining != entry->draining
-          || old->born_ms != entry->born_ms))
-    snipe_node_log (node,
-                    "event=endpoint id=%s state=%s address=%s domain=%s "
-                    "cpu=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
-                    entry->id, entry->draining ? "draining" : "ready",
-                    entry->address, entry->domain, entry->capacity.cpu,
-                    entry->born_ms);
-  if (old != NULL
-      && (strcmp (old->service, entry->service) != 0
-          || strcmp (old->domain, entry->domain) != 0))
-    snipe_node_endpoint_remove (node, entry->id, now);
-  g_hash_table_replace (node->directory, copy->id, copy);
-  node->directory_changes++;
-  id = snipe_node_pool_of (node, entry);
-  pool = snipe_node_find_pool (node, &id);
-  if (pool != NULL)
-    snipe_pool_endpoint_set (pool->pool, entry, now);
-  /* Hosts that are told of it leave this to the one that has read it. */
-  else if (begins_to_drain && !node->being_told)
-    snipe_node_send_drain (node, &id, entry);
-  snipe_node_drain_pending (node, now);
-}
-
-void
-snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
-                            snipe_time now)
-{
-  const struct snipe_endpoint_entry *entry
-      = g_hash_table_lookup (node->directory, id);
-  struct snipe_pool_id pool_id;
-  struct held_pool *pool;
-
-  if (entry == NULL)
-    return;
-  snipe_node_log (node, "event=endpoint id=%s state=removed", id);
-  pool_id = snipe_node_pool_of (node, entry);
-  pool = snipe_node_find_pool (node, &pool_id);
-  if (pool != NULL)
-    snipe_pool_endpoint_remove (pool->pool, id, now);
-  g_hash_table_remove (node->directory, id);
-  node->directory_changes++;
-  snipe_node_drain_pending (node, now);
-}
-
-void
-snipe_node_endpoint_news (struct snipe_node *node, uint64_t after,
-                          uint64_t version, const struct snipe_str *rows,
-                          snipe_time asked, snipe_time now)
-{
-  if (snipe_members_is_first (node->members)
-      && snipe_reading_is_news (asked, 0, now))
-    snipe_node_send_news (node, after, version, rows, now);
-}
-
-static struct snipe_reading
-reading_of (const struct snipe_node *node)
-{
-  return (struct snipe_reading){
-    .first = snipe_members_is_first (node->members),
-    .owner = node->pools->len > 0,
-    .known = g_hash_table_size (node->directory) > 0
-             && node->directory_age.whole_since > 0,
-    .heard = node->told_at,
-  };
-}
-
-snipe_time
-snipe_node_endpoints_due (const struct snipe_node *node, snipe_time asked)
-{
-  struct snipe_reading reading = reading_of (node);
-
-  return snipe_reading_due (&reading, asked);
-}
-
-static void
-note_source (struct snipe_node *node, snipe_time now)
-{
-  static const char *const names[] = { [SNIPE_READING_ALONE] = "store",
-                                       [SNIPE_READING_FIRST] = "store_for_all",
-                                       [SNIPE_READING_TOLD] = "peer" };
-  struct snipe_reading reading = reading_of (node);
-  enum snipe_reading_source source = snipe_reading_source (&reading, now);
-
-  if (source == node->source)
-    return;
-  node->source = source;
-  g_message ("store: event=endpoints_from source=%s known=%d "
-             "told_ms_ago=%" G_GINT64_FORMAT,
-             names[source], (int)reading.known,
-             reading.heard == 0 ? -1 : (now - reading.heard) / SNIPE_MS);
-}
-
-static enum snipe_home_fit
-fit_of (void *ctx, const struct snipe_home_job *job, snipe_time now)
-{
-  const struct snipe_node *node = ctx;
-
-  return snipe_directory_fit (node->directory, &node->directory_age, job, now);
-}
-
-void
-snipe_node_directory_read (struct snipe_node *node, bool whole,
-                           snipe_time asked, snipe_time now)
-{
-  struct snipe_directory_age *age = &node->directory_age;
-
-  if (!whole)
-    {
-      *age = (struct snipe_directory_age){ 0 };
-      return;
-    }
-  if (age->whole_since == 0)
-    {
-      age->whole_since = asked;
-      g_message ("store: event=endpoints_read listed=%u",
-                 g_hash_table_size (node->directory));
-    }
-  age->asked = asked;
-  snipe_node_divide (node, now);
-  for (guint i = 0; i < node->pools->len; i++)
-    {
-      struct held_pool *pool = g_ptr_array_index (node->pools, i);
-
-      if (pool->claimed <= asked)
-        snipe_pool_directory_known (pool->pool);
-    }
-  snipe_home_review (node->home, fit_of, node, now);
-  snipe_node_drain_pending (node, now);
-}
-
 void
 snipe_node_submit (struct snipe_node *node, const struct snipe_home_job *job,
                    snipe_time now)
@@ -371,7 +228,7 @@
   struct snipe_home_job judged = *job;
 
   enter (node, now);
-  judged.fit = fit_of (node, job, now);
+  judged.fit = snipe_node_fit (node, job, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
                   "event=job job=%s route=%s config=%" G_GUINT64_FORMAT
@@ -633,7 +490,7 @@
   drop_lost (node, now);
   send_hellos (node, now);
   check_settled (node, now);
-  note_source (node, now);
+  snipe_node_check_endpoints (node, now);
   snipe_node_decide_owners (node, now);
   for (guint i = 0; i < node->pools->len; i++)
     {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -88,12 +88,16 @@
 void snipe_node_endpoint_set (struct snipe_node *node,
                               const struct snipe_endpoint_entry *entry,
                               snipe_time now);
-void snipe_node_endpoint_remove (struct snipe_node *node, const char *id,
-                                 snipe_time now);
-/** All changes of the list of endpoints up to @p asked were passed on, or
- * (@p whole is false) the list can no longer be read. */
-void snipe_node_directory_read (struct snipe_node *node, bool whole,
-                                snipe_time asked, snipe_time now);
+/** An endpoint is not listed any more; it counts as gone unless the store was
+ * away and lists it again soon after. */
+void snipe_node_endpoint_unlisted (struct snipe_node *node, const char *id,
+                                   snipe_time now);
+/** All changes of the list of endpoints up to @p asked were passed on. */
+void snipe_node_directory_read (struct snipe_node *node, snipe_time asked,
+                                snipe_time now);
+/** The store answers, or does not any more. */
+void snipe_node_store_reached (struct snipe_node *node, bool reached,
+                               snipe_time now);
 /** What changed in the list of endpoints between two versions of the store,
  * to be passed on to other hosts if this one does so.
  * @param asked when the store was asked for it */
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -107,8 +107,10 @@
   GArray *known_pools;   /**< struct snipe_pool_id, sorted */
   GHashTable *directory; /**< id -> struct snipe_endpoint_entry */
   uint64_t directory_changes;
-  GHashTable *listed; /**< address -> struct listed_host */
-  bool hosts_read;    /**< listed is whole, and not settled yet */
+  GHashTable *unlisted;   /**< id -> since when it is not listed any more */
+  snipe_time store_since; /**< the store answers, 0: it does not */
+  GHashTable *listed;     /**< address -> struct listed_host */
+  bool hosts_read;        /**< listed is whole, and not settled yet */
   GQueue pending;
   GPtrArray *results; /**< struct kept_result */
   snipe_time silence;
@@ -134,6 +136,13 @@
 void snipe_node_log (const struct snipe_node *node, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/* endpoints.c */
+/** Removes endpoints that are gone; notes who tells of them. */
+void snipe_node_check_endpoints (struct snipe_node *node, snipe_time now);
+/** @return whether an endpoint could run the job; @p ctx is the node. */
+enum snipe_home_fit
+snipe_node_fit (void *ctx, const struct snipe_home_job *job, snipe_time now);
+
 /* owners.c */
 /** Claims pools and lets go of them, if it is time to decide. */
 void snipe_node_decide_owners (struct snipe_node *node, snipe_time now);
--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -51,7 +51,7 @@
   int hosts;
   int hosts_gone;
   int reads;
-  int lost;
+  bool reached;
   int registered;
   int news;
   uint64_t news_after; /**< of the first news */
@@ -225,13 +225,16 @@
 }
 
 static void
-on_read (void *ctx, bool whole, snipe_time asked)
+on_read (void *ctx, snipe_time asked)
 {
-  struct seen *seen = ctx;
-
   (void)asked;
-  seen->reads += whole;
-  seen->lost += !whole;
+  ((struct seen *)ctx)->reads++;
+}
+
+static void
+on_reached (void *ctx, bool reached)
+{
+  ((struct seen *)ctx)->reached = reached;
 }
 
 static void
@@ -311,6 +314,7 @@
     .host = on_host,
     .host_gone = on_host_gone,
     .endpoints_read = on_read,
+    .reached = on_reached,
     .hosts_read = on_hosts_read,
     .news = on_news,
     .endpoints_due = endpoints_due,
--- a/tests/node/test_directory.c
+++ b/tests/node/test_directory.c
@@ -74,11 +74,43 @@
     }
 }
 
+/* Guards against endpoints being dropped whose entries had lapsed with the
+ * store and are back a moment later. */
+static void
+test_gone (void)
+{
+  static const struct
+  {
+    const char *name;
+    snipe_time unlisted;    /**< ago */
+    snipe_time store_since; /**< ago, -1: it does not answer */
+    bool gone;
+  } cases[] = {
+    { "store is well", 0, 50 * SNIPE_S, true },
+    { "store is away", 9 * SNIPE_S, -1, false },
+    { "store is just back", 0, 2 * SNIPE_S, false },
+    { "lapsed while the store was away", 9 * SNIPE_S, 2 * SNIPE_S, false },
+    { "not back in time", 9 * SNIPE_S, 2500 * SNIPE_MS, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      bool gone = snipe_directory_is_gone (
+          NOW - cases[i].unlisted,
+          cases[i].store_since < 0 ? 0 : NOW - cases[i].store_since, NOW);
+
+      if (gone != cases[i].gone)
+        printf ("%s\n", cases[i].name);
+      CU_ASSERT_EQUAL (gone, cases[i].gone);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "fit", test_fit },
+    { "gone", test_gone },
     CU_TEST_INFO_NULL,
   };
 
