Let the cases of test_store.c end with what they wait for

Cause: the new cases waited a fixed 0.4 or 0.6 s for several calls, which a busy machine may not make in that time, and three tests set the same parts up. They now end when what they wait for is there, after ten seconds at the most; one function plays a case.

--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -14,6 +14,9 @@
 #define CONTACT (400 * SNIPE_MS)
 #define ENDPOINTS_INTERVAL (200 * SNIPE_MS)
 #define CASE_TIME (600 * SNIPE_MS)
+/* A case that ends with what it waits for may take this long on a slow
+ * machine. */
+#define DONE_TIME (10 * SNIPE_S)
 
 /** A stand-in for the store: answers by a script and keeps what was asked. */
 struct store
@@ -58,6 +61,7 @@
   int news_rows;
   void (*once_read) (struct seen *seen, snipe_time now);  /**< called once */
   void (*once_hosts) (struct seen *seen, snipe_time now); /**< the same */
+  bool (*done) (const struct seen *seen); /**< NULL: when the time is over */
 };
 
 static char *
@@ -294,7 +298,7 @@
     }
   platform_store_tick (seen->client,
                        now + (seen->reads > 0 ? seen->later : 0));
-  if (now >= seen->until)
+  if (now >= seen->until || (seen->done != NULL && seen->done (seen)))
     snipe_loop_stop (seen->loop);
   return 10 * SNIPE_MS;
 }
@@ -333,6 +337,7 @@
   const char *call;    /**< that has to be made, NULL: any */
   snipe_time later;    /**< time that passes after the first read */
   int news_rows;       /**< rows that other hosts have to be told of */
+  bool (*done) (const struct seen *seen);
 };
 
 #define ENTRY_WITH(state, more)                                               \
@@ -350,6 +355,49 @@
   return count;
 }
 
+static bool
+has_news (const struct seen *seen)
+{
+  return seen->news > 0 && seen->configs > 1;
+}
+
+static bool
+is_back (const struct seen *seen)
+{
+  return seen->registered > 1;
+}
+
+static bool
+has_written_twice (const struct seen *seen)
+{
+  bool twice;
+
+  g_mutex_lock (&seen->store->lock);
+  twice = count_calls (seen->store, "/api/rows-tx ") > 1;
+  g_mutex_unlock (&seen->store->lock);
+  return twice;
+}
+
+/* Lets a client read from the store. */
+static void
+play (struct seen *seen)
+{
+  struct store *store = seen->store;
+  struct platform_store_options options = options_for (store, seen);
+
+  start_store (store);
+  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen->loop), 0);
+  CU_ASSERT_EQUAL_FATAL (snipe_web_new (&options.web, seen->loop, 16), 0);
+  platform_store_new (&seen->client, &options);
+  seen->until
+      = snipe_clock_now () + (seen->done == NULL ? CASE_TIME : DONE_TIME);
+  snipe_loop_run (seen->loop, on_tick, seen);
+  snipe_web_free (options.web);
+  platform_store_free (seen->client);
+  snipe_loop_free (seen->loop);
+  MHD_stop_daemon (store->daemon);
+}
+
 /* Guards against two hosts that start together missing each other, a history
  * that was dropped hiding later changes, an entry that cannot be read
  * stopping the others, and changes after the last row of a full answer being
@@ -396,15 +444,19 @@
         .later = ENTRY_WITH ("ready", ",\"odd\":2"),
         .config = "{}" },
       .configs_min = 2,
-      .endpoints_min = 1 },
+      .endpoints_min = 1,
+      .done = has_news },
     { "endpoint drains",
       { .endpoint = ENTRY_WITH ("ready", ""),
         .later = ENTRY_WITH ("draining", ""),
         .config = "{}" },
       .configs_min = 2,
       .endpoints_min = 2,
-      .news_rows = 1 },
-    { "this host is taken for lost", { .self_removed = true } },
+      .news_rows = 1,
+      .done = has_news },
+    { "this host is taken for lost",
+      { .self_removed = true },
+      .done = is_back },
     { "store refuses", { .http = 503 } },
   };
 
@@ -412,21 +464,10 @@
     {
       const struct store_case *row = &cases[i];
       struct store store = row->store;
-      struct seen seen = { .store = &store, .later = row->later };
-      struct snipe_web *web;
-      struct platform_store_options options = options_for (&store, &seen);
-
-      start_store (&store);
-      CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
-      CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
-      options.web = web;
-      platform_store_new (&seen.client, &options);
-      seen.until = snipe_clock_now () + CASE_TIME;
-      snipe_loop_run (seen.loop, on_tick, &seen);
-      snipe_web_free (web);
-      platform_store_free (seen.client);
-      snipe_loop_free (seen.loop);
-      MHD_stop_daemon (store.daemon);
+      struct seen seen
+          = { .store = &store, .later = row->later, .done = row->done };
+
+      play (&seen);
       if (seen.configs < row->configs_min
           || seen.endpoints < row->endpoints_min || seen.hosts < row->hosts_min
           || seen.gone != row->gone)
@@ -515,25 +556,14 @@
 test_news (void)
 {
   struct store store = { .endpoint = ENTRY, .config = "{}" };
-  struct seen seen
-      = { .store = &store, .later = 10 * SNIPE_S, .once_read = tell };
-  struct snipe_web *web;
-  struct platform_store_options options = options_for (&store, &seen);
-
-  start_store (&store);
-  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
-  CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
-  options.web = web;
-  platform_store_new (&seen.client, &options);
-  seen.until = snipe_clock_now () + 2 * ENDPOINTS_INTERVAL;
-  snipe_loop_run (seen.loop, on_tick, &seen);
+  struct seen seen = {
+    .store = &store, .later = 10 * SNIPE_S, .once_read = tell, .done = has_news
+  };
+
+  play (&seen);
   CU_ASSERT_TRUE (seen.news > 0);
   CU_ASSERT_EQUAL (seen.news_after, 19);
   CU_ASSERT_EQUAL (seen.endpoints, 2);
-  snipe_web_free (web);
-  platform_store_free (seen.client);
-  snipe_loop_free (seen.loop);
-  MHD_stop_daemon (store.daemon);
 }
 
 static void
@@ -551,26 +581,16 @@
 {
   struct store store
       = { .endpoint = ENTRY, .config = "{}", .late_peer = true };
-  struct seen seen = { .store = &store, .once_hosts = forget_peer };
-  struct snipe_web *web;
-  struct platform_store_options options = options_for (&store, &seen);
-
-  start_store (&store);
-  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&seen.loop), 0);
-  CU_ASSERT_EQUAL_FATAL (snipe_web_new (&web, seen.loop, 16), 0);
-  options.web = web;
-  platform_store_new (&seen.client, &options);
-  seen.until = snipe_clock_now () + CASE_TIME;
-  snipe_loop_run (seen.loop, on_tick, &seen);
+  struct seen seen = { .store = &store,
+                       .once_hosts = forget_peer,
+                       .done = has_written_twice };
+
+  play (&seen);
   /* This host's own row, and the removal of the other one's. */
   CU_ASSERT_EQUAL (count_calls (&store, "/api/rows-tx "), 2);
   CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"key\":\"h2\""));
   CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"ver\":11"));
   CU_ASSERT_PTR_NOT_NULL (strstr (store.written, "\"puts\":[]"));
-  snipe_web_free (web);
-  platform_store_free (seen.client);
-  snipe_loop_free (seen.loop);
-  MHD_stop_daemon (store.daemon);
 }
 
 int
