Stop watching an idle connection that its server has reset

Cause: the loop kept a reset socket in its epoll set with no events, but EPOLLERR and EPOLLHUP are always reported, so it woke up without end until libcurl dropped the connection. Ruled out: a connection that is closed without a reset, which reports only EPOLLIN and EPOLLRDHUP, and one that stays open. Change: the socket leaves the epoll set, and enters it again when libcurl uses it. A socket that cannot be watched is logged.

--- a/src/loop/http_async.c
+++ b/src/loop/http_async.c
@@ -38,6 +38,7 @@
   struct snipe_http_async *client;
   struct snipe_loop_watch watch;
   uint32_t events; /**< that the loop watches for */
+  bool watched;    /**< by the loop */
   bool idle;       /**< libcurl does not watch it */
 };
 
@@ -145,10 +146,11 @@
 
   if (socket->idle)
     {
-      /* The server has closed the idle connection; libcurl notices when it
-         uses the connection next. */
-      snipe_loop_change (socket->client->loop, &socket->watch, 0);
-      socket->events = 0;
+      /* The server has closed or reset the idle connection; libcurl notices
+         when it uses the connection next. A reset would be reported again
+         and again, whatever the socket is watched for. */
+      snipe_loop_remove (socket->client->loop, &socket->watch);
+      socket->watched = false;
       return;
     }
   if (events & (EPOLLIN | EPOLLHUP))
@@ -170,27 +172,42 @@
 
   if (socket != NULL)
     {
-      snipe_loop_remove (client->loop, &socket->watch);
+      if (socket->watched)
+        snipe_loop_remove (client->loop, &socket->watch);
       g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
     }
   return close (fd);
 }
 
 static struct socket *
-add_socket (struct snipe_http_async *client, curl_socket_t fd, uint32_t events)
+add_socket (struct snipe_http_async *client, curl_socket_t fd)
 {
   struct socket *socket = g_new0 (struct socket, 1);
 
   socket->client = client;
-  socket->events = events;
   socket->watch = (struct snipe_loop_watch){ .fd = fd,
                                              .ready = on_ready,
                                              .ctx = socket };
   g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), socket);
-  snipe_loop_add (client->loop, &socket->watch, events);
   return socket;
 }
 
+static void
+watch_socket (struct socket *socket, uint32_t events)
+{
+  struct snipe_loop *loop = socket->client->loop;
+
+  if (socket->watched && socket->events == events)
+    return;
+  if ((socket->watched ? snipe_loop_change (loop, &socket->watch, events)
+                       : snipe_loop_add (loop, &socket->watch, events))
+      < 0)
+    g_warning ("http: event=watch_failed reason=\"%s\"", snipe_status_last ());
+  else
+    socket->watched = true;
+  socket->events = events;
+}
+
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *state)
 {
@@ -212,12 +229,8 @@
   if (what & CURL_POLL_OUT)
     events |= EPOLLOUT;
   if (socket == NULL)
-    socket = add_socket (client, fd, events);
-  else if (socket->events != events)
-    {
-      snipe_loop_change (client->loop, &socket->watch, events);
-      socket->events = events;
-    }
+    socket = add_socket (client, fd);
+  watch_socket (socket, events);
   socket->idle = false;
   return 0;
 }
