Remove two races from the tests of the HTTP client and of the peer net

Change: the server of test_http has a thread per connection; the abandoned batch is sent once the heartbeat is in the handler. No check is changed.

--- a/tests/peer/net_host.h
+++ b/tests/peer/net_host.h
@@ -30,6 +30,7 @@
   struct snipe_peer_net *net;
   char address[32];
   pthread_mutex_t lock;
+  int entered;                   /* calls that reached a handler; atomic */
   int calls[8];                  /* by procedure */
   bool drop_replies;             /* send no reply */
   const char *block_during_call; /* put on the blocklist by the handlers */
@@ -124,6 +125,7 @@
 {
   bool drop_replies;
 
+  __atomic_fetch_add (&host->entered, 1, __ATOMIC_SEQ_CST);
   pthread_mutex_lock (&host->lock);
   host->calls[procedure]++;
   drop_replies = host->drop_replies;
--- a/tests/peer/test_net_faults.c
+++ b/tests/peer/test_net_faults.c
@@ -284,6 +284,9 @@
 
   pthread_mutex_lock (&b->lock);
   start_call (a, b->address, PEER_HEARTBEAT, LONG_TIMEOUT, &waiter);
+  /* The batch must not reach the server before its thread is blocked. */
+  while (__atomic_load_n (&b->entered, __ATOMIC_SEQ_CST) == 0)
+    (void)usleep (1000);
   CU_ASSERT_EQUAL (call_once (c, b->address, PEER_RUN_BATCH, 300 * SNIPE_MS),
                    SNIPE_E_TIMEOUT);
   pthread_mutex_unlock (&b->lock);
--- a/tests/util/test_http.c
+++ b/tests/util/test_http.c
@@ -72,10 +72,12 @@
   struct MHD_Daemon *server;
 
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  server = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL,
-                             handle_request, NULL, MHD_OPTION_SOCK_ADDR,
-                             &address, MHD_OPTION_NOTIFY_COMPLETED,
-                             on_completed, NULL, MHD_OPTION_END);
+  /* A thread per connection: with a single one, the slow request would delay
+   * the next one beyond its timeout. */
+  server = MHD_start_daemon (
+      MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0, NULL,
+      NULL, handle_request, NULL, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
   CU_ASSERT_PTR_NOT_NULL_FATAL (server);
   *port = MHD_get_daemon_info (server, MHD_DAEMON_INFO_BIND_PORT)->port;
   return server;
