Derive the timeouts of requests to endpoints from measured round trips

Cause: starts and stops counted as unanswered after 80 ms and polls 150 ms after their wait, whatever the link. On a link of 2 Mbit/s the first polls after a claim already take longer; the HTTP client then closed the connection, lost the answer and opened another one, and each run was stopped every 60 ms without end. Change: the pool keeps a smoothed round trip and its deviation, for each endpoint and for all of them (the own link), and a request is overdue after the longer of the two, between 80 ms and half a lease. An overdue call keeps its connection, and its answer is taken when it comes. Polls and stops that get no answer are sent again at growing intervals, resends come out of a budget, and a claimed pool polls eight endpoints at a time. An endpoint that was only silent is used again as soon as it answers. Answers that have arrived are read before a call counts as overdue, so that a stopped process does not doubt endpoints.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -103,8 +103,10 @@
   snipe_time caller_deadline; /**< that of the batch */
 };
 
-/** Requests to endpoints. Each is answered by exactly one call of the function
- * that its callback names, also if the endpoint did not respond. */
+/** Requests to endpoints. Each is answered by one call of the function that
+ * its callback names: with SNIPE_ANSWER_NONE if there is no answer within
+ * @p timeout. An answer that arrives later is passed as well, in a second
+ * call. */
 struct snipe_pool_start_request
 {
   const struct snipe_endpoint_entry *endpoint;
@@ -113,6 +115,7 @@
   uint32_t run;
   struct snipe_str spec; /**< borrowed */
   int64_t valid_until;   /**< endpoint clock, ms */
+  bool again;            /**< an earlier request for the run is unanswered */
   snipe_time timeout;
 };
 
@@ -122,6 +125,7 @@
   uint64_t token;
   char task[SNIPE_TASK_NAME_BYTES];
   uint32_t run;
+  bool again; /**< an earlier request for the run is unanswered */
   snipe_time timeout;
 };
 
@@ -132,6 +136,7 @@
   uint64_t last_seen_end; /**< sequence of the last ended run processed */
   int64_t valid_until; /**< endpoint clock, ms; 0: do not extend the lease */
   snipe_time wait; /**< the endpoint answers when a run ends, or after this */
+  bool again;      /**< an earlier poll is unanswered */
   snipe_time timeout;
 };
 
@@ -190,6 +195,8 @@
   int64_t clock_ms;   /**< endpoint clock; 0 if not reported */
   int64_t started_ms; /**< 0 if not reported */
   bool draining;      /**< the endpoint accepts no new tasks */
+  snipe_time sent_at; /**< when the request was sent that it answers */
+  snipe_time waited;  /**< how long the endpoint was asked to wait */
   const struct snipe_endpoint_run *running;
   uint32_t running_count;
   const struct snipe_endpoint_ended_run *ended;
--- a/include/snipe/retry.h
+++ b/include/snipe/retry.h
@@ -35,6 +35,10 @@
 
 /** Adds the tokens of one first attempt. */
 void snipe_retry_budget_refill (struct snipe_retry_budget *budget);
+/** Adds tokens that do not depend on first attempts. */
+void snipe_retry_budget_add (struct snipe_retry_budget *budget, double tokens);
+/** Takes the token of one retry. @return false if there is none. */
+bool snipe_retry_budget_take (struct snipe_retry_budget *budget);
 /**
  * Decides what to do with a task after an attempt, and takes a token for a
  * retry.
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -1,13 +1,28 @@
 #include "snipe/retry.h"
 
 void
-snipe_retry_budget_refill (struct snipe_retry_budget *budget)
+snipe_retry_budget_add (struct snipe_retry_budget *budget, double tokens)
 {
-  budget->tokens += budget->tokens_per_start;
+  budget->tokens += tokens;
   if (budget->tokens > budget->tokens_max)
     budget->tokens = budget->tokens_max;
 }
 
+void
+snipe_retry_budget_refill (struct snipe_retry_budget *budget)
+{
+  snipe_retry_budget_add (budget, budget->tokens_per_start);
+}
+
+bool
+snipe_retry_budget_take (struct snipe_retry_budget *budget)
+{
+  if (budget->tokens < 1)
+    return false;
+  budget->tokens -= 1;
+  return true;
+}
+
 enum snipe_retry_action
 snipe_retry_decide (struct snipe_retry_budget *budget,
                     enum snipe_attempt_outcome outcome, bool idempotent,
@@ -31,9 +46,8 @@
       break;
     }
   if (outcome == SNIPE_ATTEMPT_OK || !idempotent || retries >= retries_max
-      || budget->tokens < 1)
+      || !snipe_retry_budget_take (budget))
     return no_retry_action;
-  budget->tokens -= 1;
   return SNIPE_RETRY_AGAIN;
 }
 
--- a/src/loop/http_async.c
+++ b/src/loop/http_async.c
@@ -26,6 +26,8 @@
   struct snipe_str body;
   GString *response;
   snipe_http_async_done done;
+  void (*overdue) (void *ctx); /**< NULL: none, or it has been called */
+  snipe_time overdue_at;
   void *ctx;
   bool connected; /**< at least once; libcurl may have tried a second time */
 };
@@ -47,6 +49,8 @@
   struct snipe_loop *loop;
   CURLM *multi;
   snipe_time timeout_at;   /**< when libcurl's timeout expires, 0: none */
+  snipe_time overdue_at;   /**< not later than that of any call, 0: none */
+  bool overdue_pending;    /**< overdue calls are reported after the events */
   GPtrArray *idle_handles; /**< CURL */
   GHashTable *calls;
   GHashTable *sockets; /**< descriptor -> struct socket */
@@ -246,13 +250,62 @@
   return 0;
 }
 
-/* Runs libcurl's expired timeouts. A new call sets one that expires at once.
+static snipe_time
+earlier (snipe_time a, snipe_time b)
+{
+  return a > 0 && (b == 0 || a < b) ? a : b;
+}
+
+/* Reports the calls that have become overdue. The callbacks may start calls,
+ * but end none. */
+static void
+report_overdue_calls (struct snipe_http_async *client, snipe_time now)
+{
+  GPtrArray *overdue = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  client->overdue_at = 0;
+  g_hash_table_iter_init (&iter, client->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct call *call = key;
+
+      if (call->overdue == NULL)
+        continue;
+      if (call->overdue_at <= now)
+        g_ptr_array_add (overdue, call);
+      else
+        client->overdue_at = earlier (call->overdue_at, client->overdue_at);
+    }
+  for (guint i = 0; i < overdue->len; i++)
+    {
+      struct call *call = g_ptr_array_index (overdue, i);
+      void (*report) (void *ctx) = call->overdue;
+
+      call->overdue = NULL;
+      report (call->ctx);
+    }
+  g_ptr_array_free (overdue, TRUE);
+}
+
+/* Runs expired timeouts. A new call sets one of libcurl that expires at once.
  */
 static snipe_time
 on_prepare (void *ctx, snipe_time now)
 {
   struct snipe_http_async *client = ctx;
 
+  if (client->overdue_at > 0 && client->overdue_at <= now)
+    {
+      /* If this process was not running for a while, the answers may have
+         arrived: they are read first. */
+      client->overdue_pending = !client->overdue_pending;
+      if (client->overdue_pending)
+        return now;
+      report_overdue_calls (client, now);
+    }
+
   for (int i = 0; i < TIMEOUT_ROUNDS_MAX && client->timeout_at > 0
                   && client->timeout_at <= now;
        i++)
@@ -260,7 +313,7 @@
       client->timeout_at = 0;
       run_socket_action (client, CURL_SOCKET_TIMEOUT, 0);
     }
-  return client->timeout_at;
+  return earlier (client->overdue_at, client->timeout_at);
 }
 
 int
@@ -344,6 +397,12 @@
   call->client = client;
   call->done = request->done;
   call->ctx = request->ctx;
+  if (request->overdue != NULL)
+    {
+      call->overdue = request->overdue;
+      call->overdue_at = snipe_clock_now () + request->overdue_after;
+      client->overdue_at = earlier (call->overdue_at, client->overdue_at);
+    }
   call->body = request->body;
   call->response = g_string_new (NULL);
   call->easy = acquire_handle (client);
@@ -367,7 +426,12 @@
   curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_connected);
   curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
-  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  /* A call that reports that it is overdue may wait for its connection: the
+   * caller has decided already. */
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    request->overdue == NULL
+                        ? CONNECT_TIMEOUT_MS
+                        : (long)(request->timeout / SNIPE_MS));
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long)(request->timeout / SNIPE_MS));
   if (strcmp (request->method, "GET") != 0)
--- a/src/loop/http_async.h
+++ b/src/loop/http_async.h
@@ -33,6 +33,11 @@
   struct snipe_str body;  /**< the call takes ownership; empty: no body */
   snipe_time timeout;     /**< of the whole call */
   snipe_http_async_done done;
+  /** If set, called once if the call has not ended after @p overdue_after. The
+   * call goes on and keeps its connection: closing it would cost a new one,
+   * and the answer would be lost. */
+  void (*overdue) (void *ctx);
+  snipe_time overdue_after;
   void *ctx;
 };
 
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -60,6 +60,7 @@
 {
   return endpoint->listed && endpoint->claim == CLAIM_CONFIRMED
          && !endpoint->entry.draining && endpoint->suspended_until <= now
+         && endpoint->unresponsive_until <= now
          && (endpoint->consecutive_failures < FAILURES_MAX
              || endpoint->runs->len == 0);
 }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -6,8 +6,6 @@
 
 #include "snipe/status.h"
 
-/* Delay between two stop requests for a run. */
-#define STOP_RETRY_INTERVAL (60 * SNIPE_MS)
 /* Time that an orphaned run is kept for its batch to be sent again. */
 #define ORPHAN_TIMEOUT (500 * SNIPE_MS)
 /* Time that reading the list of endpoints takes after a claim while the store
@@ -22,6 +20,10 @@
  * more tasks does not keep them. Until then a host that takes over the pool
  * still learns of them. */
 #define ACKNOWLEDGE_DELAY (2 * SNIPE_S)
+/* Budget of resent requests: a share of the first ones and a small stock. More
+ * would feed the overload that makes answers late. */
+#define RESENDS_PER_REQUEST 0.2
+#define RESENDS_MAX 100.0
 /* Bounds of the delay after which a rejected caller may retry. */
 #define RETRY_AFTER_MIN (1 * SNIPE_S)
 #define RETRY_AFTER_MAX (30 * SNIPE_S)
@@ -42,6 +44,12 @@
   pool->callbacks = options->callbacks;
   pool->created = now;
   pool->slowdown = 1.0;
+  pool->resends = (struct snipe_retry_budget){
+    .tokens = RESENDS_MAX / 2,
+    .tokens_per_start = RESENDS_PER_REQUEST,
+    .tokens_max = RESENDS_MAX,
+  };
+  pool->resends_refilled = now;
   pool->endpoints = g_hash_table_new_full (
       g_str_hash, g_str_equal, NULL, (GDestroyNotify)snipe_pool_endpoint_free);
   pool->completed_earlier
@@ -259,11 +267,11 @@
 
   if (run->state == RUN_STOPPING)
     {
-      if (!run->stop_in_flight && !run->stop_confirmed
-          && now - run->stop_sent >= STOP_RETRY_INTERVAL)
-        snipe_pool_send_stop (pool, run, now);
+      snipe_pool_resend_stop (pool, run, now);
       return;
     }
+  if (run->start_overdue)
+    snipe_pool_resend_start (pool, run, now);
   if (batch == NULL)
     {
       if (now - run->orphaned_since >= ORPHAN_TIMEOUT)
@@ -295,9 +303,9 @@
   if (endpoint->runs->len > 0 && lease_certainly_expired (pool, endpoint, now))
     snipe_pool_end_all_runs (pool, endpoint, now);
   if (!endpoint->poll_in_flight
-      && ((endpoint->claim == CLAIM_PENDING && endpoint->listed)
-          || (endpoint->runs->len > 0
-              && now - endpoint->poll_sent >= POLL_TIMEOUT_MARGIN)
+      && (endpoint->claim != CLAIM_PENDING || !endpoint->listed)
+      && ((endpoint->runs->len > 0
+           && now - endpoint->poll_sent >= POLL_TIMEOUT_MARGIN)
           || (endpoint->last_seen_end > endpoint->acknowledged_end
               && endpoint->listed
               && now - endpoint->poll_sent >= ACKNOWLEDGE_DELAY)))
@@ -310,6 +318,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  snipe_pool_refill_resends (pool, now);
   g_hash_table_iter_init (&iter, pool->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -320,6 +329,7 @@
           && !endpoint->poll_in_flight)
         g_hash_table_iter_remove (&iter);
     }
+  snipe_pool_send_claim_polls (pool, now);
   expire_batches (pool, now);
   snipe_pool_place_tasks (pool, now);
 }
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 #include "snipe/pool.h"
+#include "snipe/retry.h"
+#include "snipe/rtt.h"
 
 struct batch;
 
@@ -31,6 +33,8 @@
   uint32_t task_index; /**< in batch->tasks */
   struct snipe_capacity resources;
   uint32_t start_requests; /**< number sent */
+  uint32_t stop_requests;  /**< number sent */
+  bool start_overdue;      /**< the last start request is unanswered */
   bool stop_in_flight;
   bool stop_confirmed;     /**< by the endpoint */
   snipe_time start_sent;   /**< first start request */
@@ -101,12 +105,18 @@
   snipe_time clock_read_at;
   bool poll_in_flight;
   snipe_time poll_sent;
+  snipe_time poll_due; /**< an unanswered poll is not sent again before */
+  snipe_time poll_processed; /**< when the newest answered poll was sent */
+  uint32_t unanswered_polls; /**< in a row */
+  bool overdue;         /**< a request is overdue, and no answer came since */
+  struct snipe_rtt rtt; /**< of requests that the endpoint answers at once */
   snipe_time claim_deadline; /**< no run of a previous owner outlives it */
   double duration_ratio;     /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
-  snipe_time suspended_until;
-  snipe_time last_received_at; /**< time of the last answer */
-  snipe_time lease_extended;   /**< last request sent that extends the lease */
+  snipe_time suspended_until;    /**< because of failures */
+  snipe_time unresponsive_until; /**< unless it answers before */
+  snipe_time last_received_at;   /**< time of the last answer */
+  snipe_time lease_extended; /**< last request sent that extends the lease */
 };
 
 struct snipe_pool
@@ -118,6 +128,9 @@
   GHashTable *endpoints; /**< id -> struct snipe_pool_endpoint */
   GPtrArray *batches;    /**< struct batch, by arrival */
   double slowdown;       /**< actual over estimated duration, smoothed */
+  struct snipe_rtt rtt;  /**< of all endpoints: mostly that of the own link */
+  struct snipe_retry_budget resends; /**< of requests to endpoints */
+  snipe_time resends_refilled;
   bool directory_synced;
   bool fenced;
   /** Names of tasks that completed under a previous owner. */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -6,26 +6,84 @@
 #include "pool/batch.h"
 #include "snipe/status.h"
 
-/* A healthy endpoint answers within a few ms, and a duplicate start request
- * for the same run is harmless, so the retry is sent early. */
-#define START_TIMEOUT (80 * SNIPE_MS)
+/* Least timeout of a start or stop request. A healthy endpoint on a fast link
+ * answers within a few ms, and a duplicate start request for the same run is
+ * harmless, so the retry is sent early. */
+#define REQUEST_TIMEOUT_MIN (80 * SNIPE_MS)
 #define START_REQUESTS_MAX 3
-#define STOP_TIMEOUT (80 * SNIPE_MS)
+#define STOP_INTERVAL_MAX (1 * SNIPE_S)
+#define POLL_INTERVAL_MAX (1 * SNIPE_S)
+/* Endpoints of a claimed pool that are polled at the same time. A slow link
+ * delays the answers to many requests beyond any reasonable timeout. */
+#define CLAIM_POLLS_MAX 8
+/* Resends that the budget gains per endpoint and second, so that silent
+ * endpoints of an idle pool are still polled. */
+#define RESENDS_PER_ENDPOINT_SECOND 2.0
+
+/* Longest timeout: an unanswered request must be noticed before the lease that
+ * the previous one extended expires. */
+static snipe_time
+timeout_max (const struct snipe_pool *pool)
+{
+  return pool->lease_max / 2;
+}
+
+static snipe_time
+request_timeout (const struct snipe_pool *pool,
+                 const struct snipe_pool_endpoint *endpoint, snipe_time min)
+{
+  snipe_time max = MAX (timeout_max (pool), min);
+
+  return MAX (snipe_rtt_timeout (&pool->rtt, min, max),
+              snipe_rtt_timeout (&endpoint->rtt, min, max));
+}
+
+void
+snipe_pool_refill_resends (struct snipe_pool *pool, snipe_time now)
+{
+  double seconds = (double)(now - pool->resends_refilled) / (double)SNIPE_S;
+
+  pool->resends_refilled = now;
+  snipe_retry_budget_add (&pool->resends,
+                          seconds * RESENDS_PER_ENDPOINT_SECOND
+                              * g_hash_table_size (pool->endpoints));
+}
+
+/* Differs between endpoints, so that requests to many of them that were lost
+ * together are not resent together. */
+static snipe_time
+backoff (const struct snipe_pool_endpoint *endpoint, uint32_t resends,
+         snipe_time base, snipe_time max)
+{
+  return snipe_retry_backoff (
+      resends, base, max,
+      (uint64_t)(g_str_hash (endpoint->entry.id) + resends) * 2654435761U);
+}
 
 void
 snipe_pool_send_poll (struct snipe_pool *pool,
                       struct snipe_pool_endpoint *endpoint, bool wait,
                       snipe_time now)
 {
+  snipe_time margin = request_timeout (pool, endpoint, POLL_TIMEOUT_MARGIN);
   struct snipe_pool_poll_request request = {
     .endpoint = &endpoint->entry,
     .token = pool->token,
     .last_seen_end = endpoint->last_seen_end,
-    .wait = wait ? pool->lease_max / 2 - pool->lease_max / 20 : 0,
+    /* With its margin, the wait takes the same time whatever the margin. */
+    .wait
+    = wait ? MAX (pool->lease_max * 6 / 10 - margin, pool->lease_max / 10) : 0,
+    .again = endpoint->unanswered_polls > 0,
   };
 
   if (endpoint->poll_in_flight || endpoint->claim == CLAIM_FENCED)
     return;
+  if (request.again
+      && (now < endpoint->poll_due
+          || !snipe_retry_budget_take (&pool->resends)))
+    return;
+  if (!request.again)
+    snipe_retry_budget_refill (&pool->resends);
   /* The lease of an unresponsive endpoint is not extended, so that it
    * certainly expires. */
   if (endpoint->clock_read_at > 0
@@ -34,13 +92,42 @@
   if (endpoint->lease_extended == now)
     request.valid_until = snipe_pool_endpoint_clock (endpoint, now)
                           + pool->lease_max / SNIPE_MS;
-  request.timeout = request.wait + POLL_TIMEOUT_MARGIN;
+  request.timeout = request.wait + margin;
   endpoint->poll_in_flight = true;
   endpoint->poll_last_seen_end = endpoint->last_seen_end;
   endpoint->poll_sent = now;
   pool->callbacks.poll (pool->callbacks.ctx, &request);
 }
 
+void
+snipe_pool_send_claim_polls (struct snipe_pool *pool, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t in_flight = 0;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+
+      in_flight
+          += endpoint->claim == CLAIM_PENDING && endpoint->poll_in_flight;
+    }
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (in_flight < CLAIM_POLLS_MAX
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct snipe_pool_endpoint *endpoint = value;
+
+      if (endpoint->claim != CLAIM_PENDING || !endpoint->listed
+          || endpoint->poll_in_flight)
+        continue;
+      snipe_pool_send_poll (pool, endpoint, false, now);
+      in_flight += endpoint->poll_in_flight;
+    }
+}
+
 void
 snipe_pool_send_start (struct snipe_pool *pool, struct run *run,
                        snipe_time now)
@@ -53,11 +140,15 @@
     .spec = run->batch->spec,
     .valid_until = snipe_pool_endpoint_clock (endpoint, now)
                    + pool->lease_max / 2 / SNIPE_MS,
-    .timeout = START_TIMEOUT,
+    .again = run->start_requests > 0,
+    .timeout = request_timeout (pool, endpoint, REQUEST_TIMEOUT_MIN),
   };
 
   g_strlcpy (request.task, run->task, sizeof request.task);
+  if (!request.again)
+    snipe_retry_budget_refill (&pool->resends);
   run->start_requests++;
+  run->start_overdue = false;
   endpoint->lease_extended = now;
   pool->callbacks.start (pool->callbacks.ctx, &request);
 }
@@ -65,17 +156,39 @@
 void
 snipe_pool_send_stop (struct snipe_pool *pool, struct run *run, snipe_time now)
 {
-  struct snipe_pool_stop_request request = { .endpoint = &run->endpoint->entry,
-                                             .token = pool->token,
-                                             .run = run->number,
-                                             .timeout = STOP_TIMEOUT };
+  struct snipe_pool_stop_request request
+      = { .endpoint = &run->endpoint->entry,
+          .token = pool->token,
+          .run = run->number,
+          .again = run->stop_requests > 0,
+          .timeout
+          = request_timeout (pool, run->endpoint, REQUEST_TIMEOUT_MIN) };
 
   g_strlcpy (request.task, run->task, sizeof request.task);
+  if (!request.again)
+    snipe_retry_budget_refill (&pool->resends);
+  run->stop_requests++;
   run->stop_in_flight = true;
   run->stop_sent = now;
   pool->callbacks.stop (pool->callbacks.ctx, &request);
 }
 
+void
+snipe_pool_resend_stop (struct snipe_pool *pool, struct run *run,
+                        snipe_time now)
+{
+  snipe_time interval
+      = backoff (run->endpoint, run->stop_requests,
+                 request_timeout (pool, run->endpoint, REQUEST_TIMEOUT_MIN),
+                 STOP_INTERVAL_MAX);
+
+  if (run->stop_in_flight || run->stop_confirmed
+      || now - run->stop_sent < interval
+      || !snipe_retry_budget_take (&pool->resends))
+    return;
+  snipe_pool_send_stop (pool, run, now);
+}
+
 void
 snipe_pool_run_stop (struct snipe_pool *pool, struct run *run, snipe_time now)
 {
@@ -142,7 +255,7 @@
     {
       endpoint = snipe_pool_endpoint_new (entry, pool->lease_max, now);
       g_hash_table_insert (pool->endpoints, endpoint->entry.id, endpoint);
-      snipe_pool_send_poll (pool, endpoint, false, now);
+      snipe_pool_send_claim_polls (pool, now);
       return;
     }
   /* The list may be older than what the endpoint itself has reported. */
@@ -158,7 +271,7 @@
     {
       endpoint->entry = *entry;
       begin_incarnation (endpoint, started_ms, now);
-      snipe_pool_send_poll (pool, endpoint, false, now);
+      snipe_pool_send_claim_polls (pool, now);
     }
   endpoint->entry.started_ms = started_ms;
   endpoint->listed = true;
@@ -189,6 +302,17 @@
     endpoint->listed = false;
 }
 
+static void
+record_round_trip (struct snipe_pool *pool,
+                   struct snipe_pool_endpoint *endpoint, snipe_time time)
+{
+  snipe_time max = timeout_max (pool);
+
+  snipe_rtt_add (&endpoint->rtt, time, 2 * max);
+  snipe_rtt_add (&pool->rtt, time,
+                 2 * snipe_rtt_timeout (&pool->rtt, REQUEST_TIMEOUT_MIN, max));
+}
+
 static struct snipe_pool_endpoint *
 record_answer (struct snipe_pool *pool, const char *id,
                const struct snipe_endpoint_report *report, snipe_time now)
@@ -198,9 +322,16 @@
 
   if (endpoint == NULL)
     return NULL;
-  if (report != NULL)
+  if (report == NULL)
+    endpoint->overdue = true;
+  else
     {
       endpoint->last_received_at = now;
+      endpoint->overdue = false;
+      endpoint->unanswered_polls = 0;
+      endpoint->unresponsive_until = 0;
+      if (report->sent_at > 0 && report->waited == 0)
+        record_round_trip (pool, endpoint, now - report->sent_at);
       if (report->draining)
         endpoint->entry.draining = true;
       if (report->clock_ms > 0)
@@ -219,24 +350,54 @@
   pool->fenced = true;
 }
 
-static void
-handle_unanswered_start (struct snipe_pool *pool, struct run *run,
+/* Whether most endpoints are silent: rather than all of them, this host or its
+ * link has failed or is overloaded. */
+static bool
+most_endpoints_silent (const struct snipe_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint silent = 0;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    silent += ((const struct snipe_pool_endpoint *)value)->overdue;
+  return silent > 1 && 2 * silent > g_hash_table_size (pool->endpoints);
+}
+
+void
+snipe_pool_resend_start (struct snipe_pool *pool, struct run *run,
                          snipe_time now)
 {
-  if (run->state == RUN_STOPPING || run->state == RUN_ACTIVE)
+  struct snipe_pool_endpoint *endpoint = run->endpoint;
+
+  if (!run->start_overdue || run->state != RUN_UNCONFIRMED)
     return;
-  run->state = RUN_UNCONFIRMED;
   if (run->start_requests < START_REQUESTS_MAX && run->batch != NULL)
     {
-      snipe_pool_send_start (pool, run, now);
+      if (snipe_retry_budget_take (&pool->resends))
+        snipe_pool_send_start (pool, run, now);
       return;
     }
-  snipe_pool_endpoint_record_failure (run->endpoint, now);
-  run->endpoint->suspended_until
-      = MAX (run->endpoint->suspended_until, now + 2 * START_TIMEOUT);
+  if (!most_endpoints_silent (pool))
+    snipe_pool_endpoint_record_failure (endpoint, now);
+  endpoint->unresponsive_until
+      = MAX (endpoint->unresponsive_until,
+             now + 2 * request_timeout (pool, endpoint, REQUEST_TIMEOUT_MIN));
   snipe_pool_run_stop (pool, run, now);
 }
 
+static void
+handle_unanswered_start (struct snipe_pool *pool, struct run *run,
+                         snipe_time now)
+{
+  if (run->state == RUN_STOPPING || run->state == RUN_ACTIVE)
+    return;
+  run->state = RUN_UNCONFIRMED;
+  run->start_overdue = true;
+  snipe_pool_resend_start (pool, run, now);
+}
+
 void
 snipe_pool_on_start (struct snipe_pool *pool, const char *id, const char *task,
                      uint32_t number, enum snipe_endpoint_answer answer,
@@ -273,7 +434,7 @@
     case SNIPE_ANSWER_UNHEALTHY:
       snipe_pool_endpoint_record_failure (endpoint, now);
       endpoint->suspended_until
-          = MAX (endpoint->suspended_until, now + START_TIMEOUT);
+          = MAX (endpoint->suspended_until, now + REQUEST_TIMEOUT_MIN);
       break;
     case SNIPE_ANSWER_RESTARTED:
       endpoint->listed = false;
@@ -437,6 +598,10 @@
                      const struct snipe_endpoint_report *report,
                      snipe_time now)
 {
+  /* A late answer is that of an earlier poll than the one sent last. */
+  bool late = report->sent_at > 0 && report->sent_at < endpoint->poll_sent;
+  snipe_time sent = late ? report->sent_at : endpoint->poll_sent;
+
   if (report->started_ms != 0 && endpoint->entry.started_ms != 0)
     {
       if (report->started_ms < endpoint->entry.started_ms)
@@ -444,11 +609,16 @@
       if (report->started_ms > endpoint->entry.started_ms)
         begin_incarnation (endpoint, report->started_ms, now);
     }
-  endpoint->acknowledged_end
-      = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
+  if (!late)
+    endpoint->acknowledged_end
+        = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
   process_ended_runs (pool, endpoint, report, now);
+  /* The answer to a later poll has told what runs since. */
+  if (sent < endpoint->poll_processed)
+    return;
+  endpoint->poll_processed = sent;
   process_running_runs (pool, endpoint, report, now);
-  end_missing_runs (pool, endpoint, report, endpoint->poll_sent, now);
+  end_missing_runs (pool, endpoint, report, sent, now);
   endpoint->claim = CLAIM_CONFIRMED;
   if (endpoint->runs->len > 0)
     snipe_pool_send_poll (pool, endpoint, true, now);
@@ -463,7 +633,9 @@
 
   if (endpoint == NULL)
     return;
-  endpoint->poll_in_flight = false;
+  if (report == NULL || report->sent_at == 0
+      || report->sent_at >= endpoint->poll_sent)
+    endpoint->poll_in_flight = false;
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
@@ -480,9 +652,14 @@
     default:
       /* Unresponsive: no new tasks until it answers the poll requests that
        * snipe_pool_tick () sends. */
-      endpoint->suspended_until
-          = MAX (endpoint->suspended_until, now + POLL_TIMEOUT_MARGIN);
+      endpoint->unresponsive_until
+          = MAX (endpoint->unresponsive_until, now + POLL_TIMEOUT_MARGIN);
+      endpoint->poll_due = now;
+      if (endpoint->unanswered_polls++ > 0)
+        endpoint->poll_due += backoff (endpoint, endpoint->unanswered_polls,
+                                       REQUEST_TIMEOUT_MIN, POLL_INTERVAL_MAX);
       break;
     }
+  snipe_pool_send_claim_polls (pool, now);
   snipe_pool_place_tasks (pool, now);
 }
--- a/src/pool/requests.h
+++ b/src/pool/requests.h
@@ -7,9 +7,11 @@
 
 #include "pool/private.h"
 
-/* Time that an answer to a poll request may take beyond its wait. */
+/* Least time that an answer to a poll request may take beyond its wait. */
 #define POLL_TIMEOUT_MARGIN (150 * SNIPE_MS)
 
+/** Adds the requests that the budget for resends gains as time passes. */
+void snipe_pool_refill_resends (struct snipe_pool *pool, snipe_time now);
 /** Requests the running and ended runs. With @p wait it is a long poll: the
  * endpoint answers when the next run ends. Extends the lease, except that of
  * an unresponsive endpoint without @p wait. Does nothing while a poll request
@@ -21,6 +23,15 @@
                             snipe_time now);
 void snipe_pool_send_stop (struct snipe_pool *pool, struct run *run,
                            snipe_time now);
+/** Sends the unanswered start or stop request of a run again if it is due and
+ * the budget allows it. */
+void snipe_pool_resend_start (struct snipe_pool *pool, struct run *run,
+                              snipe_time now);
+void snipe_pool_resend_stop (struct snipe_pool *pool, struct run *run,
+                             snipe_time now);
+/** Sends the first polls of endpoints whose runs are not known yet, a few at a
+ * time. */
+void snipe_pool_send_claim_polls (struct snipe_pool *pool, snipe_time now);
 /** Ends all runs of an endpoint that has restarted or whose lease expired. */
 void snipe_pool_end_all_runs (struct snipe_pool *pool,
                               struct snipe_pool_endpoint *endpoint,
--- a/tests/loop/test_http_async.c
+++ b/tests/loop/test_http_async.c
@@ -22,18 +22,21 @@
   END_RESET,
 };
 
-/* A server that answers one request per connection. */
+/* A server that answers a number of requests per connection, one after the
+ * other. */
 struct server
 {
   int fd;
   char address[32];
   enum connection_end end;
+  int requests_max; /**< answered on a connection */
+  gulong delay_us;  /**< before each answer */
   pthread_t thread;
   int connections;
   int open_fd; /**< the last connection, if it was left open */
 };
 
-static void
+static bool
 read_request (int fd)
 {
   char data[4096];
@@ -44,12 +47,13 @@
       ssize_t got = recv (fd, data + len, sizeof data - 1 - len, 0);
 
       if (got <= 0)
-        return;
+        return false;
       len += (size_t)got;
       data[len] = '\0';
       if (strstr (data, "\r\n\r\n") != NULL)
-        return;
+        return true;
     }
+  return false;
 }
 
 static void *
@@ -64,8 +68,11 @@
       struct linger reset = { .l_onoff = 1 };
 
       g_atomic_int_inc (&server->connections);
-      read_request (fd);
-      (void)send (fd, answer, sizeof answer - 1, MSG_NOSIGNAL);
+      for (int i = 0; i < server->requests_max && read_request (fd); i++)
+        {
+          g_usleep (server->delay_us);
+          (void)send (fd, answer, sizeof answer - 1, MSG_NOSIGNAL);
+        }
       /* The client has to take the answer before it sees the end. */
       g_usleep (20000);
       if (server->end == END_RESET)
@@ -118,6 +125,9 @@
   int started;
   int statuses[CALLS_MAX];
   int ended;
+  snipe_time overdue_after; /**< 0: not reported */
+  int overdue;
+  gulong block_us; /**< time that the thread does not run after each start */
   snipe_time pause;
   snipe_time next_call;
 };
@@ -132,6 +142,12 @@
   caller->next_call = snipe_clock_now () + caller->pause;
 }
 
+static void
+on_overdue (void *ctx)
+{
+  ((struct caller *)ctx)->overdue++;
+}
+
 static snipe_time
 on_tick (void *ctx, snipe_time now)
 {
@@ -139,12 +155,15 @@
 
   if (caller->started == caller->ended && now >= caller->next_call)
     {
-      struct snipe_http_async_request request = { .method = "GET",
-                                                  .address = caller->address,
-                                                  .path = "/",
-                                                  .timeout = 20 * SNIPE_S,
-                                                  .done = on_done,
-                                                  .ctx = caller };
+      struct snipe_http_async_request request
+          = { .method = "GET",
+              .address = caller->address,
+              .path = "/",
+              .timeout = 20 * SNIPE_S,
+              .done = on_done,
+              .overdue = caller->overdue_after > 0 ? on_overdue : NULL,
+              .overdue_after = caller->overdue_after,
+              .ctx = caller };
 
       if (caller->started == caller->calls)
         snipe_loop_stop (caller->loop);
@@ -154,6 +173,12 @@
           snipe_http_async_call (caller->client, &request);
         }
     }
+  else if (caller->block_us > 0 && caller->started > caller->ended)
+    {
+      /* The request has been sent by now. */
+      g_usleep (caller->block_us);
+      caller->block_us = 0;
+    }
   return 10 * SNIPE_MS;
 }
 
@@ -185,7 +210,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct server server = { .end = cases[i].end };
+      struct server server = { .end = cases[i].end, .requests_max = 1 };
       struct caller caller = { .calls = cases[i].end == END_KEEP ? 1 : 2,
                                .pause = 500 * SNIPE_MS };
       snipe_time used;
@@ -213,11 +238,60 @@
     }
 }
 
+/* Guards against a call that loses its connection and its answer because it
+ * takes long, and against an answer that has arrived but is taken for overdue
+ * because this process was stopped. */
+static void
+test_overdue_calls (void)
+{
+  static const struct
+  {
+    const char *name;
+    gulong delay_us;
+    snipe_time overdue_after;
+    gulong block_us;
+    int calls;
+    int overdue;
+  } cases[] = {
+    { "in time", 0, 10 * SNIPE_S, 0, 2, 0 },
+    { "late", 300000, 50 * SNIPE_MS, 0, 2, 2 },
+    { "not reported", 100000, 0, 0, 2, 0 },
+    { "caller stopped", 100000, 1 * SNIPE_S, 1500000, 1, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct server server = { .end = END_KEEP,
+                               .requests_max = cases[i].calls,
+                               .delay_us = cases[i].delay_us };
+      struct caller caller = { .calls = cases[i].calls,
+                               .overdue_after = cases[i].overdue_after,
+                               .block_us = cases[i].block_us };
+
+      server_start (&server);
+      caller.address = server.address;
+      CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&caller.loop), SNIPE_OK);
+      CU_ASSERT_EQUAL_FATAL (
+          snipe_http_async_new (&caller.client, caller.loop, 8), SNIPE_OK);
+      snipe_loop_run (caller.loop, on_tick, &caller);
+      for (int k = 0; k < caller.calls; k++)
+        CU_ASSERT_EQUAL (caller.statuses[k], 200);
+      if (caller.overdue != cases[i].overdue)
+        printf ("\n  %s: %d overdue", cases[i].name, caller.overdue);
+      CU_ASSERT_EQUAL (caller.overdue, cases[i].overdue);
+      CU_ASSERT_EQUAL (g_atomic_int_get (&server.connections), 1);
+      snipe_http_async_free (caller.client);
+      snipe_loop_free (caller.loop);
+      server_stop (&server);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "idle connections", test_idle_connections },
+    { "overdue calls", test_overdue_calls },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -22,6 +22,8 @@
 #define MODEL_LEASE (1000 * SNIPE_MS)
 /* One-way network delay between hosts of one domain at the reference sites. */
 #define MODEL_DELAY (SNIPE_MS / 2)
+/* Of a request or an answer, with the headers of HTTP and TCP. */
+#define MODEL_MESSAGE_BYTES 700
 
 struct model_run
 {
@@ -49,6 +51,9 @@
   snipe_time poll_delay;    /**< added to the delay of a poll answer */
   /* The poll request that waits for the end of a run. */
   bool poll_pending;
+  uint64_t poll_request;
+  snipe_time poll_sent_at;
+  snipe_time poll_waited;
   uint32_t poll_owner;
   uint64_t poll_token;
   uint64_t poll_last_seen_end;
@@ -70,6 +75,9 @@
   snipe_time time;
   uint64_t sequence;
   enum model_event_kind kind;
+  uint64_t request; /**< number of the request that it belongs to */
+  snipe_time sent_at;
+  bool timeout; /**< the request has not been answered in time */
   uint32_t owner;
   uint32_t endpoint;
   uint64_t token;
@@ -113,7 +121,16 @@
   snipe_time (*duration) (const char *task);
   int64_t cpu;                        /**< of every task */
   int64_t (*size) (const char *task); /**< of a task, by its name; NULL: cpu */
+  /** Rate of the owners' links, 0: unlimited. */
+  int64_t link_bytes_per_ms;
+  snipe_time uplink_free; /**< when the link has sent all requests */
+  snipe_time downlink_free;
+  uint64_t last_request;
+  GHashTable *answered; /**< numbers of the answered requests */
   uint32_t starts;
+  uint32_t start_requests;
+  uint32_t stop_requests;
+  uint32_t resends; /**< requests marked as sent again */
   uint32_t polls;
   uint32_t over_capacity;
   uint32_t duplicate_runs;
@@ -161,6 +178,36 @@
   return (void *)&model->owners[0] == ctx ? 0 : 1;
 }
 
+/* Returns when a message that is sent now has passed a link of the owners'
+ * host. */
+static snipe_time
+model_link (const struct model *model, snipe_time *link_free)
+{
+  if (model->link_bytes_per_ms == 0)
+    return model->now;
+  *link_free = MAX (*link_free, model->now)
+               + MODEL_MESSAGE_BYTES * SNIPE_MS / model->link_bytes_per_ms;
+  return *link_free;
+}
+
+/* Sends a request, and schedules its timeout. */
+static void
+model_send (struct model *model, struct model_event *event,
+            enum model_event_kind answer_kind, snipe_time delay,
+            snipe_time timeout, bool again)
+{
+  event->request = ++model->last_request;
+  event->sent_at = model->now;
+  event->time = model_link (model, &model->uplink_free) + MODEL_DELAY + delay;
+  model->resends += again;
+  model_schedule (model, event);
+  event->kind = answer_kind;
+  event->answer = SNIPE_ANSWER_NONE;
+  event->timeout = true;
+  event->time = model->now + timeout;
+  model_schedule (model, event);
+}
+
 static void
 model_on_start (void *ctx, const struct snipe_pool_start_request *request)
 {
@@ -171,20 +218,12 @@
                                .run = request->run,
                                .valid_until = request->valid_until };
 
+  model->start_requests++;
   event.endpoint = model_endpoint_index (model, request->endpoint->id);
-  event.time = model->now + MODEL_DELAY
-               + model->endpoints[event.endpoint].start_delay;
   g_strlcpy (event.task, request->task, sizeof event.task);
-  model_schedule (model, &event);
-  /* No answer will arrive: schedule the timeout of the request. */
-  if (model->endpoints[event.endpoint].unresponsive
-      || model->endpoints[event.endpoint].drops_start_answers)
-    {
-      event.kind = MODEL_START_ANSWER;
-      event.answer = SNIPE_ANSWER_NONE;
-      event.time = model->now + request->timeout;
-      model_schedule (model, &event);
-    }
+  model_send (model, &event, MODEL_START_ANSWER,
+              model->endpoints[event.endpoint].start_delay, request->timeout,
+              request->again);
 }
 
 static void
@@ -194,18 +233,13 @@
   struct model_event event = { .kind = MODEL_STOP,
                                .owner = model_owner_index (model, ctx),
                                .token = request->token,
-                               .run = request->run,
-                               .time = model->now + MODEL_DELAY };
+                               .run = request->run };
 
+  model->stop_requests++;
   event.endpoint = model_endpoint_index (model, request->endpoint->id);
   g_strlcpy (event.task, request->task, sizeof event.task);
-  if (model->endpoints[event.endpoint].unresponsive)
-    {
-      event.kind = MODEL_STOP_ANSWER;
-      event.answer = SNIPE_ANSWER_NONE;
-      event.time = model->now + request->timeout;
-    }
-  model_schedule (model, &event);
+  model_send (model, &event, MODEL_STOP_ANSWER, 0, request->timeout,
+              request->again);
 }
 
 static void
@@ -217,18 +251,12 @@
                                .token = request->token,
                                .last_seen_end = request->last_seen_end,
                                .valid_until = request->valid_until,
-                               .wait = request->wait,
-                               .time = model->now + MODEL_DELAY };
+                               .wait = request->wait };
 
   model->polls++;
   event.endpoint = model_endpoint_index (model, request->endpoint->id);
-  if (model->endpoints[event.endpoint].unresponsive)
-    {
-      event.kind = MODEL_POLL_ANSWER;
-      event.answer = SNIPE_ANSWER_NONE;
-      event.time = model->now + request->timeout;
-    }
-  model_schedule (model, &event);
+  model_send (model, &event, MODEL_POLL_ANSWER, 0, request->timeout,
+              request->again);
 }
 
 static void
@@ -292,11 +320,15 @@
   struct model_endpoint *endpoint = &model->endpoints[index];
   struct model_event event
       = { .kind = MODEL_POLL_ANSWER,
+          .request = endpoint->poll_request,
+          .sent_at = endpoint->poll_sent_at,
+          .wait = endpoint->poll_waited,
           .owner = endpoint->poll_owner,
           .token = endpoint->poll_token,
           .endpoint = index,
           .answer = SNIPE_ANSWER_OK,
-          .time = model->now + MODEL_DELAY + endpoint->poll_delay };
+          .time = model_link (model, &model->downlink_free) + MODEL_DELAY
+                  + endpoint->poll_delay };
 
   endpoint->poll_pending = false;
   model_fill_report (model, endpoint, &event, endpoint->poll_last_seen_end);
@@ -395,7 +427,7 @@
   struct model_event answer = *event;
 
   answer.kind = MODEL_POLL_ANSWER;
-  answer.time = model->now + MODEL_DELAY;
+  answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
   answer.answer = SNIPE_ANSWER_FENCED;
   answer.from_endpoint = true;
   if (event->token < endpoint->token)
@@ -413,6 +445,9 @@
   if (endpoint->poll_pending)
     model_answer_poll (model, event->endpoint);
   endpoint->poll_pending = true;
+  endpoint->poll_request = event->request;
+  endpoint->poll_sent_at = event->sent_at;
+  endpoint->poll_waited = event->wait;
   endpoint->poll_owner = event->owner;
   endpoint->poll_token = event->token;
   endpoint->poll_last_seen_end = event->last_seen_end;
@@ -432,6 +467,8 @@
       = { .clock_ms = model_clock (model),
           .started_ms = event->started_ms != 0 ? event->started_ms
                                                : endpoint->entry.started_ms,
+          .sent_at = event->sent_at,
+          .waited = event->wait,
           .running = event->runs,
           .running_count = event->run_count,
           .ended = event->ended,
@@ -444,6 +481,12 @@
   answer.from_endpoint = true;
   if (event->kind <= MODEL_POLL && endpoint->unresponsive)
     return;
+  if (event->kind > MODEL_POLL
+      && !g_hash_table_add (model->answered, GSIZE_TO_POINTER (event->request))
+      && event->timeout)
+    return;
+  if (event->kind == MODEL_START || event->kind == MODEL_STOP)
+    answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
   switch (event->kind)
     {
     case MODEL_START:
@@ -554,6 +597,7 @@
                            .duration = duration,
                            .cpu = cpu };
   g_queue_init (&model->events);
+  model->answered = g_hash_table_new (NULL, NULL);
   model->results = g_array_new (FALSE, FALSE, sizeof (struct model_result));
   for (uint32_t i = 0; i < MODEL_OWNERS; i++)
     model->owners[i].model = model;
@@ -617,6 +661,7 @@
       g_free (event);
     }
   g_array_free (model->results, TRUE);
+  g_hash_table_destroy (model->answered);
   for (uint32_t i = 0; i < model->endpoint_count; i++)
     g_array_free (model->endpoints[i].ended, TRUE);
 }
