--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -32,7 +32,9 @@
   char name[SNIPE_NAME_BYTES];
   char address[64]; /**< of its link, "ip:port" */
   char domain[SNIPE_NAME_BYTES];
-  uint32_t cpu_millicores; /**< share of a core that it may use */
+  /** What it can carry, in thousandths of a core; less than its share of a
+   * core if its link is slow. */
+  uint32_t capacity;
   bool leaving;
   snipe_time heartbeat_interval; /**< longest time until its next message */
   uint32_t losses; /**< how often it has declared this host lost */
--- a/include/snipe/pool_id.h
+++ b/include/snipe/pool_id.h
@@ -11,6 +11,9 @@
 #include <stdint.h>
 
 #define SNIPE_NAME_BYTES 208 /**< longest id or name, with its NUL */
+/** Most pools of a service in a domain; a message that names more is invalid.
+ */
+#define SNIPE_POOL_SHARDS_MAX 4096U
 
 struct snipe_pool_id
 {
@@ -30,7 +33,8 @@
                            const struct snipe_pool_id *b);
 /** @return the shard of an endpoint, by a hash of its id. */
 uint32_t snipe_pool_id_shard_of (const char *endpoint, uint32_t shards);
-/** @return the number of pools for @p endpoints endpoints, a power of two. */
-uint32_t snipe_pool_id_shards_for (uint32_t endpoints);
+/** @return the number of pools for @p endpoints endpoints of which a host can
+ * own @p endpoints_max, a power of two. */
+uint32_t snipe_pool_id_shards_for (uint32_t endpoints, uint32_t endpoints_max);
 
 #endif
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -490,8 +490,8 @@
 
       if (peer->live && !peer->advertised.leaving
           && strcmp (peer->advertised.domain, self->domain) == 0
-          && (peer->advertised.cpu_millicores > self->cpu_millicores
-              || (peer->advertised.cpu_millicores == self->cpu_millicores
+          && (peer->advertised.capacity > self->capacity
+              || (peer->advertised.capacity == self->capacity
                   && peer->advertised.incarnation < self->incarnation)))
         return false;
     }
--- a/src/member/owner.c
+++ b/src/member/owner.c
@@ -137,10 +137,8 @@
 static bool
 is_better_candidate (const struct candidate *a, const struct candidate *b)
 {
-  uint64_t a_load
-      = (uint64_t)(a->pools + 1) * MAX (b->member->cpu_millicores, 1);
-  uint64_t b_load
-      = (uint64_t)(b->pools + 1) * MAX (a->member->cpu_millicores, 1);
+  uint64_t a_load = (uint64_t)(a->pools + 1) * MAX (b->member->capacity, 1);
+  uint64_t b_load = (uint64_t)(b->pools + 1) * MAX (a->member->capacity, 1);
 
   if (a_load != b_load)
     return a_load < b_load;
--- a/src/node/groups.c
+++ b/src/node/groups.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#include "node/capacity.h"
+
 static struct endpoint_group *
 find_group (const struct snipe_node *node, const char *service,
             const char *domain)
@@ -90,8 +92,13 @@
     {
       struct owned_pool *pool = g_ptr_array_index (node->owned_pools, i - 1);
 
-      if (snipe_pool_id_same_group (&pool->id, &group->id))
-        g_ptr_array_remove_index (node->owned_pools, i - 1);
+      if (!snipe_pool_id_same_group (&pool->id, &group->id))
+        continue;
+      g_message ("pool: event=released service=%s domain=%s shard=%u/%u "
+                 "token=%" G_GUINT64_FORMAT " reason=divided",
+                 pool->id.service, pool->id.domain, pool->id.shard,
+                 pool->id.shards, pool->token);
+      g_ptr_array_remove_index (node->owned_pools, i - 1);
     }
   snipe_coordinator_pool_split (node->coordinator, &group->id, now);
   node->full_heartbeat_due = 0;
@@ -117,7 +124,9 @@
   for (guint i = 0; i < node->groups->len; i++)
     {
       struct endpoint_group *group = g_ptr_array_index (node->groups, i);
-      uint32_t shards = snipe_pool_id_shards_for (group->endpoint_count);
+      uint32_t shards = snipe_pool_id_shards_for (
+          group->endpoint_count,
+          snipe_capacity_pool_endpoints (node->capacity));
 
       if (shards > group->id.shards)
         set_shards (node, group, shards, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "node/capacity.h"
 #include "snipe/counter.h"
 #include "snipe/status.h"
 #include "util/log.h"
@@ -91,7 +92,9 @@
   g_strlcpy (members.self.name, options->name, sizeof members.self.name);
   g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
   g_strlcpy (members.self.address, node->address, sizeof members.self.address);
-  members.self.cpu_millicores = options->cpu_millicores;
+  node->capacity
+      = snipe_capacity_of_host (options->cpu_millicores, options->link_kbps);
+  members.self.capacity = node->capacity;
   if (!options->first_start)
     members.settle_delay = RESTART_SETTLE_DELAY;
   members.failure_timeout = choose_failure_timeout (options);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -58,6 +58,7 @@
   const char *advertise_address;
   bool first_start; /**< of the fleet: the list of hosts is incomplete */
   uint32_t cpu_millicores; /**< share of a core, in thousandths */
+  uint32_t link_kbps;      /**< rate of its link in kbit/s, 0: unlimited */
   struct snipe_loop *loop;
   snipe_time lease_max;    /**< longest lease of an endpoint */
   snipe_time stop_max;     /**< longest duration of a stop */
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -101,6 +101,7 @@
   uint64_t incarnation;
   uint64_t token_host_id; /**< low bits of this host's fencing tokens */
   char address[64];
+  uint32_t capacity; /**< thousandths of a core, see capacity.h */
   bool leaving;
   uint64_t store_version;
   uint64_t config_version;
--- a/src/pool/pool_id.c
+++ b/src/pool/pool_id.c
@@ -3,12 +3,6 @@
 #include <glib.h>
 #include <string.h>
 
-/* Endpoints above which a pool is split. Up to this number, one pool per
- * domain packs tasks best. With more, a host that has a tenth of a core falls
- * behind: a start costs it about 0.25 ms of CPU time, and an endpoint takes
- * some ten starts a second. */
-#define POOL_ENDPOINTS_MAX 24
-
 bool
 snipe_pool_id_same_group (const struct snipe_pool_id *a,
                           const struct snipe_pool_id *b)
@@ -51,11 +45,12 @@
 }
 
 uint32_t
-snipe_pool_id_shards_for (uint32_t endpoints)
+snipe_pool_id_shards_for (uint32_t endpoints, uint32_t endpoints_max)
 {
   uint32_t shards = 1;
 
-  while (endpoints > shards * POOL_ENDPOINTS_MAX)
+  while (endpoints > shards * MAX (endpoints_max, 1)
+         && shards < SNIPE_POOL_SHARDS_MAX)
     shards *= 2;
   return shards;
 }
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -17,7 +17,7 @@
   bool leaving;
   uint64_t token;            /**< of its claim of the pool, 0: none */
   snipe_time since_received; /**< time since its last heartbeat */
-  uint32_t cpu_millicores;
+  uint32_t capacity;
 };
 
 struct decide_case
@@ -67,7 +67,7 @@
           .token = host->token };
   struct snipe_member member = { .incarnation = host->incarnation,
                                  .leaving = host->leaving,
-                                 .cpu_millicores = host->cpu_millicores,
+                                 .capacity = host->capacity,
                                  .claims = &claim,
                                  .claim_count = host->token > 0 };
 
@@ -376,25 +376,22 @@
     { "leaves", true, { 0 }, false, false },
     { "a larger one",
       false,
-      { .incarnation = 20, .domain = "a", .cpu_millicores = 100 },
+      { .incarnation = 20, .domain = "a", .capacity = 100 },
       false,
       false },
     { "a larger one of another domain",
       false,
-      { .incarnation = 20, .domain = "b", .cpu_millicores = 100 },
+      { .incarnation = 20, .domain = "b", .capacity = 100 },
       false,
       true },
     { "a larger one that leaves",
       false,
-      { .incarnation = 20,
-        .domain = "a",
-        .cpu_millicores = 100,
-        .leaving = true },
+      { .incarnation = 20, .domain = "a", .capacity = 100, .leaving = true },
       false,
       true },
     { "a larger one that was lost",
       false,
-      { .incarnation = 20, .domain = "a", .cpu_millicores = 100 },
+      { .incarnation = 20, .domain = "a", .capacity = 100 },
       true,
       true },
     { "as large, lower incarnation",
@@ -454,7 +451,7 @@
         receive_heartbeat (members,
                            &(struct host_case){ .incarnation = 20,
                                                 .domain = "a",
-                                                .cpu_millicores = 100 },
+                                                .capacity = 100 },
                            START);
       if (snipe_members_should_unlist (members, cases[i].since_received)
           != cases[i].unlisted)
