Let pools decline batches that they cannot start at once

Cause: a coordinator chooses a pool by its last load report, which is 66 ms old with 44 hosts, 220 ms with 147, and four times that for other domains. Hosts that send to the same pool do not see each other's batches in between, so jobs queue in a full pool while other pools have free capacity. Ruled out: reports at a shorter interval, which grow with hosts times pools. Change: a batch that is planned on free capacity is declinable: a pool that cannot start all of its tasks now rejects it, unless a task of the job may run there. The coordinator then counts the pool as full and tries the next one, up to three times; a batch that is queued on purpose is not declinable. Between hosts the first attempt of a batch is the declinable one, so the protocol stays as it is.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -22,6 +22,10 @@
 
 #define SNIPE_TASK_NAME_BYTES 96 /**< "<job>.<occurrence>.<step>.<index>" */
 
+/** Attempt of a batch that its pool may decline; the attempts of a batch that
+ * it may not decline start above. */
+#define SNIPE_POOL_DECLINABLE_ATTEMPT 1
+
 struct snipe_pool;
 struct snipe_pool_endpoint;
 
@@ -82,6 +86,9 @@
   snipe_time soft_deadline;   /**< wanted completion time */
   snipe_time hard_deadline;   /**< a later result is worthless to the caller */
   snipe_time caller_deadline; /**< the caller stops waiting */
+  /** The pool rejects it with SNIPE_E_REFUSED if it cannot start all tasks at
+   * once: its coordinator then tries another pool. */
+  bool declinable;
   bool resent; /**< may already run, started by a previous owner */
   /** If resent: digest of the endpoints that the previous owner used, 0 if
    * unknown. If the digest of this owner differs, the tasks may run at
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -6,6 +6,9 @@
 
 /* Number of times that rejected tasks of a job are sent to another pool. */
 #define REASSIGNMENTS_MAX 3
+/* Number of times that pools may decline tasks of a job. Each costs a message
+ * each way; with more, the last pools to be tried are hardly less loaded. */
+#define DECLINES_MAX 3
 /* Hard deadline of a job in multiples of its target duration: by the users'
  * rules, a later result is worthless to the caller. */
 #define HARD_DEADLINE_FACTOR 3
@@ -34,6 +37,7 @@
   uint32_t *indexes;
   uint32_t count;
   uint32_t attempts;        /**< number of times that it was sent */
+  bool declinable;          /**< the pool may decline it */
   uint64_t endpoint_digest; /**< of the endpoints that may run its tasks */
 };
 
@@ -45,6 +49,7 @@
   snipe_time hard_deadline;
   uint32_t unfinished; /**< tasks that have not completed */
   uint32_t reassignments;
+  uint32_t declines;
   bool started; /**< a task may have started */
   bool held;    /**< waits for a pool owner or for the list of endpoints */
   GPtrArray *batches;
@@ -189,6 +194,7 @@
     .soft_deadline = batch->job->soft_deadline,
     .hard_deadline = batch->job->hard_deadline,
     .caller_deadline = spec->caller_deadline,
+    .declinable = batch->declinable && !resent,
     .resent = resent,
     .endpoint_digest = batch->endpoint_digest,
   };
@@ -217,6 +223,9 @@
   batch->number = ++coordinator->next_number;
   batch->job = job;
   batch->pool = share->pool;
+  batch->declinable = !share->queued && job->declines < DECLINES_MAX;
+  /* Between hosts, only the first attempt of a batch is declinable. */
+  batch->attempts = batch->declinable ? 0 : SNIPE_POOL_DECLINABLE_ATTEMPT;
   batch->count = share->count;
   batch->indexes = g_memdup2 (indexes, share->count * sizeof *indexes);
   g_hash_table_insert (coordinator->batches, &batch->number, batch);
@@ -542,6 +551,7 @@
   uint32_t not_run_count = 0;
   bool failed = false;
   bool stopped = false;
+  bool declined;
 
   if (batch == NULL || result->count != batch->count
       || (result->code != SNIPE_OK
@@ -569,6 +579,12 @@
    * was run. */
   if (job->batches->len == 1 && not_run_count == job->spec.count)
     job->started = false;
+  declined = result->code == SNIPE_E_REFUSED && not_run_count == batch->count;
+  if (declined)
+    {
+      job->declines++;
+      g_array_set_size (batch->pool->free_cpu, 0);
+    }
   batch->owner = 0;
   remove_batch (coordinator, batch);
   if (failed)
@@ -583,7 +599,7 @@
     answer_job (coordinator, job, SNIPE_COORDINATOR_COMPLETE, SNIPE_OK, 0);
   else if (not_run_count > 0)
     {
-      if (++job->reassignments > REASSIGNMENTS_MAX)
+      if (!declined && ++job->reassignments > REASSIGNMENTS_MAX)
         abandon_job (coordinator, job, result->code, result->retry_after);
       else
         dispatch (coordinator, job, not_run, not_run_count, now);
--- a/src/coordinator/private.h
+++ b/src/coordinator/private.h
@@ -44,6 +44,7 @@
 {
   struct pool_view *pool;
   uint32_t count;
+  bool queued; /**< not all of them are expected to start at once */
 };
 
 /**
--- a/src/coordinator/route.c
+++ b/src/coordinator/route.c
@@ -205,6 +205,7 @@
       if (i == shares)
         out[shares++] = (struct share){ .pool = earliest->pool };
       out[i].count += left;
+      out[i].queued = true;
     }
   g_array_free (candidates, TRUE);
   return shares;
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -96,7 +96,9 @@
   int caller_deadline_ms;
   /* The tasks may already run under an earlier owner of the pool. */
   bool resent;
-  /* How often the batch was sent, including this time. */
+  /* Number of the sending. The pool may decline the first one if it cannot
+   * start all tasks at once; a batch that it may not decline begins with the
+   * second. */
   unsigned int attempt;
   /* If resent: digest of the ids of the endpoints that the earlier owner used
    * last, 0 if unknown. */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -532,6 +532,7 @@
           .soft_deadline = now + from->soft_deadline_ms * SNIPE_MS,
           .hard_deadline = now + from->hard_deadline_ms * SNIPE_MS,
           .caller_deadline = now + from->caller_deadline_ms * SNIPE_MS,
+          .declinable = from->attempt == SNIPE_POOL_DECLINABLE_ATTEMPT,
           .resent = from->resent,
           .endpoint_digest = from->endpoint_digest };
 
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -333,6 +333,43 @@
     task->next_run += RUN_NUMBER_INCREMENT;
 }
 
+/* Whether a task of the job may run here, for this or another coordinator. */
+static bool
+knows_job (const struct snipe_pool *pool, const char *job)
+{
+  size_t len = strlen (job);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < pool->batches->len; i++)
+    if (strcmp (((struct batch *)g_ptr_array_index (pool->batches, i))->job,
+                job)
+        == 0)
+      return true;
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+
+      for (guint i = 0; i < endpoint->runs->len; i++)
+        {
+          const struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+          if (strncmp (run->task, job, len) == 0 && run->task[len] == '.')
+            return true;
+        }
+    }
+  return false;
+}
+
+/* Rejects a batch of which nothing has been started. */
+static void
+decline (struct snipe_pool *pool, struct batch *batch, snipe_time now)
+{
+  g_ptr_array_add (pool->batches, batch);
+  snipe_batch_finish (pool, batch, SNIPE_E_REFUSED, 0, now);
+}
+
 void
 snipe_pool_submit (struct snipe_pool *pool,
                    const struct snipe_pool_batch *from, snipe_time now)
@@ -345,6 +382,12 @@
   if (from->count == 0 || batch != NULL)
     return;
   batch = batch_new (from, now);
+  if (from->declinable && !from->resent && !knows_job (pool, from->job)
+      && !snipe_pool_can_start (pool, batch, now))
+    {
+      decline (pool, batch, now);
+      return;
+    }
   take_over_runs (pool, batch, from, now);
   g_ptr_array_add (pool->batches, batch);
   adopt_runs (pool, batch);
--- a/src/pool/place.c
+++ b/src/pool/place.c
@@ -12,6 +12,10 @@
  *   tests/pool/test_pool_load.c).
  * - Wide batches under load: a batch that has a started task goes first,
  *   because its job has no value until its last task has ended.
+ * - Many hosts that send to the same pools with views of the free capacity
+ *   that are as old as the fleet is large: a pool declines a batch that it
+ *   cannot start at once, so that it does not wait while other pools have free
+ *   capacity (tests/coordinator/test_fleet_load.c).
  * - Tasks that need a third to a half of an endpoint: the endpoint with the
  *   least free capacity is filled first, so that others keep enough free
  *   capacity for large tasks. */
@@ -115,6 +119,47 @@
   return best;
 }
 
+static uint32_t
+free_slots (const struct snipe_pool_endpoint *endpoint,
+            const struct batch *batch)
+{
+  const struct snipe_capacity *capacity = &endpoint->entry.capacity;
+  const struct snipe_capacity *used = &endpoint->used;
+  const struct snipe_capacity *size = &batch->task_resources;
+  int64_t slots
+      = batch->max_per_endpoint > 0 ? batch->max_per_endpoint : batch->count;
+
+  if (size->cpu > 0)
+    slots = MIN (slots, (capacity->cpu - used->cpu) / size->cpu);
+  if (size->mem_mb > 0)
+    slots = MIN (slots, (capacity->mem_mb - used->mem_mb) / size->mem_mb);
+  if (size->gpu > 0)
+    slots = MIN (slots, (capacity->gpu - used->gpu) / size->gpu);
+  return (uint32_t)MAX (slots, 0);
+}
+
+bool
+snipe_pool_can_start (const struct snipe_pool *pool, const struct batch *batch,
+                      snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t slots = 0;
+
+  if (pool->fenced)
+    return false;
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (slots < batch->count && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct snipe_pool_endpoint *endpoint = value;
+
+      if (snipe_pool_endpoint_usable (endpoint, now)
+          && has_label (&endpoint->entry, batch->label))
+        slots += free_slots (endpoint, batch);
+    }
+  return slots >= batch->count;
+}
+
 struct sort_context
 {
   const struct snipe_pool *pool;
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -178,6 +178,9 @@
 struct snipe_pool_endpoint *
 snipe_pool_choose_endpoint (const struct snipe_pool *pool,
                             const struct batch *batch, snipe_time now);
+/** @return whether all tasks of a batch can be started now. */
+bool snipe_pool_can_start (const struct snipe_pool *pool,
+                           const struct batch *batch, snipe_time now);
 /** Sorts @p queue, the batches with waiting tasks, by scheduling order. */
 void snipe_pool_sort_batches (const struct snipe_pool *pool, GPtrArray *queue,
                               snipe_time now);
--- a/tests/coordinator/test_coordinator.c
+++ b/tests/coordinator/test_coordinator.c
@@ -25,6 +25,7 @@
     char domain[8];
     uint32_t count;
     uint32_t indexes[64];
+    bool declinable;
     bool resent;
   } sent[SENT_MAX];
   uint32_t sent_count;
@@ -50,6 +51,7 @@
   record->sent[record->sent_count].count = batch->count;
   memcpy (record->sent[record->sent_count].indexes, batch->indexes,
           batch->count * sizeof *batch->indexes);
+  record->sent[record->sent_count].declinable = batch->declinable;
   record->sent[record->sent_count++].resent = batch->resent;
   return 0;
 }
@@ -709,10 +711,95 @@
   snipe_coordinator_free (coordinator);
 }
 
+struct decline_case
+{
+  const char *name;
+  struct pool_case pools[3];
+  uint32_t count;
+  uint32_t declines; /**< by the pools that the job is sent to */
+  const char *last;  /**< domain of the last batch, NULL: refused */
+  bool last_declinable;
+};
+
+/* Guards against a job that goes back to the pool that has declined it while
+ * another one may have free capacity, one that is declined without end, and
+ * one that is refused because it was declined. */
+static void
+test_declined (void)
+{
+  const struct decline_case cases[] = {
+    { "to the next pool",
+      { { "a", OWNER_A, 8, 64000, 8, 0, 1.0 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.0 } },
+      4,
+      1,
+      "b",
+      true },
+    { "no pool is known to have room: queued",
+      { { "a", OWNER_A, 8, 64000, 8, 8 * 64000 * 50, 1.0 },
+        { "b", OWNER_B, 8, 64000, 8, 0, 1.0 } },
+      4,
+      2,
+      "b",
+      false },
+    { "queued from the start",
+      { { "a", OWNER_A, 0, 0, 8, 8 * 64000 * 10, 1.0 } },
+      4,
+      0,
+      "a",
+      false },
+    { "only pool",
+      { { "a", OWNER_A, 8, 64000, 8, 0, 1.0 } },
+      4,
+      1,
+      "a",
+      false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct decline_case *row = &cases[i];
+      struct record record;
+      struct snipe_coordinator *coordinator = new_coordinator (&record);
+      uint32_t last;
+
+      for (size_t k = 0; k < 3 && row->pools[k].domain != NULL; k++)
+        report_load (coordinator, &row->pools[k], k + 1, NOW);
+      submit (coordinator, row->count, 200 * SNIPE_MS, NOW);
+      for (uint32_t k = 0; k < row->declines; k++)
+        {
+          CU_ASSERT_TRUE (record.sent[k].declinable);
+          CU_ASSERT_EQUAL (record.sent[k].attempt,
+                           SNIPE_POOL_DECLINABLE_ATTEMPT);
+          send_result (coordinator, &record, k, SNIPE_TASK_NOT_RUN,
+                       SNIPE_E_REFUSED, NOW + SNIPE_MS);
+        }
+      CU_ASSERT_EQUAL_FATAL (record.sent_count, row->declines + 1);
+      last = record.sent_count - 1;
+      if (strcmp (record.sent[last].domain, row->last) != 0
+          || record.sent[last].declinable != row->last_declinable)
+        printf ("\n  %s: last to %s", row->name, record.sent[last].domain);
+      CU_ASSERT_STRING_EQUAL (record.sent[last].domain, row->last);
+      CU_ASSERT_EQUAL (record.sent[last].declinable, row->last_declinable);
+      CU_ASSERT_EQUAL (record.sent[last].attempt
+                           > SNIPE_POOL_DECLINABLE_ATTEMPT,
+                       !row->last_declinable);
+      CU_ASSERT_EQUAL (record.answers, 0);
+      /* Declines do not use up the reassignments of a rejected job, and no
+       * task of it has run. */
+      send_result (coordinator, &record, last, SNIPE_TASK_NOT_RUN,
+                   SNIPE_E_OVERLOAD, NOW + 2 * SNIPE_MS);
+      CU_ASSERT_EQUAL (record.answers, 0);
+      CU_ASSERT_EQUAL (record.sent_count, last + 2);
+      snipe_coordinator_free (coordinator);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
+    { "declined", test_declined },
     { "route", test_route },
     { "ends", test_ends },
     { "owner change", test_owner_change },
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -127,6 +127,9 @@
   snipe_time downlink_free;
   uint64_t last_request;
   GHashTable *answered; /**< numbers of the answered requests */
+  /** Receives the results of batches; NULL: they are added to results. */
+  void (*on_result) (struct model *model,
+                     const struct snipe_pool_result *result);
   uint32_t starts;
   uint32_t start_requests;
   uint32_t stop_requests;
@@ -266,6 +269,11 @@
   struct model_result row
       = { .number = result->number, .code = result->code, .time = model->now };
 
+  if (model->on_result != NULL)
+    {
+      model->on_result (model, result);
+      return;
+    }
   for (uint32_t i = 0; i < result->count; i++)
     {
       row.done += result->outcomes[i] == SNIPE_TASK_DONE;
@@ -676,6 +684,7 @@
   snipe_time soft_deadline;   /**< from now */
   snipe_time hard_deadline;   /**< from now */
   snipe_time caller_deadline; /**< from now */
+  bool declinable;
   bool resent;
   uint64_t endpoint_digest; /**< digest of the previous owner's endpoints */
   int64_t cpu;              /**< 0: that of the model */
@@ -704,6 +713,7 @@
           .soft_deadline = model->now + job->soft_deadline,
           .hard_deadline = model->now + job->hard_deadline,
           .caller_deadline = model->now + job->caller_deadline,
+          .declinable = job->declinable,
           .resent = job->resent,
           .endpoint_digest = job->endpoint_digest };
 
