Check numbers of messages before they are used

Cause: found by looking for the failure of similar systems in which a malformed message takes a process down. A heartbeat that names 2^31 pools made a host list them all; a job whose tasks need a negative number of cores freed capacity at its endpoint, so that others exceeded it; an ended run with the number -1 hid all later ends of its endpoint; capacities near 2^63 overflowed in sums, and a real number beyond 2^63 was converted, which is undefined. Change: ids of pools are checked where messages are decoded, and a message with an impossible one is ignored and logged (a batch is rejected as not run). A batch that cannot be copied is not queued as an empty one.

--- a/include/snipe/pool_id.h
+++ b/include/snipe/pool_id.h
@@ -23,6 +23,10 @@
   uint32_t shards; /**< pools of this service in the domain, a power of two */
 };
 
+/** @return whether the numbers of an id that another host has sent are
+ * possible. A host lists all pools of a group, so a wrong number of pools could
+ * use up its memory. */
+bool snipe_pool_id_is_valid (const struct snipe_pool_id *id);
 /** @return whether both belong to the same service and domain. */
 bool snipe_pool_id_same_group (const struct snipe_pool_id *a,
                                const struct snipe_pool_id *b);
--- a/src/node/groups.c
+++ b/src/node/groups.c
@@ -140,8 +140,7 @@
 {
   struct endpoint_group *group = find_group (node, id->service, id->domain);
 
-  if (group == NULL || id->shards <= group->id.shards
-      || (id->shards & (id->shards - 1)) != 0)
+  if (group == NULL || id->shards <= group->id.shards)
     return;
   set_shards (node, group, id->shards, now);
   rebuild_pool_list (node);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -52,34 +52,44 @@
                       .shards = id->shards };
 }
 
-static struct snipe_pool_id
-decode_pool (const link_pool *from)
+/* @return whether the pool is a possible one; if not, the message has to be
+ * ignored. */
+static bool
+decode_pool (struct snipe_pool_id *out, const link_pool *from)
 {
-  struct snipe_pool_id id = { .shard = from->shard, .shards = from->shards };
-
-  g_strlcpy (id.service, from->service, sizeof id.service);
-  g_strlcpy (id.domain, from->domain, sizeof id.domain);
-  return id;
+  *out
+      = (struct snipe_pool_id){ .shard = from->shard, .shards = from->shards };
+  g_strlcpy (out->service, from->service, sizeof out->service);
+  g_strlcpy (out->domain, from->domain, sizeof out->domain);
+  if (snipe_pool_id_is_valid (out))
+    return true;
+  g_warning ("link: event=bad_pool service=%s domain=%s shard=%u/%u",
+             out->service, out->domain, out->shard, out->shards);
+  return false;
 }
 
 static int
 queue_batch (struct snipe_node *node, const struct snipe_pool_id *pool,
              const struct snipe_pool_batch *batch)
 {
-  struct local_message *message = g_new0 (struct local_message, 1);
-  struct snipe_pool_batch *copy = &message->u.batch.batch;
-
+  struct local_message *message;
+  struct snipe_pool_batch *copy;
+  struct snipe_str spec = SNIPE_STR_INIT;
+
+  if (snipe_str_set (&spec, batch->spec.data, batch->spec.len) < 0)
+    return SNIPE_E_NOMEM;
+  message = g_new0 (struct local_message, 1);
+  copy = &message->u.batch.batch;
   message->kind = LOCAL_BATCH;
   message->u.batch.pool = *pool;
   *copy = *batch;
+  copy->spec = spec;
   copy->job = g_strdup (batch->job);
   copy->route = g_strdup (batch->route);
   copy->label = g_strdup (batch->label);
   copy->rack = g_strdup (batch->rack);
   copy->indexes
       = g_memdup2 (batch->indexes, batch->count * sizeof *batch->indexes);
-  copy->spec = (struct snipe_str)SNIPE_STR_INIT;
-  snipe_str_set (&copy->spec, batch->spec.data, batch->spec.len);
   g_queue_push_tail (&node->local_queue, message);
   return SNIPE_OK;
 }
@@ -430,8 +440,7 @@
           .capacity = heartbeat->cpu_millicores,
           .leaving = heartbeat->leaving,
           .heartbeat_interval = heartbeat->heartbeat_interval_ms * SNIPE_MS,
-          .losses = heartbeat->loss_count,
-          .claim_count = heartbeat->claims.claims_len };
+          .losses = heartbeat->loss_count };
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, heartbeat->claims.claims_len + 1);
   enum snipe_heartbeat_effect effect;
@@ -446,11 +455,14 @@
   g_strlcpy (member.domain, heartbeat->domain, sizeof member.domain);
   for (u_int i = 0; i < heartbeat->claims.claims_len; i++)
     {
-      const link_claim *claim = &heartbeat->claims.claims_val[i];
-
-      claims[i].pool = decode_pool (&claim->pool);
-      claims[i].token = claim->token;
-      snipe_node_adopt_shards (node, &claims[i].pool, now);
+      const link_claim *from = &heartbeat->claims.claims_val[i];
+      struct snipe_claim *claim = &claims[member.claim_count];
+
+      if (!decode_pool (&claim->pool, &from->pool))
+        continue;
+      claim->token = from->token;
+      member.claim_count++;
+      snipe_node_adopt_shards (node, &claim->pool, now);
     }
   member.claims = claims;
   node->store_version = MAX (node->store_version, heartbeat->store_version);
@@ -490,7 +502,7 @@
 static void
 on_load (struct snipe_node *node, const link_load *load, snipe_time now)
 {
-  struct snipe_pool_id id = decode_pool (&load->pool);
+  struct snipe_pool_id id;
   struct snipe_coordinator_load view
       = { .pool = &id,
           .owner = load->incarnation,
@@ -502,14 +514,15 @@
           .slowdown = load->slowdown_permille / 1000.0,
           .endpoint_digest = load->endpoint_digest };
 
-  if (snipe_members_is_live (node->members, load->incarnation))
+  if (decode_pool (&id, &load->pool)
+      && snipe_members_is_live (node->members, load->incarnation))
     snipe_coordinator_update_load (node->coordinator, &view, now);
 }
 
 static void
 on_batch (struct snipe_node *node, const link_batch *from, snipe_time now)
 {
-  struct snipe_pool_id id = decode_pool (&from->pool);
+  struct snipe_pool_id id;
   snipe_time delay;
   struct snipe_pool_batch batch
       = { .coordinator = from->coordinator,
@@ -536,6 +549,11 @@
           .resent = from->resent,
           .endpoint_digest = from->endpoint_digest };
 
+  if (!decode_pool (&id, &from->pool))
+    {
+      snipe_node_reject_batch (node, &batch, SNIPE_E_INVALID);
+      return;
+    }
   delay = snipe_members_delay (node->members, from->coordinator, from->sent_us,
                                now);
   if (delay <= BATCH_DELAY_MAX)
@@ -571,9 +589,11 @@
 static void
 on_drain (struct snipe_node *node, const link_drain *drain)
 {
-  struct snipe_pool_id id = decode_pool (&drain->pool);
-  struct owned_pool *pool = snipe_node_find_pool (node, &id);
+  struct snipe_pool_id id;
+  struct owned_pool *pool = NULL;
 
+  if (decode_pool (&id, &drain->pool))
+    pool = snipe_node_find_pool (node, &id);
   if (pool == NULL)
     return;
   snipe_node_log (node, "event=endpoint id=%s state=draining source=peer",
--- a/src/pool/pool_id.c
+++ b/src/pool/pool_id.c
@@ -3,6 +3,13 @@
 #include <glib.h>
 #include <string.h>
 
+bool
+snipe_pool_id_is_valid (const struct snipe_pool_id *id)
+{
+  return id->shards > 0 && id->shards <= SNIPE_POOL_SHARDS_MAX
+         && (id->shards & (id->shards - 1)) == 0 && id->shard < id->shards;
+}
+
 bool
 snipe_pool_id_same_group (const struct snipe_pool_id *a,
                           const struct snipe_pool_id *b)
--- /dev/null
+++ b/tests/adapter/test_malformed.c
@@ -0,0 +1,234 @@
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "formats.h"
+#include "snipe/status.h"
+#include "suite.h"
+
+#define SEEDS 4000
+#define RESOURCE_LIMIT ((int64_t)1 << 40)
+
+static const char *const values[] = { "-1",
+                                      "0",
+                                      "9223372036854775807",
+                                      "-9223372036854775808",
+                                      "4294967296",
+                                      "1e308",
+                                      "null",
+                                      "[]",
+                                      "{}",
+                                      "\"x\"",
+                                      "true",
+                                      "\"\"" };
+
+/* Returns a copy of a valid message with one to four changes: bytes that are
+ * replaced or removed, or a number that is replaced by another value. */
+static GString *
+mutate (const char *message, GRand *rand)
+{
+  GString *text = g_string_new (message);
+  int changes = g_rand_int_range (rand, 1, 5);
+
+  for (int i = 0; i < changes && text->len > 0; i++)
+    {
+      gsize at = (gsize)g_rand_int_range (rand, 0, (gint32)text->len);
+      gsize end;
+
+      switch (g_rand_int_range (rand, 0, 4))
+        {
+        case 0:
+          text->str[at] = (char)g_rand_int_range (rand, 1, 256);
+          break;
+        case 1:
+          g_string_erase (text, (gssize)at, MIN (8, (gssize)(text->len - at)));
+          break;
+        case 2:
+          g_string_truncate (text, at);
+          break;
+        default:
+          while (at < text->len && !g_ascii_isdigit (text->str[at]))
+            at++;
+          for (end = at; end < text->len && g_ascii_isdigit (text->str[end]);)
+            end++;
+          g_string_erase (text, (gssize)at, (gssize)(end - at));
+          g_string_insert (
+              text, (gssize)at,
+              values[g_rand_int_range (rand, 0, G_N_ELEMENTS (values))]);
+          break;
+        }
+    }
+  return text;
+}
+
+static bool
+is_valid_capacity (const struct snipe_capacity *capacity)
+{
+  return capacity->cpu >= 0 && capacity->cpu < RESOURCE_LIMIT
+         && capacity->mem_mb >= 0 && capacity->mem_mb < RESOURCE_LIMIT
+         && capacity->gpu >= 0 && capacity->gpu < RESOURCE_LIMIT;
+}
+
+static void
+decode_config (const GString *text)
+{
+  platform_config_free (platform_config_decode (text->str, text->len));
+}
+
+static void
+decode_job (const GString *text)
+{
+  struct platform_job job;
+
+  if (platform_job_decode (&job, text->str, text->len) < 0)
+    return;
+  CU_ASSERT_TRUE (is_valid_capacity (&job.task_resources));
+  CU_ASSERT_TRUE (job.count >= 1 && job.count <= 4096);
+  CU_ASSERT_TRUE (job.estimate > 0 && job.estimate < RESOURCE_LIMIT);
+  json_decref (job.root);
+}
+
+static void
+decode_rows (const GString *text)
+{
+  const struct snipe_str body = { .data = text->str, .len = text->len };
+  struct platform_rows rows;
+
+  if (platform_rows_decode (&rows, &body) == SNIPE_OK)
+    platform_rows_clear (&rows);
+}
+
+static void
+decode_endpoint (const GString *text)
+{
+  const struct platform_row row
+      = { .key = "e1", .value = text->str, .len = text->len };
+  struct snipe_endpoint_entry entry;
+
+  platform_endpoint_row_digest (&row);
+  if (platform_endpoint_decode (&entry, &row) == SNIPE_OK)
+    CU_ASSERT_TRUE (is_valid_capacity (&entry.capacity));
+}
+
+static void
+decode_host (const GString *text)
+{
+  const struct platform_row row
+      = { .key = "h1", .value = text->str, .len = text->len };
+  struct platform_host host;
+
+  (void)platform_host_decode (&host, &row);
+}
+
+static void
+decode_report (const GString *text)
+{
+  const struct snipe_str body = { .data = text->str, .len = text->len };
+  struct snipe_endpoint_report report;
+
+  (void)platform_report_decode (&report, 200, &body);
+  for (uint32_t i = 0; i < report.ended_count; i++)
+    CU_ASSERT_TRUE (report.ended[i].sequence >= 1
+                    && report.ended[i].sequence <= INT64_MAX);
+  platform_report_clear (&report);
+}
+
+/* Guards against a message that crashes the process, and against a value that
+ * passes the decoder and does harm later: a task of -1 cores would free
+ * capacity, and an end with the number -1 would hide all that follow it. Runs
+ * under the sanitizers in CI. */
+static void
+test_mutations (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *message;
+    void (*decode) (const GString *text);
+  } cases[] = {
+    { "configuration",
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+      "\"path_prefix\":\"/a/\",\"service\":\"s\",\"priority\":1,"
+      "\"attempts\":3,\"slack_factor\":1.6,\"slo_ms\":60,"
+      "\"timeout_ms\":1500}],\"limits\":{\"max_body_bytes\":100}}",
+      decode_config },
+    { "job",
+      "{\"spec\":\"text\",\"best_effort\":true,\"steps\":[{\"count\":4,"
+      "\"cpu\":500,\"mem_mb\":256,\"gpu\":0,\"estimate_ms\":900,"
+      "\"max_per_server\":2,\"affinity\":\"r1-3\",\"requires\":\"a\"}]}",
+      decode_job },
+    { "rows",
+      "{\"rows\":[{\"table\":\"t\",\"key\":\"k\",\"value\":\"e30=\","
+      "\"ver\":12},{\"key\":\"l\",\"ver\":13,\"deleted\":true}],"
+      "\"ver\":14,\"now_ms\":5,\"has_more\":false}",
+      decode_rows },
+    { "endpoint",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"version\":\"1\",\"slots\":8,\"state\":\"ready\",\"seq_no\":12,"
+      "\"cold_left_ms\":0,\"born\":1700000000000,\"capacity\":{\"cpu\":64000,"
+      "\"mem_mb\":131072,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}",
+      decode_endpoint },
+    { "host", "{\"address\":\"10.0.0.1:80\",\"domain\":\"z\"}", decode_host },
+    { "report",
+      "{\"clock_ms\":482113,\"born\":1700000000000,\"running\":"
+      "[[\"5c0e7a21d94b36f8.0.1.17\",2,\"\",41,500]],\"finished\":"
+      "[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"],"
+      "[59,\"5c0e7a21d94b36f8.0.1.8\",1,\"failed\",\"\"]]}",
+      decode_report },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *valid = g_string_new (cases[i].message);
+
+      cases[i].decode (valid);
+      g_string_free (valid, TRUE);
+      for (guint32 seed = 1; seed <= SEEDS; seed++)
+        {
+          GRand *rand = g_rand_new_with_seed (seed);
+          GString *text = mutate (cases[i].message, rand);
+          unsigned int before = CU_get_number_of_failures ();
+
+          cases[i].decode (text);
+          if (CU_get_number_of_failures () != before)
+            printf ("\n  %s, seed %u: %s", cases[i].name, seed, text->str);
+          g_string_free (text, TRUE);
+          g_rand_free (rand);
+        }
+    }
+}
+
+static void
+discard_log (const gchar *domain, GLogLevelFlags level, const gchar *message,
+             gpointer ctx)
+{
+  (void)domain;
+  (void)level;
+  (void)message;
+  (void)ctx;
+}
+
+static GLogWriterOutput
+discard_structured_log (GLogLevelFlags level, const GLogField *fields,
+                        gsize count, gpointer ctx)
+{
+  (void)level;
+  (void)fields;
+  (void)count;
+  (void)ctx;
+  return G_LOG_WRITER_HANDLED;
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "mutations", test_mutations },
+    CU_TEST_INFO_NULL,
+  };
+
+  g_log_set_default_handler (discard_log, NULL);
+  g_log_set_writer_func (discard_structured_log, NULL, NULL);
+  return suite_run ("malformed", tests);
+}
--- a/tests/node/test_capacity.c
+++ b/tests/node/test_capacity.c
@@ -1,5 +1,6 @@
 #include <CUnit/Basic.h>
 #include <glib.h>
+#include <stdbool.h>
 
 #include "node/capacity.h"
 #include "snipe/pool_id.h"
@@ -54,11 +55,42 @@
     }
 }
 
+/* Guards against a host that lists two billion pools because of one malformed
+ * heartbeat, which uses up its memory. */
+static void
+test_pool_id (void)
+{
+  static const struct
+  {
+    uint32_t shard, shards;
+    bool valid;
+  } cases[] = {
+    { 0, 1, true },
+    { 15, 16, true },
+    { SNIPE_POOL_SHARDS_MAX - 1, SNIPE_POOL_SHARDS_MAX, true },
+    { 0, 0, false },
+    { 1, 1, false },
+    { 0, 3, false },
+    { 0, 2 * SNIPE_POOL_SHARDS_MAX, false },
+    { 0, 1U << 31, false },
+    { UINT32_MAX, 16, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct snipe_pool_id id
+          = { .shard = cases[i].shard, .shards = cases[i].shards };
+
+      CU_ASSERT_EQUAL (snipe_pool_id_is_valid (&id), cases[i].valid);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "pool size", test_pool_size },
+    { "pool id", test_pool_id },
     CU_TEST_INFO_NULL,
   };
 
