Do not retain the result of a declined batch

If the result of a declined batch is lost and its coordinator sends the batch again, the retained result said "stopped", and the job was answered as unknown although nothing of it had run. Change: the result is sent once; a batch that is sent again counts as new.

--- a/src/node/local.c
+++ b/src/node/local.c
@@ -173,6 +173,13 @@
       queue_result (node, result);
       return;
     }
+  /* A declined batch is not remembered: if its coordinator sends it again, it
+   * is a new one. */
+  if (result->code == SNIPE_E_REFUSED)
+    {
+      snipe_node_send_result (node, result);
+      return;
+    }
   retained = g_new0 (struct retained_result, 1);
   retained->result = copy_result (result);
   retained->expires_at = result->caller_deadline + RESULT_RETENTION_MARGIN;
