Notice a pause of the process whatever is heard first after it

Cause: looked for as the failure of similar systems in which a paused process acts on a permission that has run out. A host that was stopped for longer than others take to count it as lost drops its pools and jobs at the next tick, and before answers of endpoints, messages of hosts and new jobs. A row of the store, a directory that was read, a caller's closed connection and a cancel were handled without that check, with the pools of before the pause. Change: every function through which something reaches the node makes the check first. Endpoints refused such requests already by their fencing token.

--- a/src/node/endpoints.c
+++ b/src/node/endpoints.c
@@ -35,6 +35,7 @@
   struct snipe_pool_id id;
   struct owned_pool *pool;
 
+  snipe_node_tick_after_pause (node, now);
   /* Hundreds of log lines at once would delay a small host that has to claim
    * its pools, so of the first read only the number of endpoints is logged. */
   if (node->directory_freshness.complete_since > 0
@@ -173,6 +174,7 @@
 {
   struct snipe_directory_freshness *freshness = &node->directory_freshness;
 
+  snipe_node_tick_after_pause (node, now);
   if (freshness->complete_since == 0)
     {
       freshness->complete_since = requested_at;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -155,10 +155,8 @@
   snipe_log_decision (node->options.name, line);
 }
 
-/* After a pause of the process, the tick first has to find out whether other
- * hosts have taken over. */
-static void
-tick_after_pause (struct snipe_node *node, snipe_time now)
+void
+snipe_node_tick_after_pause (struct snipe_node *node, snipe_time now)
 {
   if (now - node->last_tick > node->failure_timeout)
     snipe_node_tick (node, now);
@@ -236,7 +234,7 @@
 {
   struct snipe_coordinator_job checked = *job;
 
-  tick_after_pause (node, now);
+  snipe_node_tick_after_pause (node, now);
   checked.feasibility = snipe_node_job_feasibility (node, job, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
@@ -256,6 +254,7 @@
 void
 snipe_node_abandon (struct snipe_node *node, void *job_ctx, snipe_time now)
 {
+  snipe_node_tick_after_pause (node, now);
   snipe_coordinator_abandon (node->coordinator, job_ctx, now);
   snipe_node_process_local_queue (node, now);
 }
@@ -297,7 +296,7 @@
 {
   struct owned_pool *pool;
 
-  tick_after_pause (node, now);
+  snipe_node_tick_after_pause (node, now);
   pool = pool_by_token (node, token, endpoint);
   if (answer != SNIPE_ANSWER_OK)
     snipe_node_log (node,
@@ -317,7 +316,7 @@
 {
   struct owned_pool *pool;
 
-  tick_after_pause (node, now);
+  snipe_node_tick_after_pause (node, now);
   pool = pool_by_token (node, token, endpoint);
   if (pool != NULL)
     snipe_pool_on_stop (pool->pool, endpoint, task, run, answer, report, now);
@@ -331,7 +330,7 @@
 {
   struct owned_pool *pool;
 
-  tick_after_pause (node, now);
+  snipe_node_tick_after_pause (node, now);
   pool = pool_by_token (node, token, endpoint);
   if (token == SNIPE_NODE_PROBE_TOKEN)
     {
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -148,6 +148,11 @@
 void snipe_node_log (const struct snipe_node *node, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/** Every function through which something reaches the node calls this first:
+ * after a pause of the process, the tick has to find out whether other hosts
+ * have taken over before anything is decided. */
+void snipe_node_tick_after_pause (struct snipe_node *node, snipe_time now);
+
 /* endpoints.c */
 /** Removes endpoints that stay unlisted, and logs a change of the source of
  * the directory. */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -401,8 +401,10 @@
       = { .procedure = LINK_SEND_CANCEL_JOB,
           .args.cancel_job = { .job = (char *)id } };
   struct broadcast broadcast = { .node = node, .now = now };
-  bool here = snipe_coordinator_cancel (node->coordinator, id, now);
+  bool here;
 
+  snipe_node_tick_after_pause (node, now);
+  here = snipe_coordinator_cancel (node->coordinator, id, now);
   if (!here)
     send_to_hosts (&broadcast, &message);
   snipe_node_process_local_queue (node, now);
@@ -663,10 +665,7 @@
   if (message->procedure != LINK_SEND_HEARTBEAT
       && !snipe_members_is_live (node->members, incarnation))
     return;
-  /* After a pause of the process, the tick first has to find out whether other
-   * hosts have taken over. */
-  if (now - node->last_tick > node->failure_timeout)
-    snipe_node_tick (node, now);
+  snipe_node_tick_after_pause (node, now);
   snipe_members_message_received (node->members, incarnation, now);
   switch (message->procedure)
     {
