Call a newly listed host at once

A host that joins others waits 300 ms for their heartbeats before it claims pools, but it called those that the store lists only with the next round of discovery, up to 300 ms later. So two hosts claimed one pool, and its runs were stopped. Change: discovery is due at once when a host is newly listed.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -176,6 +176,9 @@
       g_message ("host: event=listed address=%s", address);
       host = g_new0 (struct listed_host, 1);
       g_hash_table_insert (node->listed_hosts, g_strdup (address), host);
+      /* It may own the pools that this host is about to claim. */
+      node->heartbeat_check_due = 0;
+      node->discovery_due = 0;
     }
   *host = (struct listed_host){ .last_received_at = now };
 }
