--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -26,6 +26,14 @@
   X (TASK_REFUSED, "task_refused_total", "counter",                           \
      "Starts refused by an endpoint")                                         \
   X (TASK_RETRIES, "task_retries_total", "counter", "Tasks started again")    \
+  X (RESENT_STARTS, "endpoint_resent_starts_total", "counter",                \
+     "Start requests sent again because no answer came in time")              \
+  X (RESENT_STOPS, "endpoint_resent_stops_total", "counter",                  \
+     "Stop requests sent again because no answer came in time")               \
+  X (RESENT_POLLS, "endpoint_resent_polls_total", "counter",                  \
+     "Polls sent again because no answer came in time")                       \
+  X (BATCHES_DECLINED, "batches_declined_total", "counter",                   \
+     "Batches declined by a pool that could not start them at once")          \
   X (TASK_LOST, "task_lost_total", "counter",                                 \
      "Started tasks whose answer was lost")                                   \
   X (PROBES, "probes_total", "counter", "Probes of suspended endpoints")      \
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -111,12 +111,15 @@
 {
   struct owned_pool *owned = ctx;
 
-  snipe_counter_add (SNIPE_C_TASK_STARTS, 1);
+  snipe_counter_add (
+      request->again ? SNIPE_C_RESENT_STARTS : SNIPE_C_TASK_STARTS, 1);
   snipe_node_log (owned->node,
                   "event=start task=%s run=%u endpoint=%s "
-                  "token=%" G_GUINT64_FORMAT " valid_until=%" G_GINT64_FORMAT,
+                  "token=%" G_GUINT64_FORMAT " valid_until=%" G_GINT64_FORMAT
+                  " again=%d timeout_ms=%" G_GINT64_FORMAT,
                   request->task, request->run, request->endpoint->id,
-                  request->token, request->valid_until);
+                  request->token, request->valid_until, (int)request->again,
+                  request->timeout / SNIPE_MS);
   owned->node->options.callbacks.start (owned->node->options.callbacks.ctx,
                                         request);
 }
@@ -127,8 +130,11 @@
 {
   struct owned_pool *owned = ctx;
 
-  snipe_node_log (owned->node, "event=stop task=%s run=%u endpoint=%s",
-                  request->task, request->run, request->endpoint->id);
+  if (request->again)
+    snipe_counter_add (SNIPE_C_RESENT_STOPS, 1);
+  snipe_node_log (
+      owned->node, "event=stop task=%s run=%u endpoint=%s again=%d",
+      request->task, request->run, request->endpoint->id, (int)request->again);
   owned->node->options.callbacks.stop (owned->node->options.callbacks.ctx,
                                        request);
 }
@@ -139,6 +145,8 @@
 {
   struct owned_pool *owned = ctx;
 
+  if (request->again)
+    snipe_counter_add (SNIPE_C_RESENT_POLLS, 1);
   owned->node->options.callbacks.poll (owned->node->options.callbacks.ctx,
                                        request);
 }
@@ -168,6 +176,8 @@
                   result->code == SNIPE_OK ? "OK"
                                            : snipe_status_name (result->code),
                   owned->id.domain, owned->id.shard);
+  if (result->code == SNIPE_E_REFUSED)
+    snipe_counter_add (SNIPE_C_BATCHES_DECLINED, 1);
   if (result->coordinator == node->incarnation)
     {
       queue_result (node, result);
