Space heartbeats in domains of more than 13 hosts

Cause: in the large deployment a host sends about 160 heartbeats a second to the 29 hosts of its domain, 23,500 a second in the fleet, more than all calls for tasks (calculated from the intervals). Change: the interval within a domain grows from 13 hosts on, not from 25: 362 ms with 30 hosts, so that a silent host without shared work counts as lost after 1.45 s instead of 0.73 s; with shared work it stays at 0.6 s. Sites with up to 13 hosts a domain are as before.

--- a/src/member/member.c
+++ b/src/member/member.c
@@ -15,7 +15,7 @@
  * declared lost after five seconds. 300 hosts with a fixed interval of 150 ms
  * sent 1,100 messages a second each. */
 #define FULL_RATE_HOSTS 8
-#define FULL_RATE_DOMAIN_HOSTS 24
+#define FULL_RATE_DOMAIN_HOSTS 12
 #define INTERVAL_FACTOR_MAX 8
 /* Changes are sent at once, so this interval only makes up for lost messages.
  * It costs each host at most 50 messages a second. */
