--- a/tests/node/test_discovery.c
+++ b/tests/node/test_discovery.c
@@ -6,25 +6,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "node/node.h"
+#include "node/callbacks.h"
 #include "snipe/status.h"
 #include "suite.h"
 
 #define START (1000 * SNIPE_S)
 
-static void
-ignore_text (void *ctx, const char *text)
-{
-  (void)ctx;
-  (void)text;
-}
-
-static void
-ignore (void *ctx)
-{
-  (void)ctx;
-}
-
 static int
 listen_on_loopback (char *address, size_t size)
 {
@@ -71,9 +58,7 @@
       options.name = "h";
       options.domain = "a";
       options.listen = "127.0.0.1:0";
-      options.callbacks
-          = (struct snipe_node_callbacks){ .refresh_directory = ignore,
-                                           .deregister_host = ignore_text };
+      options.callbacks = (struct snipe_node_callbacks)NODE_CALLBACKS_INIT;
       CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&options.loop), SNIPE_OK);
       CU_ASSERT_EQUAL_FATAL (snipe_node_new (&node, &options, now), SNIPE_OK);
       snipe_node_tick (node, now);
--- a/tests/node/test_malformed_link.c
+++ b/tests/node/test_malformed_link.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include "link/link.h"
-#include "node/node.h"
+#include "node/callbacks.h"
 #include "snipe/status.h"
 #include "suite.h"
 
@@ -29,60 +29,6 @@
   uint32_t config_requests;
 };
 
-static void
-on_start (void *ctx, const struct snipe_pool_start_request *request)
-{
-  (void)ctx;
-  (void)request;
-}
-
-static void
-on_stop (void *ctx, const struct snipe_pool_stop_request *request)
-{
-  (void)ctx;
-  (void)request;
-}
-
-static void
-on_poll (void *ctx, const struct snipe_pool_poll_request *request)
-{
-  (void)ctx;
-  (void)request;
-}
-
-static void
-on_answer (void *ctx, void *job_ctx,
-           const struct snipe_coordinator_answer *answer)
-{
-  (void)ctx;
-  (void)job_ctx;
-  (void)answer;
-}
-
-static void
-on_refresh (void *ctx)
-{
-  (void)ctx;
-}
-
-static void
-on_deregister (void *ctx, const char *address)
-{
-  (void)ctx;
-  (void)address;
-}
-
-static bool
-on_endpoint_changes (void *ctx, uint64_t after, uint64_t version,
-                     const struct snipe_str *rows)
-{
-  (void)ctx;
-  (void)after;
-  (void)version;
-  (void)rows;
-  return false;
-}
-
 static void
 on_get_config (void *ctx, uint64_t *version, struct snipe_str *text)
 {
@@ -91,14 +37,6 @@
   ((struct fuzzer *)ctx)->config_requests++;
 }
 
-static void
-on_peer_config (void *ctx, uint64_t version, const struct snipe_str *text)
-{
-  (void)ctx;
-  (void)version;
-  (void)text;
-}
-
 /* Adds a message as a record of one fragment. */
 static struct snipe_str
 encode (const struct snipe_link_message *message)
@@ -309,18 +247,9 @@
   options.listen = address;
   CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&fuzzer.loop), SNIPE_OK);
   options.loop = fuzzer.loop;
-  options.callbacks
-      = (struct snipe_node_callbacks){ .ctx = &fuzzer,
-                                       .start = on_start,
-                                       .stop = on_stop,
-                                       .poll = on_poll,
-                                       .answer = on_answer,
-                                       .refresh_directory = on_refresh,
-                                       .deregister_host = on_deregister,
-                                       .apply_endpoint_changes
-                                       = on_endpoint_changes,
-                                       .get_config = on_get_config,
-                                       .apply_peer_config = on_peer_config };
+  options.callbacks = (struct snipe_node_callbacks)NODE_CALLBACKS_INIT;
+  options.callbacks.ctx = &fuzzer;
+  options.callbacks.get_config = on_get_config;
   CU_ASSERT_EQUAL_FATAL (snipe_node_new (&fuzzer.node, &options, now),
                          SNIPE_OK);
   snipe_node_endpoint_set (fuzzer.node, &entry, now);
--- a/tests/node/test_pause.c
+++ b/tests/node/test_pause.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "node/node.h"
+#include "node/callbacks.h"
 #include "snipe/status.h"
 #include "suite.h"
 
@@ -30,13 +30,6 @@
   ((struct record *)ctx)->starts++;
 }
 
-static void
-on_stop (void *ctx, const struct snipe_pool_stop_request *request)
-{
-  (void)ctx;
-  (void)request;
-}
-
 static void
 on_poll (void *ctx, const struct snipe_pool_poll_request *request)
 {
@@ -58,19 +51,6 @@
   record->answer = *answer;
 }
 
-static void
-on_refresh (void *ctx)
-{
-  (void)ctx;
-}
-
-static void
-on_deregister (void *ctx, const char *address)
-{
-  (void)ctx;
-  (void)address;
-}
-
 static void
 set_endpoint (struct record *record, const char *id, int64_t cpu,
               snipe_time now)
@@ -185,14 +165,11 @@
       options.listen = "127.0.0.1:0";
       options.first_start = true;
       CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&options.loop), SNIPE_OK);
-      options.callbacks
-          = (struct snipe_node_callbacks){ .ctx = &record,
-                                           .start = on_start,
-                                           .stop = on_stop,
-                                           .poll = on_poll,
-                                           .answer = on_answer,
-                                           .refresh_directory = on_refresh,
-                                           .deregister_host = on_deregister };
+      options.callbacks = (struct snipe_node_callbacks)NODE_CALLBACKS_INIT;
+      options.callbacks.ctx = &record;
+      options.callbacks.start = on_start;
+      options.callbacks.poll = on_poll;
+      options.callbacks.answer = on_answer;
       CU_ASSERT_EQUAL_FATAL (snipe_node_new (&record.node, &options, now),
                              SNIPE_OK);
       snipe_node_set_store_reachable (record.node, true, now);
