Report too many rows to snipectl, cap a delay, count wanted offers exactly

Measured: tests/ctl/test_snipectl "too many rows" fails without the change and passes with it. The other three have no test that fails first.

--- a/src/ctl/table.c
+++ b/src/ctl/table.c
@@ -96,6 +96,16 @@
       && (http_status != 200
           || json_unpack (reply, "{s:O}", "rows", rows) != 0))
     status = set_unexpected_reply (table, http_status);
+  else if (status == SNIPE_OK && json_array_size (*rows) >= ROWS_MAX)
+    {
+      json_decref (*rows);
+      *rows = NULL;
+      status = snipe_status_set (SNIPE_E_TOO_LARGE,
+                                 "the table has %d rows with the prefix "
+                                 "\"%s\" or more, which cannot be read at "
+                                 "once",
+                                 ROWS_MAX, prefix);
+    }
   json_decref (reply);
   g_free (path);
   g_free (escaped);
--- a/src/ctl/table.h
+++ b/src/ctl/table.h
@@ -24,8 +24,9 @@
  */
 int snipe_table_get (json_t **value, uint64_t *version,
                      const struct snipe_table *table, const char *key);
-/** Reads the rows whose keys begin with @p prefix, 10000 at most.
- * @param rows array of {"key","version","value"}, new reference */
+/** Reads the rows whose keys begin with @p prefix.
+ * @param rows array of {"key","version","value"}, new reference
+ * @return SNIPE_E_TOO_LARGE if there are 10000 or more. */
 int snipe_table_range (json_t **rows, const struct snipe_table *table,
                        const char *prefix);
 /** Writes a row if its version is @p if_version, where 0 means that the row is
--- a/src/engine/cluster.c
+++ b/src/engine/cluster.c
@@ -354,17 +354,34 @@
   engine_dispatch (engine, now);
 }
 
-static gboolean
-peer_is_expired (gpointer key, gpointer value, gpointer arg)
+static bool
+peer_is_expired (const struct peer *peer, snipe_time now)
 {
-  const struct peer *peer = value;
-  snipe_time now = *(snipe_time *)arg;
-
-  (void)key;
   return !peer->listed && now - peer->last_received_at > PEER_RETENTION
          && now - peer->first_seen_at > PEER_RETENTION;
 }
 
+/* With the lock. */
+static void
+remove_expired_peers (struct snipe_engine *engine, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, engine->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+
+      if (!peer_is_expired (peer, now))
+        continue;
+      /* A count that stays above 0 would take the lock for each offer. */
+      if (peer->wants_offer)
+        __atomic_sub_fetch (&engine->peers_wanting_offer, 1, __ATOMIC_RELAXED);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 void
 engine_check_peers (struct snipe_engine *engine, snipe_time now)
 {
@@ -399,7 +416,7 @@
       offload_abandon_peer (engine, peer->incarnation, ended);
     }
   offload_abandon_overdue (engine, now, ended);
-  g_hash_table_foreach_remove (engine->peers, peer_is_expired, &now);
+  remove_expired_peers (engine, now);
   update_ownership (engine, now);
   engine_take_decisions (engine, now, actions, ended);
   pthread_mutex_unlock (&engine->sched_lock);
--- a/src/platform/claim.c
+++ b/src/platform/claim.c
@@ -214,7 +214,7 @@
                           hosts * CLAIM_INTERVAL_PER_HOST);
 
   for (uint32_t i = 0; i < failures && delay < FAILURE_DELAY_MAX; i++)
-    delay *= 2;
+    delay = MIN (delay * 2, FAILURE_DELAY_MAX);
   return delay;
 }
 
--- a/tests/ctl/test_snipectl.c
+++ b/tests/ctl/test_snipectl.c
@@ -35,6 +35,7 @@
   json_t *row;
   const char *entries[3][2]; /* name, HTTP address */
   uint32_t entry_count;
+  uint32_t stale_rows; /* rows of hosts that are gone, sent as well */
   uint32_t txns;
   uint32_t applied; /* transactions of snipectl that were applied */
 };
@@ -108,6 +109,9 @@
         rows, json_pack ("{s:s, s:i, s:{s:s, s:s}}", "key", "entry/x",
                          "version", (int)i + 1, "value", "name",
                          table->entries[i][0], "http", table->entries[i][1]));
+  for (uint32_t i = 0; i < table->stale_rows; i++)
+    json_array_append_new (rows, json_pack ("{s:s, s:i, s:{}}", "key",
+                                            "entry/y", "version", 1, "value"));
   return fake_dump (json_pack ("{s:o, s:i}", "rows", rows, "version", 9));
 }
 
@@ -637,10 +641,47 @@
   g_string_free (errors, TRUE);
 }
 
+/* Guards against hosts that are left out without a word because the table has
+ * more rows than one read returns. */
+static void
+test_too_many_rows (void)
+{
+  static const struct
+  {
+    uint32_t stale_rows;
+    bool fails;
+  } cases[] = { { 0, false }, { 9998, false }, { 9999, true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct fake_table table = { .faults = "", .row_version = 3 };
+      struct fake_host host = { .table = &table };
+      struct fake_server platform;
+      struct fake_server one;
+      struct command_run run;
+
+      fake_start (&platform, handle_table_request, &table);
+      fake_start (&one, handle_host_request, &host);
+      table.entry_count = 1;
+      table.entries[0][0] = "h1";
+      table.entries[0][1] = one.address;
+      table.stale_rows = cases[i].stale_rows;
+      run_open (&run, &platform, "");
+      CU_ASSERT_EQUAL (snipe_ctl_status (&run.ctl) != 0, cases[i].fails);
+      run_flush (&run);
+      if (cases[i].fails)
+        assert_contains (run.err, "10000 rows");
+      run_close (&run);
+      fake_stop (&one);
+      fake_stop (&platform);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
+    { "too many rows", test_too_many_rows },
     { "publish: lost replies and conflicts", test_publish_outcomes },
     { "publish: unknown", test_publish_unknown },
     { "publish: in force", test_publish_in_force },
--- a/tests/soak/checker.c
+++ b/tests/soak/checker.c
@@ -46,7 +46,7 @@
   printf ("BROKEN %s at %.3f s: %s\n", rule,
           (double)(snipe_clock_now () - start_time) / 1e6, text);
   fflush (stdout);
-  violation_count++;
+  g_atomic_int_inc (&violation_count);
 }
 
 void
@@ -62,7 +62,7 @@
 int
 checker_violation_count (void)
 {
-  return violation_count;
+  return g_atomic_int_get (&violation_count);
 }
 
 static struct job *
