Bound the time of sending of messages between hosts

Change: the time is bounded where the message is decoded. Measured: test_malformed_link fails under the sanitizers without the change and passes with it.

--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -11,6 +11,7 @@
  * process was stalled, is not started: its caller may have resent the job by
  * the time its tasks would run. */
 #define BATCH_DELAY_MAX (400 * SNIPE_MS)
+#define SENT_MAX ((snipe_time)1 << 60)
 /* All hosts normally get a new configuration from the store at the same time;
  * a peer is asked for it only if it has not arrived by then. */
 #define CONFIG_REQUEST_DELAY (400 * SNIPE_MS)
@@ -30,6 +31,14 @@
   return (int32_t)CLAMP ((when - now) / SNIPE_MS, INT32_MIN, INT32_MAX);
 }
 
+/* The time of sending by the sender's clock, which counts from an unknown
+ * moment. Differences of an impossible one would overflow. */
+static snipe_time
+decode_sent (int64_t sent_us)
+{
+  return CLAMP (sent_us, 0, SENT_MAX);
+}
+
 static int
 send_to (struct snipe_node *node, uint64_t incarnation,
          const struct snipe_link_message *message)
@@ -470,7 +479,7 @@
   node->store_version = MAX (node->store_version, heartbeat->store_version);
   effect = snipe_members_handle_heartbeat (node->members, &member, now);
   snipe_members_record_transit (node->members, member.incarnation,
-                                heartbeat->sent_us, now);
+                                decode_sent (heartbeat->sent_us), now);
   if (effect != SNIPE_HEARTBEAT_UNCHANGED)
     node->ownership_due = 0;
   if (effect == SNIPE_HEARTBEAT_NEW_HOST)
@@ -556,8 +565,8 @@
       snipe_node_reject_batch (node, &batch, SNIPE_E_INVALID);
       return;
     }
-  delay = snipe_members_delay (node->members, from->coordinator, from->sent_us,
-                               now);
+  delay = snipe_members_delay (node->members, from->coordinator,
+                               decode_sent (from->sent_us), now);
   if (delay <= BATCH_DELAY_MAX)
     snipe_node_accept_batch (node, &id, &batch, now);
   else
@@ -610,7 +619,7 @@
   const struct snipe_str rows
       = { .data = changes->rows.rows_val, .len = changes->rows.rows_len };
   snipe_time delay = snipe_members_delay (node->members, incarnation,
-                                          changes->sent_us, now);
+                                          decode_sent (changes->sent_us), now);
   uint64_t revision = node->directory_revision;
   bool taken;
 
