--- a/review/common/silent_links.c
+++ b/review/common/silent_links.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HOSTS 6
+#define HOSTS 7
 #define WORKERS 12
 #define DEADLINE_MS 1500
 #define RETRY_MS 1300
