End runs that no batch has claimed before their callers come back

Cause: a new owner of a pool polls each endpoint, and an answer that lists a run made it send a second poll, which extended the lease by lease_max also if no batch had claimed the run. Such a run was stopped 0.5 s later. A claim 0.8 to 1.0 s after the kill, just before the lease ends by itself, thus kept the run until 1.3 to 1.5 s. Ruled out: orders of the lost owner after the claim (its token is fenced), and the second pool's start, which cannot know of the run.

Polls now extend the lease for runs that belong to a batch and are not being stopped. Found runs that a batch may still claim get 150 ms from the poll that found them: lease_max, this time and a stop fit into the time after which callers resend. Beside runs that go on, for which the lease has to be extended, unclaimed runs are stopped after that time. Two related paths are covered: a run whose stop requests are lost no longer has its lease extended, and a run that starts after its task was given up is stopped at once. An endpoint may now answer polls that do not extend its lease, so the time of the last extension alone tells when it has expired.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -215,12 +215,17 @@
   unsigned int version;
   uint64_t token;       /**< sent to every endpoint of the pool */
   snipe_time lease_max; /**< longest lease that an endpoint grants */
+  /** Longest extension of the lease of a previous owner's runs while no batch
+   * has claimed them. After lease_max and this time, all such runs of a host
+   * that was lost have ended. */
+  snipe_time unclaimed_lease_max;
   struct snipe_pool_callbacks callbacks;
 };
 #define SNIPE_POOL_OPTIONS_VERSION 1
 #define SNIPE_POOL_OPTIONS_INIT                                               \
   {                                                                           \
-    .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS       \
+    .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
+    .unclaimed_lease_max = 150 * SNIPE_MS                                     \
   }
 
 int snipe_pool_new (struct snipe_pool **out,
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -44,6 +44,7 @@
   endpoint->duration_ratio = 1.0;
   /* The endpoint's clock, which measures the lease, may run 2 % slow. */
   endpoint->claim_deadline = now + lease_max + lease_max / 20;
+  endpoint->lease_extended = now;
   return endpoint;
 }
 
@@ -126,6 +127,20 @@
   return NULL;
 }
 
+bool
+snipe_pool_endpoint_has_claimed_run (
+    const struct snipe_pool_endpoint *endpoint)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (run->batch != NULL && run->state != RUN_STOPPING)
+        return true;
+    }
+  return false;
+}
+
 static double
 smooth (double old, double seen)
 {
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -41,6 +41,7 @@
   pool = g_new0 (struct snipe_pool, 1);
   pool->token = options->token;
   pool->lease_max = options->lease_max;
+  pool->unclaimed_lease_max = options->unclaimed_lease_max;
   pool->callbacks = options->callbacks;
   pool->created = now;
   pool->slowdown = 1.0;
@@ -249,7 +250,7 @@
 }
 
 /* Whether every lease that a request can have extended has expired, also on a
- * clock that runs 2 % slow, and no answer has arrived since that request. */
+ * clock that runs 2 % slow. */
 static bool
 lease_certainly_expired (const struct snipe_pool *pool,
                          const struct snipe_pool_endpoint *endpoint,
@@ -258,8 +259,17 @@
   snipe_time lease
       = pool->lease_max + pool->lease_max / 20 + POLL_TIMEOUT_MARGIN;
 
-  return endpoint->last_received_at < endpoint->lease_extended
-         && now - endpoint->lease_extended > lease;
+  return now - endpoint->lease_extended > lease;
+}
+
+/* Time after which an orphaned run is stopped. While the lease is extended for
+ * other runs, the orphaned one does not end by itself. */
+static snipe_time
+orphan_timeout (const struct snipe_pool *pool, const struct run *run)
+{
+  return snipe_pool_endpoint_has_claimed_run (run->endpoint)
+             ? MIN (pool->unclaimed_lease_max, ORPHAN_TIMEOUT)
+             : ORPHAN_TIMEOUT;
 }
 
 static void
@@ -277,7 +287,7 @@
     snipe_pool_resend_start (pool, run, now);
   if (batch == NULL)
     {
-      if (now - run->orphaned_since >= ORPHAN_TIMEOUT)
+      if (now - run->orphaned_since >= orphan_timeout (pool, run))
         snipe_pool_run_stop (pool, run, now);
       return;
     }
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -41,7 +41,8 @@
   snipe_time start_sent;   /**< first start request */
   snipe_time active_since; /**< time when it became RUN_ACTIVE */
   snipe_time predicted_duration;
-  snipe_time orphaned_since; /**< time when it was found or became orphaned */
+  snipe_time orphaned_since; /**< when it became orphaned; if found at the
+                                endpoint: when that poll was sent */
   snipe_time stop_sent;
 };
 
@@ -118,13 +119,16 @@
   snipe_time suspended_until;    /**< because of failures */
   snipe_time unresponsive_until; /**< unless it answers before */
   snipe_time last_received_at;   /**< time of the last answer */
-  snipe_time lease_extended; /**< last request sent that extends the lease */
+  /** Last request sent that extends the lease. A previous owner may have sent
+   * one until the endpoint was added. */
+  snipe_time lease_extended;
 };
 
 struct snipe_pool
 {
   uint64_t token;
   snipe_time lease_max;
+  snipe_time unclaimed_lease_max;
   struct snipe_pool_callbacks callbacks;
   snipe_time created;
   GHashTable *endpoints;    /**< id -> struct snipe_pool_endpoint */
@@ -159,6 +163,10 @@
 void snipe_pool_run_remove (struct run *run);
 struct run *snipe_pool_run_find (struct snipe_pool_endpoint *endpoint,
                                  const char *task, uint32_t number);
+/** @return whether a run at the endpoint belongs to a batch and has to go on.
+ */
+bool snipe_pool_endpoint_has_claimed_run (
+    const struct snipe_pool_endpoint *endpoint);
 /** Updates the learned durations and the failure count of an endpoint after a
  * run ended. */
 void snipe_pool_endpoint_record_end (struct snipe_pool *pool,
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -60,19 +60,52 @@
       (uint64_t)(g_str_hash (endpoint->entry.id) + resends) * 2654435761U);
 }
 
+/* @return until when the lease of an endpoint has to be extended, a time in
+ * the past if it has not to be. */
+static snipe_time
+lease_needed_until (const struct snipe_pool *pool,
+                    const struct snipe_pool_endpoint *endpoint, snipe_time now)
+{
+  snipe_time until = 0;
+
+  if (snipe_pool_endpoint_has_claimed_run (endpoint))
+    return now + pool->lease_max;
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (run->state != RUN_STOPPING)
+        until = MAX (until, run->orphaned_since + pool->unclaimed_lease_max);
+    }
+  return until;
+}
+
+/* @return for how long a poll request waits for the end of a run. With its
+ * margin, the wait takes the same time whatever the margin. */
+static snipe_time
+poll_wait (const struct snipe_pool *pool,
+           const struct snipe_pool_endpoint *endpoint, snipe_time margin)
+{
+  /* The next poll has to extend the lease soon after a batch has claimed a
+   * run or a task has been started. */
+  if (!snipe_pool_endpoint_has_claimed_run (endpoint))
+    return pool->lease_max / 10;
+  return MAX (pool->lease_max * 6 / 10 - margin, pool->lease_max / 10);
+}
+
 void
 snipe_pool_send_poll (struct snipe_pool *pool,
                       struct snipe_pool_endpoint *endpoint, bool wait,
                       snipe_time now)
 {
   snipe_time margin = request_timeout (pool, endpoint, POLL_TIMEOUT_MARGIN);
+  snipe_time lease_until = lease_needed_until (pool, endpoint, now);
   struct snipe_pool_poll_request request = {
     .endpoint = &endpoint->entry,
     .token = pool->token,
     .last_seen_end = endpoint->last_seen_end,
     /* With its margin, the wait takes the same time whatever the margin. */
-    .wait
-    = wait ? MAX (pool->lease_max * 6 / 10 - margin, pool->lease_max / 10) : 0,
+    .wait = wait ? poll_wait (pool, endpoint, margin) : 0,
     .again = endpoint->unanswered_polls > 0,
   };
 
@@ -86,12 +119,12 @@
     snipe_retry_budget_refill (&pool->resends);
   /* The lease of an unresponsive endpoint is not extended, so that it
    * certainly expires. */
-  if (endpoint->clock_read_at > 0
+  if (endpoint->clock_read_at > 0 && lease_until > now
       && (wait || endpoint->last_received_at >= endpoint->poll_sent))
-    endpoint->lease_extended = now;
-  if (endpoint->lease_extended == now)
-    request.valid_until = snipe_pool_endpoint_clock (endpoint, now)
-                          + pool->lease_max / SNIPE_MS;
+    {
+      endpoint->lease_extended = now;
+      request.valid_until = snipe_pool_endpoint_clock (endpoint, lease_until);
+    }
   request.timeout = request.wait + margin;
   endpoint->poll_in_flight = true;
   endpoint->poll_last_seen_end = endpoint->last_seen_end;
@@ -240,6 +273,7 @@
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
   endpoint->claim_deadline = now;
+  endpoint->lease_extended = now;
 }
 
 void
@@ -512,17 +546,24 @@
  * the whole endpoint. */
 static void
 add_found_run (struct snipe_pool *pool, struct snipe_pool_endpoint *endpoint,
-               const struct snipe_endpoint_run *found, snipe_time now)
+               const struct snipe_endpoint_run *found, snipe_time sent,
+               snipe_time now)
 {
   struct run *run = snipe_pool_run_add (endpoint, found->task, found->run,
                                         &endpoint->entry.capacity);
 
   run->state = RUN_ACTIVE;
   run->active_since = now;
-  run->orphaned_since = now;
+  /* The run was alive after this time, so the previous owner extended its
+   * lease less than lease_max before. */
+  run->orphaned_since = sent;
   for (guint i = 0; i < pool->batches->len; i++)
     if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
       return;
+  /* All runs of previous owners are known here, so this one was started late,
+   * after its task was given up. */
+  if (endpoint->claim == CLAIM_CONFIRMED)
+    snipe_pool_run_stop (pool, run, now);
 }
 
 static void
@@ -551,7 +592,7 @@
 process_running_runs (struct snipe_pool *pool,
                       struct snipe_pool_endpoint *endpoint,
                       const struct snipe_endpoint_report *report,
-                      snipe_time now)
+                      snipe_time sent, snipe_time now)
 {
   for (uint32_t i = 0; i < report->running_count; i++)
     {
@@ -560,7 +601,7 @@
           = snipe_pool_run_find (endpoint, found->task, found->run);
 
       if (run == NULL)
-        add_found_run (pool, endpoint, found, now);
+        add_found_run (pool, endpoint, found, sent, now);
       else if (run->state == RUN_STARTING || run->state == RUN_UNCONFIRMED)
         {
           run->state = RUN_ACTIVE;
@@ -617,7 +658,7 @@
   if (sent < endpoint->poll_processed)
     return;
   endpoint->poll_processed = sent;
-  process_running_runs (pool, endpoint, report, now);
+  process_running_runs (pool, endpoint, report, sent, now);
   end_missing_runs (pool, endpoint, report, sent, now);
   endpoint->claim = CLAIM_CONFIRMED;
   if (endpoint->runs->len > 0)
--- a/src/pool/requests.h
+++ b/src/pool/requests.h
@@ -13,9 +13,10 @@
 /** Adds the requests that the budget for resends gains as time passes. */
 void snipe_pool_refill_resends (struct snipe_pool *pool, snipe_time now);
 /** Requests the running and ended runs. With @p wait it is a long poll: the
- * endpoint answers when the next run ends. Extends the lease, except that of
- * an unresponsive endpoint without @p wait. Does nothing while a poll request
- * is in flight. */
+ * endpoint answers when the next run ends. Extends the lease for the runs of
+ * batches, and briefly for those that a batch may still claim; without @p wait
+ * not that of an unresponsive endpoint. Does nothing while a poll request is
+ * in flight. */
 void snipe_pool_send_poll (struct snipe_pool *pool,
                            struct snipe_pool_endpoint *endpoint, bool wait,
                            snipe_time now);
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -47,6 +47,7 @@
   bool unresponsive;        /**< drops all requests */
   bool fails;               /**< every task fails after a few ms */
   bool drops_start_answers; /**< does not answer start requests */
+  bool drops_stops;         /**< ignores stop requests */
   snipe_time start_delay;   /**< added to the delay of a start request */
   snipe_time poll_delay;    /**< added to the delay of a poll answer */
   /* The poll request that waits for the end of a run. */
@@ -504,6 +505,8 @@
         model_schedule (model, &answer);
       break;
     case MODEL_STOP:
+      if (endpoint->drops_stops)
+        return;
       answer.kind = MODEL_STOP_ANSWER;
       answer.answer = SNIPE_ANSWER_OK;
       if (event->token < endpoint->token)
