Do not use a restarted endpoint before the list has its new incarnation

The owner of its pool learns of the new incarnation from a poll and went on with the capacity and labels of the old one until the list was read, up to a second later, or for as long as the endpoint was cut off from the store.

Cause: begin_incarnation () replaces the start time of the entry and keeps the rest. Evidence: test_pool_faults "endpoint restarts with less capacity" starts two tasks where one fits. Not covered: starts between the restart and the poll that reports it; an endpoint without runs is not polled.

An endpoint whose incarnation is not listed gets no new tasks. The case "poll reports a restart" now passes the list's change to the owner, as the list of a real deployment does; its checks are the same.

The new case failed before.

--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -60,7 +60,8 @@
                             snipe_time now)
 {
   return endpoint->listed && endpoint->claim == CLAIM_CONFIRMED
-         && !endpoint->entry.draining && endpoint->suspended_until <= now
+         && !endpoint->entry_outdated && !endpoint->entry.draining
+         && endpoint->suspended_until <= now
          && endpoint->unresponsive_until <= now
          && (endpoint->consecutive_failures < FAILURES_MAX
              || endpoint->runs->len == 0);
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -99,6 +99,9 @@
   struct snipe_endpoint_entry entry;
   enum claim_state claim;
   bool listed;
+  /** The list does not have the present incarnation yet, whose capacity and
+   * labels may differ from those of the entry. */
+  bool entry_outdated;
   struct snipe_capacity used;
   GPtrArray *runs; /**< struct run, owned */
   uint64_t last_seen_end;
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -294,6 +294,8 @@
     }
   /* The list may be older than what the endpoint itself has reported. */
   started_ms = MAX (entry->started_ms, endpoint->entry.started_ms);
+  if (entry->started_ms == 0 || entry->started_ms == started_ms)
+    endpoint->entry_outdated = false;
   if (started_ms == endpoint->entry.started_ms && endpoint->entry.draining)
     {
       endpoint->entry = *entry;
@@ -648,7 +650,10 @@
       if (report->started_ms < endpoint->entry.started_ms)
         return; /* from the previous incarnation */
       if (report->started_ms > endpoint->entry.started_ms)
-        begin_incarnation (endpoint, report->started_ms, now);
+        {
+          begin_incarnation (endpoint, report->started_ms, now);
+          endpoint->entry_outdated = true;
+        }
     }
   if (!late)
     endpoint->acknowledged_end
--- a/tests/pool/test_pool_faults.c
+++ b/tests/pool/test_pool_faults.c
@@ -182,6 +182,9 @@
   model_restart (model, 0);
   model->endpoints[0].poll_delay = 0;
   model_submit (model, FIRST, &two);
+  model_advance (model, model->now + 100 * SNIPE_MS);
+  snipe_pool_endpoint_set (model->owners[FIRST].pool,
+                           &model->endpoints[0].entry, model->now);
   model_advance (model, model->now + SNIPE_S);
   /* The first job's task, the second job's, and the first job's again. */
   CU_ASSERT_EQUAL (model->starts, 3);
@@ -189,6 +192,32 @@
   CU_ASSERT_PTR_NOT_NULL (model_find_result (model, 2));
 }
 
+/* Guards against using the capacity of an endpoint's previous incarnation for
+ * the new one, which may be smaller, until the list has it (LIMIT). */
+static void
+restarted_with_less_capacity (struct model *model)
+{
+  struct model_job one = job (1, 1);
+  struct model_job two = job (2, 2);
+  struct model_endpoint *endpoint = &model->endpoints[0];
+
+  start_model (model, 1);
+  two.job = "fedcba9876543210";
+  model_submit (model, FIRST, &one);
+  model_advance (model, model->now + 20 * SNIPE_MS);
+  model_restart (model, 0);
+  endpoint->entry.capacity.cpu = 30000;
+  /* The poll that was open tells of the new incarnation. */
+  model_advance (model, model->now + 20 * SNIPE_MS);
+  model_submit (model, FIRST, &two);
+  model_advance (model, model->now + 100 * SNIPE_MS);
+  CU_ASSERT_EQUAL (model->starts, 1);
+  snipe_pool_endpoint_set (model->owners[FIRST].pool, &endpoint->entry,
+                           model->now);
+  model_advance (model, model->now + SNIPE_S);
+  CU_ASSERT_EQUAL (model->starts, 4);
+}
+
 /* Guards against an owner that is fenced at one endpoint starting tasks at the
  * others, which the host with the higher token has not claimed yet. */
 static void
@@ -422,6 +451,7 @@
     { "list of a new owner lacks an endpoint", expired_entry },
     { "endpoint restarts under its id", restarted_endpoint },
     { "poll reports a restart", restart_reported_by_poll },
+    { "endpoint restarts with less capacity", restarted_with_less_capacity },
     { "owner fenced at one endpoint", fenced_owner },
     { "takeover of running and ended tasks", takeover },
     { "starts without an answer", unanswered_starts },
