--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -104,10 +104,18 @@
   bool draining;
 };
 
-/* Guards against using an entry with missing or unknown values. */
+#define ENDPOINT_AT(address, born)                                            \
+  "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\","            \
+  "\"state\":\"ready\",\"capacity\":{\"cpu\":16000},\"born\":" born "}"
+#define NESTING 60000
+
+/* Guards against using an entry with missing or unknown values, and against an
+ * odd one of another writer that ends the process, waits for an endpoint that
+ * cannot exist, or hides all later incarnations of its endpoint. */
 static void
 test_endpoint (void)
 {
+  char *nested = g_strnfill (NESTING, '[');
   const struct endpoint_case cases[] = {
     { "ready",
       "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
@@ -132,6 +140,23 @@
       false, false },
     { "not JSON", "\xff\xfe{", false, false },
     { "empty", "", false, false },
+    { "port out of range", ENDPOINT_AT ("10.0.0.1:65536", "17"), false,
+      false },
+    { "port of many digits",
+      ENDPOINT_AT ("10.0.0.1:99999999999999999999", "17"), false, false },
+    { "negative port", ENDPOINT_AT ("10.0.0.1:-1", "17"), false, false },
+    { "port 0", ENDPOINT_AT ("10.0.0.1:0", "17"), false, false },
+    { "no port", ENDPOINT_AT ("10.0.0.1", "17"), false, false },
+    { "address with a path", ENDPOINT_AT ("10.0.0.1:1/x", "17"), false,
+      false },
+    { "start too large", ENDPOINT_AT ("10.0.0.1:1", "9223372036854775807"),
+      false, false },
+    { "start beyond the numbers of JSON",
+      ENDPOINT_AT ("10.0.0.1:1", "99999999999999999999"), false, false },
+    { "start beyond the real numbers", ENDPOINT_AT ("10.0.0.1:1", "1e999"),
+      false, false },
+    { "negative start", ENDPOINT_AT ("10.0.0.1:1", "-1"), false, false },
+    { "deeply nested", nested, false, false },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -148,6 +173,7 @@
       if (status == 0)
         CU_ASSERT_EQUAL (entry.draining, cases[i].draining);
     }
+  g_free (nested);
 }
 
 /* Guards against a change of an endpoint's entry being taken for a mere
