Bound the wait for a listed endpoint that never answers a claim

The wait for a listed endpoint ends after ten leases: hosts are cut off from each other for seconds, and the jobs of that time are over by then.

test_cut_off_owner "absent endpoint" failed before.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -11,6 +11,9 @@
 /* Time that reading the list of endpoints takes after a claim while the store
  * is healthy; a multiple of its response time. */
 #define DIRECTORY_WAIT (60 * SNIPE_MS)
+/* Time, in leases, in which a previous owner that is cut off from this host
+ * learns of the claim. Bounded, because a listed endpoint may not exist. */
+#define CLAIM_NOTICE_LEASES 9
 /* A run that takes this many times its predicted duration, and at least this
  * much longer, is stuck or its endpoint has become slow. */
 #define STRAGGLER_FACTOR 3
@@ -132,6 +135,22 @@
              || previous_leases_expired (pool, now));
 }
 
+/* Whether the endpoint may have a run of a previous owner that is not known
+ * yet. That owner may reach a listed endpoint that this one does not reach,
+ * and extends the lease there until it learns of the claim. */
+static bool
+may_have_unknown_run (const struct snipe_pool *pool,
+                      const struct snipe_pool_endpoint *endpoint,
+                      snipe_time now)
+{
+  snipe_time deadline = endpoint->claim_deadline;
+
+  if (endpoint->listed)
+    deadline += CLAIM_NOTICE_LEASES * pool->lease_max;
+  return endpoint->claim == CLAIM_PENDING && !endpoint->restarted
+         && now < deadline;
+}
+
 /* Whether every run that a previous owner may have started is known. */
 static bool
 previous_runs_known (const struct snipe_pool *pool, snipe_time now)
@@ -145,15 +164,8 @@
 
   g_hash_table_iter_init (&iter, pool->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct snipe_pool_endpoint *endpoint = value;
-
-      /* The previous owner may reach a listed endpoint that this one does not
-       * reach. Until it learns of the claim, it extends the lease there. */
-      if (endpoint->claim == CLAIM_PENDING && !endpoint->restarted
-          && (endpoint->listed || now < endpoint->claim_deadline))
-        return false;
-    }
+    if (may_have_unknown_run (pool, value, now))
+      return false;
   return true;
 }
 
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -116,8 +116,8 @@
   uint32_t unanswered_polls; /**< in a row */
   bool overdue;         /**< a request is overdue, and no answer came since */
   struct snipe_rtt rtt; /**< of requests that the endpoint answers at once */
-  snipe_time claim_deadline; /**< unlisted: no run of a previous owner outlives
-                                it */
+  /** No run of a previous owner that has learned of the claim outlives it. */
+  snipe_time claim_deadline;
   bool restarted; /**< since the claim: no run of a previous owner is left */
   double duration_ratio; /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
--- a/tests/pool/test_cut_off_owner.c
+++ b/tests/pool/test_cut_off_owner.c
@@ -63,11 +63,41 @@
     }
 }
 
+/* Guards against a takeover that waits for ever for a listed endpoint that
+ * does not exist, such as that of a row by another writer. */
+static void
+test_absent_endpoint (void)
+{
+  struct model_job again = { .coordinator = 1,
+                             .number = 1,
+                             .job = "0123456789abcdef",
+                             .count = 2,
+                             .estimate = TASK_TIME,
+                             .soft_deadline = 60 * SNIPE_S,
+                             .hard_deadline = 60 * SNIPE_S,
+                             .caller_deadline = 60 * SNIPE_S,
+                             .resent = true };
+  const struct model_result *result;
+  struct model model;
+
+  model_init (&model, ENDPOINTS, 60000, long_duration);
+  model.endpoints[0].unresponsive = true;
+  model_claim (&model, SECOND, 2 << 20, ENDPOINTS);
+  snipe_pool_directory_synced (model.owners[SECOND].pool);
+  again.endpoint_digest = model_digest (&model, SECOND);
+  model_submit (&model, SECOND, &again);
+  model_advance (&model, model.now + 20 * SNIPE_S);
+  result = model_find_result (&model, 1);
+  CU_ASSERT_TRUE (result != NULL && result->code == SNIPE_OK);
+  model_clear (&model);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "owner cut off from its successor", test_owner_cut_off },
+    { "absent endpoint", test_absent_endpoint },
     CU_TEST_INFO_NULL,
   };
 
