--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -60,8 +60,8 @@
       (uint64_t)(g_str_hash (endpoint->entry.id) + resends) * 2654435761U);
 }
 
-/* @return until when the lease of an endpoint has to be extended, a time in
- * the past if it has not to be. */
+/* @return until when the lease of an endpoint has to be extended; a time in
+ * the past if no run needs it. */
 static snipe_time
 lease_needed_until (const struct snipe_pool *pool,
                     const struct snipe_pool_endpoint *endpoint, snipe_time now)
@@ -80,8 +80,8 @@
   return until;
 }
 
-/* @return for how long a poll request waits for the end of a run. With its
- * margin, the wait takes the same time whatever the margin. */
+/* @return for how long a poll request waits for the end of a run; with its
+ * margin, that is the same time whatever the margin. */
 static snipe_time
 poll_wait (const struct snipe_pool *pool,
            const struct snipe_pool_endpoint *endpoint, snipe_time margin)
@@ -104,7 +104,6 @@
     .endpoint = &endpoint->entry,
     .token = pool->token,
     .last_seen_end = endpoint->last_seen_end,
-    /* With its margin, the wait takes the same time whatever the margin. */
     .wait = wait ? poll_wait (pool, endpoint, margin) : 0,
     .again = endpoint->unanswered_polls > 0,
   };
--- a/tests/coordinator/test_cancellation.c
+++ b/tests/coordinator/test_cancellation.c
@@ -14,6 +14,8 @@
 #define CALLER_TIMEOUT (1500 * SNIPE_MS)
 #define TICK (20 * SNIPE_MS)
 #define NEVER (-1)
+/* Half of the time after which callers resend the job, in whole ticks. */
+#define HALF_RESEND_DELAY (640 * SNIPE_MS)
 
 struct record
 {
@@ -108,7 +110,7 @@
   uint64_t acknowledged_by;
   int code;             /**< of the result that acknowledges it */
   snipe_time reconnect; /**< the connection is replaced, or NEVER */
-  uint32_t cancels_min; /**< within half of the callers' resend delay */
+  uint32_t cancels_min; /**< within HALF_RESEND_DELAY */
   uint32_t cancels_max; /**< in all */
 };
 
@@ -151,7 +153,7 @@
           if (t == c->reconnect)
             snipe_coordinator_resend (coordinator, c->owner);
           snipe_coordinator_tick (coordinator, START + t);
-          if (t == 660 * SNIPE_MS)
+          if (t == HALF_RESEND_DELAY)
             CU_ASSERT_TRUE (record.cancels >= c->cancels_min);
         }
       CU_ASSERT_TRUE (record.cancels <= c->cancels_max);
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -1,10 +1,6 @@
 /* A pool's owner that receives cancellations of another host's batches. */
 #include <CUnit/Basic.h>
-#include <arpa/inet.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "link/link.h"
 #include "node/callbacks.h"
@@ -71,11 +67,16 @@
 on_message (void *ctx, uint64_t incarnation,
             const struct snipe_link_message *message)
 {
+  struct test *test = ctx;
+
   (void)incarnation;
+  if (message->procedure == LINK_SEND_HEARTBEAT)
+    g_strlcpy (test->node_address, message->args.heartbeat.address,
+               sizeof test->node_address);
   if (message->procedure == LINK_SEND_RESULT
       && message->args.result.coordinator == COORDINATOR
       && message->args.result.code == SNIPE_E_CANCELLED)
-    ((struct test *)ctx)->acknowledgements++;
+    test->acknowledgements++;
 }
 
 static void
@@ -105,7 +106,8 @@
                               .cpu_millicores = 100,
                               .heartbeat_interval_ms = 150 } };
 
-  if (now < test->heartbeat_due)
+  /* The node calls first, as the coordinator is listed. */
+  if (*test->node_address == '\0' || now < test->heartbeat_due)
     return;
   test->heartbeat_due = now + HEARTBEAT_INTERVAL;
   send_message (test, &message);
@@ -215,21 +217,6 @@
   return 2 * SNIPE_MS;
 }
 
-static void
-find_free_address (char *out, size_t size)
-{
-  struct sockaddr_in in = { .sin_family = AF_INET };
-  socklen_t len = sizeof in;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  in.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  if (fd < 0 || bind (fd, (struct sockaddr *)&in, sizeof in) != 0
-      || getsockname (fd, (struct sockaddr *)&in, &len) != 0)
-    abort ();
-  close (fd);
-  g_snprintf (out, size, "127.0.0.1:%u", (unsigned int)ntohs (in.sin_port));
-}
-
 /* Guards against an owner that does not acknowledge cancellations, so that its
  * peers cannot tell that one was lost (TWICE, review/2), and against starting
  * a copy of a batch that arrives after its cancellation. */
@@ -248,7 +235,6 @@
   snipe_time now = snipe_clock_now ();
   struct test test = { .started_at = now };
 
-  find_free_address (test.node_address, sizeof test.node_address);
   CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&test.loop), SNIPE_OK);
   link.loop = options.loop = test.loop;
   link.listen = "127.0.0.1:0";
@@ -260,13 +246,14 @@
               snipe_link_port (test.link));
   options.name = "h";
   options.domain = "a";
-  options.listen = test.node_address;
+  options.listen = "127.0.0.1:0";
   options.callbacks = (struct snipe_node_callbacks)NODE_CALLBACKS_INIT;
   options.callbacks.ctx = &test;
   options.callbacks.start = on_start;
   options.callbacks.stop = on_stop;
   options.callbacks.poll = on_poll;
   CU_ASSERT_EQUAL_FATAL (snipe_node_new (&test.node, &options, now), SNIPE_OK);
+  snipe_node_host_listed (test.node, test.link_address, now);
   snipe_node_set_store_reachable (test.node, true, now);
   snipe_node_endpoint_set (test.node, &entry, now);
   snipe_node_directory_synced (test.node, now, now);
