Log assumed ends, moved batches and the origin of each start

event=end_assumed names the reason and the ages that decided it, event=batch_moved both owners, their tokens and whether the earlier one counts as live, and event=start the coordinator, the batch and the endpoints that have not answered the pool's claim. No decision changes.

The model's owners are eight instead of two, for the search that follows.

--- a/include/snipe/coordinator.h
+++ b/include/snipe/coordinator.h
@@ -63,6 +63,19 @@
   snipe_time retry_after;
 };
 
+/** A batch is sent to another owner of its pool, or again to the same one
+ * after that was lost. */
+struct snipe_coordinator_move
+{
+  const char *job;
+  uint64_t number;
+  const struct snipe_pool_id *pool;
+  uint64_t from; /**< owner to which it was sent last, 0: none */
+  uint64_t from_token;
+  uint64_t to;
+  uint64_t to_token;
+};
+
 struct snipe_coordinator_callbacks
 {
   void *ctx;
@@ -78,6 +91,8 @@
    * @param again an earlier message was not acknowledged
    */
   void (*cancel) (void *ctx, uint64_t owner, uint64_t number, bool again);
+  /** For the log; may be NULL. */
+  void (*moved) (void *ctx, const struct snipe_coordinator_move *move);
   /** Delivers the answer to a job, once per request; not called for an
    * abandoned one. */
   void (*answer) (void *ctx, void *job_ctx,
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -124,6 +124,11 @@
   int64_t valid_until;   /**< endpoint clock, ms */
   bool again;            /**< an earlier request for the run is unanswered */
   snipe_time timeout;
+  uint64_t coordinator; /**< of the batch */
+  uint64_t batch;       /**< its number */
+  /** Endpoints of the pool that have not answered the claim: a previous owner
+   * may have runs there that are not known. */
+  uint32_t unconfirmed_endpoints;
 };
 
 struct snipe_pool_stop_request
@@ -147,6 +152,26 @@
   snipe_time timeout;
 };
 
+/** Why the owner of a pool takes a run as ended that no endpoint reported. */
+enum snipe_assumed_end_reason
+{
+  SNIPE_ASSUMED_LEASE,     /**< every lease that was granted has expired */
+  SNIPE_ASSUMED_MISSING,   /**< the endpoint does not list it any more */
+  SNIPE_ASSUMED_RESTARTED, /**< another incarnation is at the address */
+};
+
+struct snipe_pool_assumed_end
+{
+  const char *task;
+  uint32_t run;
+  const char *endpoint;
+  enum snipe_assumed_end_reason reason;
+  snipe_time since_extended; /**< time since the lease was extended last */
+  snipe_time since_received; /**< time since the endpoint's last answer */
+  uint32_t start_requests;   /**< number sent */
+  bool stop_confirmed;       /**< by the endpoint */
+};
+
 struct snipe_pool_callbacks
 {
   void *ctx;
@@ -157,6 +182,9 @@
   /** Answered by snipe_pool_on_poll (). */
   void (*poll) (void *ctx, const struct snipe_pool_poll_request *request);
   void (*result) (void *ctx, const struct snipe_pool_result *result);
+  /** A run is taken as ended, and its task may start elsewhere. For the log;
+   * may be NULL. */
+  void (*assumed_end) (void *ctx, const struct snipe_pool_assumed_end *end);
 };
 
 /** Answer of an endpoint to a request. */
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -488,6 +488,22 @@
   return found;
 }
 
+static void
+report_move (const struct snipe_coordinator *coordinator,
+             const struct batch *batch)
+{
+  struct snipe_coordinator_move move = { .job = batch->job->spec.id,
+                                         .number = batch->number,
+                                         .pool = &batch->pool->id,
+                                         .from = batch->owner,
+                                         .from_token = batch->token,
+                                         .to = batch->pool->owner,
+                                         .to_token = batch->pool->token };
+
+  if (coordinator->callbacks.moved != NULL)
+    coordinator->callbacks.moved (coordinator->callbacks.ctx, &move);
+}
+
 /* The pool has a new owner, or its owner is back after it was lost. All
  * batches of the pool are sent again: tasks that may run there are continued,
  * and a result that was lost is sent again. */
@@ -502,7 +518,12 @@
   pool->lost_at = 0;
   batches = batches_in_pool (coordinator, pool);
   for (guint i = 0; i < batches->len; i++)
-    send_batch (coordinator, g_ptr_array_index (batches, i), true);
+    {
+      struct batch *batch = g_ptr_array_index (batches, i);
+
+      report_move (coordinator, batch);
+      send_batch (coordinator, batch, true);
+    }
   g_ptr_array_free (batches, TRUE);
 }
 
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -126,10 +126,13 @@
   snipe_node_log (owned->node,
                   "event=start task=%s run=%u endpoint=%s "
                   "token=%" G_GUINT64_FORMAT " valid_until=%" G_GINT64_FORMAT
-                  " again=%d timeout_ms=%" G_GINT64_FORMAT,
+                  " again=%d timeout_ms=%" G_GINT64_FORMAT
+                  " coordinator=%016" G_GINT64_MODIFIER
+                  "x batch=%" G_GUINT64_FORMAT " unconfirmed=%u",
                   request->task, request->run, request->endpoint->id,
                   request->token, request->valid_until, (int)request->again,
-                  request->timeout / SNIPE_MS);
+                  request->timeout / SNIPE_MS, request->coordinator,
+                  request->batch, request->unconfirmed_endpoints);
   owned->node->options.callbacks.start (owned->node->options.callbacks.ctx,
                                         request);
 }
@@ -161,6 +164,43 @@
                                        request);
 }
 
+void
+snipe_owned_pool_assumed_end (void *ctx,
+                              const struct snipe_pool_assumed_end *end)
+{
+  static const char *const reasons[]
+      = { [SNIPE_ASSUMED_LEASE] = "lease",
+          [SNIPE_ASSUMED_MISSING] = "missing",
+          [SNIPE_ASSUMED_RESTARTED] = "restarted" };
+  struct owned_pool *owned = ctx;
+
+  snipe_node_log (
+      owned->node,
+      "event=end_assumed task=%s run=%u endpoint=%s reason=%s "
+      "extended_ms=%" G_GINT64_FORMAT " answered_ms=%" G_GINT64_FORMAT
+      " starts=%u stop_confirmed=%d",
+      end->task, end->run, end->endpoint, reasons[end->reason],
+      end->since_extended / SNIPE_MS, end->since_received / SNIPE_MS,
+      end->start_requests, (int)end->stop_confirmed);
+}
+
+void
+snipe_node_batch_moved (void *ctx, const struct snipe_coordinator_move *move)
+{
+  const struct snipe_node *node = ctx;
+
+  snipe_node_log (node,
+                  "event=batch_moved job=%s batch=%" G_GUINT64_FORMAT
+                  " domain=%s shard=%u from=%016" G_GINT64_MODIFIER
+                  "x from_token=%" G_GUINT64_FORMAT
+                  " from_live=%d to=%016" G_GINT64_MODIFIER
+                  "x to_token=%" G_GUINT64_FORMAT,
+                  move->job, move->number, move->pool->domain,
+                  move->pool->shard, move->from, move->from_token,
+                  (int)snipe_members_is_live (node->members, move->from),
+                  move->to, move->to_token);
+}
+
 /* Queues a result for this host's own coordinator. */
 static void
 queue_result (struct snipe_node *node, const struct snipe_pool_result *result)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -105,6 +105,7 @@
       = (struct snipe_coordinator_callbacks){ .ctx = node,
                                               .submit = snipe_node_send_batch,
                                               .cancel = snipe_node_send_cancel,
+                                              .moved = snipe_node_batch_moved,
                                               .answer = snipe_node_answer };
   status = snipe_members_new (&node->members, &members, now);
   if (status == SNIPE_OK)
--- a/src/node/owners.c
+++ b/src/node/owners.c
@@ -82,7 +82,9 @@
                                        .start = snipe_owned_pool_start,
                                        .stop = snipe_owned_pool_stop,
                                        .poll = snipe_owned_pool_poll,
-                                       .result = snipe_owned_pool_result };
+                                       .result = snipe_owned_pool_result,
+                                       .assumed_end
+                                       = snipe_owned_pool_assumed_end };
   if (snipe_pool_new (&owned->pool, &options, now) < 0)
     {
       g_warning ("pool: cannot claim: %s", snipe_status_last ());
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -199,6 +199,12 @@
                             const struct snipe_pool_poll_request *request);
 void snipe_owned_pool_result (void *ctx,
                               const struct snipe_pool_result *result);
+void snipe_owned_pool_assumed_end (void *ctx,
+                                   const struct snipe_pool_assumed_end *end);
+/** Logs that a batch is sent to another owner, and whether the earlier one
+ * counts as live. */
+void snipe_node_batch_moved (void *ctx,
+                             const struct snipe_coordinator_move *move);
 void snipe_node_answer (void *ctx, void *job_ctx,
                         const struct snipe_coordinator_answer *answer);
 void snipe_retained_result_free (gpointer result);
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -160,6 +160,20 @@
     }
 }
 
+static uint32_t
+count_unconfirmed (const struct snipe_pool *pool)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, pool->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count
+        += ((const struct snipe_pool_endpoint *)value)->claim == CLAIM_PENDING;
+  return count;
+}
+
 void
 snipe_pool_send_start (struct snipe_pool *pool, struct run *run,
                        snipe_time now)
@@ -174,6 +188,9 @@
                    + pool->lease_max / 2 / SNIPE_MS,
     .again = run->start_requests > 0,
     .timeout = request_timeout (pool, endpoint, REQUEST_TIMEOUT_MIN),
+    .coordinator = run->batch->coordinator,
+    .batch = run->batch->number,
+    .unconfirmed_endpoints = count_unconfirmed (pool),
   };
 
   g_strlcpy (request.task, run->task, sizeof request.task);
@@ -230,6 +247,25 @@
   snipe_pool_send_stop (pool, run, now);
 }
 
+static void
+report_assumed_end (const struct snipe_pool *pool, const struct run *run,
+                    enum snipe_assumed_end_reason reason, snipe_time now)
+{
+  const struct snipe_pool_endpoint *endpoint = run->endpoint;
+  struct snipe_pool_assumed_end end
+      = { .task = run->task,
+          .run = run->number,
+          .endpoint = endpoint->entry.id,
+          .reason = reason,
+          .since_extended = now - endpoint->lease_extended,
+          .since_received = now - endpoint->last_received_at,
+          .start_requests = run->start_requests,
+          .stop_confirmed = run->stop_confirmed };
+
+  if (pool->callbacks.assumed_end != NULL)
+    pool->callbacks.assumed_end (pool->callbacks.ctx, &end);
+}
+
 /* Ends a run that is not at the endpoint and will not be started there. */
 static void
 end_run (struct snipe_pool *pool, struct run *run,
@@ -253,11 +289,16 @@
 
 void
 snipe_pool_end_all_runs (struct snipe_pool *pool,
-                         struct snipe_pool_endpoint *endpoint, snipe_time now)
+                         struct snipe_pool_endpoint *endpoint,
+                         enum snipe_assumed_end_reason reason, snipe_time now)
 {
   while (endpoint->runs->len > 0)
-    end_run (pool, g_ptr_array_index (endpoint->runs, 0),
-             SNIPE_RUN_LEASE_EXPIRED, now);
+    {
+      struct run *run = g_ptr_array_index (endpoint->runs, 0);
+
+      report_assumed_end (pool, run, reason, now);
+      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+    }
 }
 
 /* The endpoint restarted under the same id. Runs of the previous incarnation
@@ -473,7 +514,7 @@
       break;
     case SNIPE_ANSWER_RESTARTED:
       endpoint->listed = false;
-      snipe_pool_end_all_runs (pool, endpoint, now);
+      snipe_pool_end_all_runs (pool, endpoint, SNIPE_ASSUMED_RESTARTED, now);
       snipe_pool_place_tasks (pool, now);
       return;
     case SNIPE_ANSWER_INVALID:
@@ -524,7 +565,7 @@
       break;
     case SNIPE_ANSWER_RESTARTED:
       endpoint->listed = false;
-      snipe_pool_end_all_runs (pool, endpoint, now);
+      snipe_pool_end_all_runs (pool, endpoint, SNIPE_ASSUMED_RESTARTED, now);
       break;
     default:
       break; /* snipe_pool_tick () sends it again */
@@ -629,8 +670,10 @@
                 ? run->stop_confirmed && run->stop_sent < sent
                 : run->state == RUN_ACTIVE && run->active_since < sent;
 
-      if (settled && !reported_running (report, run))
-        end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+      if (!settled || reported_running (report, run))
+        continue;
+      report_assumed_end (pool, run, SNIPE_ASSUMED_MISSING, now);
+      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
     }
 }
 
@@ -692,7 +735,7 @@
       return;
     case SNIPE_ANSWER_RESTARTED:
       endpoint->listed = false;
-      snipe_pool_end_all_runs (pool, endpoint, now);
+      snipe_pool_end_all_runs (pool, endpoint, SNIPE_ASSUMED_RESTARTED, now);
       break;
     default:
       /* Unresponsive: no new tasks until it answers the poll requests that
--- a/src/pool/requests.h
+++ b/src/pool/requests.h
@@ -36,6 +36,7 @@
 /** Ends all runs of an endpoint that has restarted or whose lease expired. */
 void snipe_pool_end_all_runs (struct snipe_pool *pool,
                               struct snipe_pool_endpoint *endpoint,
+                              enum snipe_assumed_end_reason reason,
                               snipe_time now);
 /** Starts waiting tasks for which an endpoint has free capacity. */
 void snipe_pool_place_tasks (struct snipe_pool *pool, snipe_time now);
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -17,7 +17,7 @@
 #include "snipe/status.h"
 
 #define MODEL_ENDPOINTS 24
-#define MODEL_OWNERS 2
+#define MODEL_OWNERS 8
 #define MODEL_RUNS 16
 #define MODEL_LEASE (1000 * SNIPE_MS)
 /* One-way network delay between hosts of one domain at the reference sites. */
@@ -139,6 +139,7 @@
   uint32_t polls;
   uint32_t over_capacity;
   uint32_t duplicate_runs;
+  uint32_t assumed_ends[SNIPE_ASSUMED_RESTARTED + 1]; /**< by reason */
 };
 
 static gint
@@ -178,9 +179,13 @@
 };
 
 static uint32_t
-model_owner_index (const struct model *model, void *ctx)
+model_owner_index (const struct model *model, const void *ctx)
 {
-  return (void *)&model->owners[0] == ctx ? 0 : 1;
+  uint32_t i = 0;
+
+  while ((const void *)&model->owners[i] != ctx)
+    i++;
+  return i;
 }
 
 /* Returns when a message that is sent now has passed a link of the owners'
@@ -284,6 +289,14 @@
   g_array_append_val (model->results, row);
 }
 
+static void
+model_on_assumed_end (void *ctx, const struct snipe_pool_assumed_end *end)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+
+  model->assumed_ends[end->reason]++;
+}
+
 static int64_t
 model_clock (const struct model *model)
 {
@@ -646,7 +659,8 @@
                                        .start = model_on_start,
                                        .stop = model_on_stop,
                                        .poll = model_on_poll,
-                                       .result = model_on_result };
+                                       .result = model_on_result,
+                                       .assumed_end = model_on_assumed_end };
   CU_ASSERT_EQUAL_FATAL (
       snipe_pool_new (&model->owners[owner].pool, &options, model->now), 0);
   for (uint32_t i = 0; i < known; i++)
