Bound the validity of requests by the slowest clock of an endpoint

A task ran twice at the same time, and capacity was given away twice, when a start request was held up on the way, as by an endpoint that is cut off for 1.3 to 3 s. The owner takes the run as ended once every lease has certainly expired, 1.2 s after its last request. The request was valid for longer, because the time until which it is valid was computed from the last reading of the endpoint's clock as if that clock were exact. It may run 2 % slow: a minute after the last reading, a start was valid for 1.7 s in place of 0.5 s.

The extrapolated clock is now one that the endpoint has certainly reached, and the length of a lease is added to it. An endpoint that was idle for more than 25 s rejects its first start as expired; the rejection has its clock, and the task is started at once.

The model's endpoints have a clock rate, and can drop polls.

--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -16,6 +16,8 @@
 #define FAILURES_MAX 2
 #define SUSPEND_MIN (400 * SNIPE_MS)
 #define SUSPEND_MAX (6 * SNIPE_S)
+/* An endpoint's clock may run 2 % slow. */
+#define CLOCK_DRIFT_DIVISOR 50
 
 bool
 snipe_endpoint_entry_equal (const struct snipe_endpoint_entry *a,
@@ -83,7 +85,10 @@
 snipe_pool_endpoint_clock (const struct snipe_pool_endpoint *endpoint,
                            snipe_time now)
 {
-  return endpoint->clock_base_ms + (now - endpoint->clock_read_at) / SNIPE_MS;
+  snipe_time age = now - endpoint->clock_read_at;
+
+  return endpoint->clock_base_ms
+         + (age - age / CLOCK_DRIFT_DIVISOR) / SNIPE_MS;
 }
 
 struct run *
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -159,7 +159,9 @@
                                  snipe_time now);
 bool snipe_pool_endpoint_fits (const struct snipe_pool_endpoint *endpoint,
                                const struct snipe_capacity *size);
-/** @return the endpoint's clock in ms, extrapolated to @p now. */
+/** @return a time in ms that the endpoint's clock has certainly reached at
+ * @p now. A request that is valid until a time after it, however late it
+ * arrives, is not valid for longer than the difference. */
 int64_t snipe_pool_endpoint_clock (const struct snipe_pool_endpoint *endpoint,
                                    snipe_time now);
 struct run *snipe_pool_run_add (struct snipe_pool_endpoint *endpoint,
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -122,7 +122,8 @@
       && (wait || endpoint->last_received_at >= endpoint->poll_sent))
     {
       endpoint->lease_extended = now;
-      request.valid_until = snipe_pool_endpoint_clock (endpoint, lease_until);
+      request.valid_until = snipe_pool_endpoint_clock (endpoint, now)
+                            + (lease_until - now) / SNIPE_MS;
     }
   request.timeout = request.wait + margin;
   endpoint->poll_in_flight = true;
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -44,11 +44,13 @@
   uint64_t last_end;
   snipe_time lease_until; /**< expiry, model time */
   double slowdown;        /**< actual over nominal duration */
+  double clock_rate;      /**< of its clock, which measures its leases */
   bool unresponsive;      /**< drops all requests */
   uint32_t cut_owners;    /**< bit set of the owners whose requests it drops */
   bool fails;             /**< every task fails after a few ms */
   bool drops_start_answers; /**< does not answer start requests */
   bool drops_stops;         /**< ignores stop requests */
+  bool drops_polls;         /**< ignores poll requests */
   snipe_time start_delay;   /**< added to the delay of a start request */
   snipe_time poll_delay;    /**< added to the delay of a poll answer */
   /* The poll request that waits for the end of a run. */
@@ -297,10 +299,25 @@
   model->assumed_ends[end->reason]++;
 }
 
+/* @return the endpoint's clock in ms. */
 static int64_t
-model_clock (const struct model *model)
+model_clock (const struct model *model, const struct model_endpoint *endpoint)
 {
-  return 5000 + model->now / SNIPE_MS;
+  return 5000
+         + (int64_t)((double)model->now * endpoint->clock_rate) / SNIPE_MS;
+}
+
+/* Extends the lease until a time on the endpoint's clock. */
+static void
+model_extend_lease (const struct model *model, struct model_endpoint *endpoint,
+                    int64_t valid_until)
+{
+  snipe_time time = MIN (
+      MODEL_LEASE, (valid_until - model_clock (model, endpoint)) * SNIPE_MS);
+
+  endpoint->lease_until
+      = MAX (endpoint->lease_until,
+             model->now + (snipe_time)((double)time / endpoint->clock_rate));
 }
 
 static int64_t
@@ -409,7 +426,7 @@
   if (event->token < endpoint->token)
     return SNIPE_ANSWER_FENCED;
   endpoint->token = event->token;
-  if (event->valid_until < model_clock (model))
+  if (event->valid_until < model_clock (model, endpoint))
     return SNIPE_ANSWER_EXPIRED;
   for (uint32_t i = 0; i < endpoint->run_count; i++)
     if (strcmp (endpoint->runs[i].task, event->task) == 0
@@ -434,11 +451,7 @@
         + (endpoint->fails ? 2 * SNIPE_MS
                            : (snipe_time)((double)model->duration (event->task)
                                           * endpoint->slowdown));
-  endpoint->lease_until
-      = MAX (endpoint->lease_until,
-             model->now
-                 + MIN (MODEL_LEASE, (event->valid_until - model_clock (model))
-                                         * SNIPE_MS));
+  model_extend_lease (model, endpoint, event->valid_until);
   model_check_start (model, endpoint, event);
   return SNIPE_ANSWER_OK;
 }
@@ -460,11 +473,7 @@
     }
   endpoint->token = event->token;
   if (event->valid_until > 0)
-    endpoint->lease_until = MAX (
-        endpoint->lease_until,
-        model->now
-            + MIN (MODEL_LEASE,
-                   (event->valid_until - model_clock (model)) * SNIPE_MS));
+    model_extend_lease (model, endpoint, event->valid_until);
   if (endpoint->poll_pending)
     model_answer_poll (model, event->endpoint);
   endpoint->poll_pending = true;
@@ -487,7 +496,7 @@
   struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
   struct snipe_pool *pool = model->owners[event->owner].pool;
   struct snipe_endpoint_report report
-      = { .clock_ms = model_clock (model),
+      = { .clock_ms = model_clock (model, endpoint),
           .started_ms = event->started_ms != 0 ? event->started_ms
                                                : endpoint->entry.started_ms,
           .sent_at = event->sent_at,
@@ -504,6 +513,7 @@
   answer.from_endpoint = true;
   if (event->kind <= MODEL_POLL
       && (endpoint->unresponsive
+          || (event->kind == MODEL_POLL && endpoint->drops_polls)
           || (endpoint->cut_owners >> event->owner & 1)))
     return;
   if (event->kind > MODEL_POLL
@@ -640,6 +650,7 @@
       endpoint->entry.capacity
           = (struct snipe_capacity){ .cpu = 64000, .mem_mb = 65536 };
       endpoint->slowdown = 1.0;
+      endpoint->clock_rate = 1.0;
       endpoint->ended = g_array_new (FALSE, FALSE,
                                      sizeof (struct snipe_endpoint_ended_run));
     }
