Model restarts with a new clock, stops of unknown runs and late answers

The model of endpoints reported the clock and the incarnation of the moment at which an answer arrived, not of that at which it was given, and kept its clock over a restart. A stop request for a run that had not started did not make the endpoint reject it later. Steps without events are skipped.

--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -40,14 +40,18 @@
   uint64_t token;
   struct model_run runs[MODEL_RUNS];
   uint32_t run_count;
-  GArray *ended; /**< struct snipe_endpoint_ended_run */
+  GArray *ended;   /**< struct snipe_endpoint_ended_run */
+  GArray *stopped; /**< struct snipe_endpoint_run, that it had not started */
   uint64_t last_end;
-  snipe_time lease_until; /**< expiry, model time */
-  double slowdown;        /**< actual over nominal duration */
-  double clock_rate;      /**< of its clock, which measures its leases */
-  bool unresponsive;      /**< drops all requests */
-  uint32_t cut_owners;    /**< bit set of the owners whose requests it drops */
-  bool fails;             /**< every task fails after a few ms */
+  snipe_time lease_until;   /**< expiry, model time */
+  double slowdown;          /**< actual over nominal duration */
+  double clock_rate;        /**< of its clock, which measures its leases */
+  int64_t clock_base_ms;    /**< its clock when its incarnation began */
+  snipe_time clock_started; /**< when its incarnation began */
+  bool unresponsive;        /**< drops all requests */
+  uint32_t cut_owners; /**< bit set of the owners whose requests it drops */
+  bool fails;          /**< every task fails after a few ms */
+  bool unhealthy;      /**< rejects start requests */
   bool drops_start_answers; /**< does not answer start requests */
   bool drops_stops;         /**< ignores stop requests */
   bool drops_polls;         /**< ignores poll requests */
@@ -62,6 +66,7 @@
   uint64_t poll_token;
   uint64_t poll_last_seen_end;
   snipe_time poll_until;
+  bool poll_answer_lost;
 };
 
 enum model_event_kind
@@ -91,8 +96,11 @@
   int64_t valid_until; /**< ms */
   snipe_time wait;
   enum snipe_endpoint_answer answer;
-  bool from_endpoint; /**< sent by the endpoint, not by a timeout */
-  int64_t started_ms; /**< incarnation that answered, 0: the present one */
+  bool from_endpoint;       /**< sent by the endpoint, not by a timeout */
+  bool answer_lost;         /**< carried out, but its answer is lost */
+  int64_t known_started_ms; /**< incarnation that its sender knew */
+  int64_t started_ms;       /**< incarnation that answered */
+  int64_t clock_ms;         /**< of the endpoint when it answered */
   struct snipe_endpoint_run *runs;
   uint32_t run_count;
   struct snipe_endpoint_ended_run *ended;
@@ -118,6 +126,9 @@
   {
     struct model *model;
     struct snipe_pool *pool;
+    snipe_time frozen_until; /**< its process does nothing until then */
+    /** Newest incarnation of each endpoint that it has heard of. */
+    int64_t known_started_ms[MODEL_ENDPOINTS];
   } owners[MODEL_OWNERS];
   GQueue events; /**< struct model_event, by time */
   GArray *results;
@@ -134,6 +145,15 @@
   /** Receives the results of batches; NULL: they are added to results. */
   void (*on_result) (struct model *model,
                      const struct snipe_pool_result *result);
+  uint32_t result_owner; /**< owner of the result that is passed to it */
+  /** May delay a request or an answer that is sent; returns false if it is
+   * lost. May be NULL, as the following ones. */
+  bool (*on_message) (struct model *model, struct model_event *event);
+  /** An event has been handled. */
+  void (*on_event) (struct model *model, const struct model_event *event);
+  /** A start was accepted that must not have been requested. */
+  void (*on_violation) (struct model *model, const struct model_event *event,
+                        const char *what);
   uint32_t starts;
   uint32_t start_requests;
   uint32_t stop_requests;
@@ -211,8 +231,11 @@
   event->request = ++model->last_request;
   event->sent_at = model->now;
   event->time = model_link (model, &model->uplink_free) + MODEL_DELAY + delay;
+  event->known_started_ms
+      = model->owners[event->owner].known_started_ms[event->endpoint];
   model->resends += again;
-  model_schedule (model, event);
+  if (model->on_message == NULL || model->on_message (model, event))
+    model_schedule (model, event);
   event->kind = answer_kind;
   event->answer = SNIPE_ANSWER_NONE;
   event->timeout = true;
@@ -280,6 +303,7 @@
 
   if (model->on_result != NULL)
     {
+      model->result_owner = model_owner_index (model, ctx);
       model->on_result (model, result);
       return;
     }
@@ -303,8 +327,10 @@
 static int64_t
 model_clock (const struct model *model, const struct model_endpoint *endpoint)
 {
-  return 5000
-         + (int64_t)((double)model->now * endpoint->clock_rate) / SNIPE_MS;
+  return endpoint->clock_base_ms
+         + (int64_t)((double)(model->now - endpoint->clock_started)
+                     * endpoint->clock_rate)
+               / SNIPE_MS;
 }
 
 /* Extends the lease until a time on the endpoint's clock. */
@@ -320,6 +346,25 @@
              model->now + (snipe_time)((double)time / endpoint->clock_rate));
 }
 
+/* Sends an answer of the endpoint as it is now. */
+static void
+model_send_answer (struct model *model, struct model_event *event)
+{
+  const struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
+
+  event->from_endpoint = true;
+  event->started_ms = endpoint->entry.started_ms;
+  event->clock_ms = model_clock (model, endpoint);
+  if (event->answer_lost
+      || (model->on_message != NULL && !model->on_message (model, event)))
+    {
+      g_free (event->runs);
+      g_free (event->ended);
+    }
+  else
+    model_schedule (model, event);
+}
+
 static int64_t
 model_size (const struct model *model, const char *task)
 {
@@ -328,11 +373,9 @@
 
 /* Fills in the running and ended runs of an answer. */
 static void
-model_fill_report (struct model *model, struct model_endpoint *endpoint,
+model_fill_report (const struct model_endpoint *endpoint,
                    struct model_event *event, uint64_t last_seen_end)
 {
-  event->from_endpoint = true;
-  event->started_ms = endpoint->entry.started_ms;
   event->runs = g_new0 (struct snipe_endpoint_run, endpoint->run_count + 1);
   event->run_count = endpoint->run_count;
   for (uint32_t i = 0; i < endpoint->run_count; i++)
@@ -351,7 +394,6 @@
       if (ended->sequence > last_seen_end)
         event->ended[event->ended_count++] = *ended;
     }
-  (void)model;
 }
 
 static void
@@ -367,12 +409,13 @@
           .token = endpoint->poll_token,
           .endpoint = index,
           .answer = SNIPE_ANSWER_OK,
+          .answer_lost = endpoint->poll_answer_lost,
           .time = model_link (model, &model->downlink_free) + MODEL_DELAY
                   + endpoint->poll_delay };
 
   endpoint->poll_pending = false;
-  model_fill_report (model, endpoint, &event, endpoint->poll_last_seen_end);
-  model_schedule (model, &event);
+  model_fill_report (endpoint, &event, endpoint->poll_last_seen_end);
+  model_send_answer (model, &event);
 }
 
 static void
@@ -405,7 +448,11 @@
   for (uint32_t i = 0; i < endpoint->run_count; i++)
     used += endpoint->runs[i].cpu;
   if (used > endpoint->entry.capacity.cpu)
-    model->over_capacity++;
+    {
+      model->over_capacity++;
+      if (model->on_violation != NULL)
+        model->on_violation (model, event, "over capacity");
+    }
   for (uint32_t k = 0; k < model->endpoint_count; k++)
     for (uint32_t i = 0; i < model->endpoints[k].run_count; i++)
       {
@@ -413,10 +460,32 @@
 
         if (strcmp (run->task, event->task) == 0
             && !(k == event->endpoint && run->run == event->run))
-          model->duplicate_runs++;
+          {
+            model->duplicate_runs++;
+            if (model->on_violation != NULL)
+              model->on_violation (model, event, "two runs of a task");
+          }
       }
 }
 
+/* Whether the endpoint rejects a start request that was sent before its sender
+ * learned of a restart with less capacity. Any other start is accepted and
+ * checked. */
+static bool
+model_lacks_capacity (const struct model *model,
+                      const struct model_endpoint *endpoint,
+                      const struct model_event *event)
+{
+  int64_t used = model_size (model, event->task);
+
+  if (event->known_started_ms == 0
+      || event->known_started_ms >= endpoint->entry.started_ms)
+    return false;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    used += endpoint->runs[i].cpu;
+  return used > endpoint->entry.capacity.cpu;
+}
+
 static enum snipe_endpoint_answer
 model_handle_start (struct model *model, const struct model_event *event)
 {
@@ -440,6 +509,19 @@
       if (strcmp (ended->task, event->task) == 0 && ended->run >= event->run)
         return SNIPE_ANSWER_STALE_RUN;
     }
+  for (guint i = 0; i < endpoint->stopped->len; i++)
+    {
+      const struct snipe_endpoint_run *stopped
+          = &g_array_index (endpoint->stopped, struct snipe_endpoint_run, i);
+
+      if (strcmp (stopped->task, event->task) == 0
+          && stopped->run >= event->run)
+        return SNIPE_ANSWER_STALE_RUN;
+    }
+  if (endpoint->unhealthy)
+    return SNIPE_ANSWER_UNHEALTHY;
+  if (model_lacks_capacity (model, endpoint, event))
+    return SNIPE_ANSWER_NO_CAPACITY;
   g_assert (endpoint->run_count < MODEL_RUNS);
   run = &endpoint->runs[endpoint->run_count++];
   *run = (struct model_run){ .run = event->run,
@@ -465,10 +547,9 @@
   answer.kind = MODEL_POLL_ANSWER;
   answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
   answer.answer = SNIPE_ANSWER_FENCED;
-  answer.from_endpoint = true;
   if (event->token < endpoint->token)
     {
-      model_schedule (model, &answer);
+      model_send_answer (model, &answer);
       return;
     }
   endpoint->token = event->token;
@@ -484,42 +565,82 @@
   endpoint->poll_token = event->token;
   endpoint->poll_last_seen_end = event->last_seen_end;
   endpoint->poll_until = model->now + event->wait;
+  endpoint->poll_answer_lost = event->answer_lost;
   if (event->wait == 0
       || (endpoint->ended->len > 0
           && endpoint->last_end > event->last_seen_end))
     model_answer_poll (model, event->endpoint);
 }
 
+static inline void
+model_note_incarnation (struct model *model, uint32_t owner, uint32_t endpoint,
+                        int64_t started_ms)
+{
+  int64_t *known = &model->owners[owner].known_started_ms[endpoint];
+
+  *known = MAX (*known, started_ms);
+}
+
+/* A run that has not been started is rejected later. */
+static void
+model_handle_stop (struct model *model, const struct model_event *event)
+{
+  struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
+  struct snipe_endpoint_run stopped = { .run = event->run };
+
+  endpoint->token = event->token;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    if (strcmp (endpoint->runs[i].task, event->task) == 0
+        && endpoint->runs[i].run == event->run)
+      {
+        model_end_run (model, event->endpoint, i, SNIPE_RUN_STOPPED);
+        return;
+      }
+  g_strlcpy (stopped.task, event->task, sizeof stopped.task);
+  g_array_append_val (endpoint->stopped, stopped);
+}
+
 static void
 model_deliver (struct model *model, struct model_event *event)
 {
   struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
   struct snipe_pool *pool = model->owners[event->owner].pool;
-  struct snipe_endpoint_report report
-      = { .clock_ms = model_clock (model, endpoint),
-          .started_ms = event->started_ms != 0 ? event->started_ms
-                                               : endpoint->entry.started_ms,
-          .sent_at = event->sent_at,
-          .waited = event->wait,
-          .running = event->runs,
-          .running_count = event->run_count,
-          .ended = event->ended,
-          .ended_count = event->ended_count };
+  struct snipe_endpoint_report report = { .clock_ms = event->clock_ms,
+                                          .started_ms = event->started_ms,
+                                          .sent_at = event->sent_at,
+                                          .waited = event->wait,
+                                          .running = event->runs,
+                                          .running_count = event->run_count,
+                                          .ended = event->ended,
+                                          .ended_count = event->ended_count };
   const struct snipe_endpoint_report *received_report
       = event->from_endpoint ? &report : NULL;
   struct model_event answer = *event;
 
   answer.time = model->now + MODEL_DELAY;
-  answer.from_endpoint = true;
   if (event->kind <= MODEL_POLL
       && (endpoint->unresponsive
           || (event->kind == MODEL_POLL && endpoint->drops_polls)
           || (endpoint->cut_owners >> event->owner & 1)))
     return;
+  if (event->kind > MODEL_POLL
+      && model->now < model->owners[event->owner].frozen_until)
+    {
+      answer.time = model->owners[event->owner].frozen_until;
+      model_schedule (model, &answer);
+      event->runs = NULL;
+      event->ended = NULL;
+      return;
+    }
   if (event->kind > MODEL_POLL
       && !g_hash_table_add (model->answered, GSIZE_TO_POINTER (event->request))
       && event->timeout)
     return;
+  if (model->on_event != NULL)
+    model->on_event (model, event);
+  if (event->from_endpoint)
+    model_note_incarnation (model, event->owner, event->endpoint,
+                            event->started_ms);
   if (event->kind == MODEL_START || event->kind == MODEL_STOP)
     answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
   switch (event->kind)
@@ -528,7 +649,7 @@
       answer.kind = MODEL_START_ANSWER;
       answer.answer = model_handle_start (model, event);
       if (!endpoint->drops_start_answers)
-        model_schedule (model, &answer);
+        model_send_answer (model, &answer);
       break;
     case MODEL_STOP:
       if (endpoint->drops_stops)
@@ -537,12 +658,9 @@
       answer.answer = SNIPE_ANSWER_OK;
       if (event->token < endpoint->token)
         answer.answer = SNIPE_ANSWER_FENCED;
-      for (uint32_t i = endpoint->run_count;
-           i > 0 && answer.answer == SNIPE_ANSWER_OK; i--)
-        if (strcmp (endpoint->runs[i - 1].task, event->task) == 0
-            && endpoint->runs[i - 1].run == event->run)
-          model_end_run (model, event->endpoint, i - 1, SNIPE_RUN_STOPPED);
-      model_schedule (model, &answer);
+      else
+        model_handle_stop (model, event);
+      model_send_answer (model, &answer);
       break;
     case MODEL_POLL:
       model_handle_poll (model, event);
@@ -591,20 +709,51 @@
 
   endpoint->run_count = 0;
   g_array_set_size (endpoint->ended, 0);
+  g_array_set_size (endpoint->stopped, 0);
   endpoint->last_end = 0;
   endpoint->token = 0;
   endpoint->lease_until = 0;
   endpoint->entry.started_ms++;
+  endpoint->clock_base_ms = 1;
+  endpoint->clock_started = model->now;
   endpoint->poll_last_seen_end = 0;
   if (endpoint->poll_pending)
     model_answer_poll (model, index);
 }
 
+/* Returns the first step, of a quarter of a millisecond each, at which
+ * something may happen. */
+static inline snipe_time
+model_next_step (const struct model *model, snipe_time until)
+{
+  const snipe_time step = SNIPE_MS / 4;
+  const snipe_time tick = 10 * SNIPE_MS;
+  struct model_event *event
+      = g_queue_peek_head (&((struct model *)model)->events);
+  snipe_time next = MIN (until, (model->now / tick + 1) * tick);
+
+  if (event != NULL)
+    next = MIN (next, event->time);
+  for (uint32_t k = 0; k < model->endpoint_count; k++)
+    {
+      const struct model_endpoint *endpoint = &model->endpoints[k];
+
+      for (uint32_t i = 0; i < endpoint->run_count; i++)
+        next = MIN (next, endpoint->runs[i].until);
+      if (endpoint->run_count > 0)
+        next = MIN (next, endpoint->lease_until + 1);
+      if (endpoint->poll_pending)
+        next = MIN (next, endpoint->poll_until);
+    }
+  return MAX (model->now + step,
+              model->now + (next - model->now + step - 1) / step * step);
+}
+
 /** Advances time in steps of a quarter of a millisecond. */
 static inline void
 model_advance (struct model *model, snipe_time until)
 {
-  for (; model->now < until; model->now += SNIPE_MS / 4)
+  for (; model->now < until; model->now = model_next_step (model, until))
     {
       struct model_event *event;
 
@@ -620,7 +769,8 @@
         }
       if (model->now % (10 * SNIPE_MS) == 0)
         for (uint32_t i = 0; i < MODEL_OWNERS; i++)
-          if (model->owners[i].pool != NULL)
+          if (model->owners[i].pool != NULL
+              && model->owners[i].frozen_until <= model->now)
             snipe_pool_tick (model->owners[i].pool, model->now);
     }
 }
@@ -651,6 +801,9 @@
           = (struct snipe_capacity){ .cpu = 64000, .mem_mb = 65536 };
       endpoint->slowdown = 1.0;
       endpoint->clock_rate = 1.0;
+      endpoint->clock_base_ms = 5000;
+      endpoint->stopped
+          = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_run));
       endpoint->ended = g_array_new (FALSE, FALSE,
                                      sizeof (struct snipe_endpoint_ended_run));
     }
@@ -702,7 +855,10 @@
   g_array_free (model->results, TRUE);
   g_hash_table_destroy (model->answered);
   for (uint32_t i = 0; i < model->endpoint_count; i++)
-    g_array_free (model->endpoints[i].ended, TRUE);
+    {
+      g_array_free (model->endpoints[i].ended, TRUE);
+      g_array_free (model->endpoints[i].stopped, TRUE);
+    }
 }
 
 struct model_job
