Notice the restart of an endpoint in any of its answers

Callers saw an endpoint that was given more than its capacity: after it had restarted with less, its answers to start requests named the new incarnation, but only answers to poll requests were taken to tell of it, and an idle endpoint is not polled. So tasks were started by the capacity listed before.

Now any answer of a new incarnation begins it: the endpoint gets tasks again when a poll request has told what runs there and the list has its capacity.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -390,6 +390,19 @@
                  2 * snipe_rtt_timeout (&pool->rtt, REQUEST_TIMEOUT_MIN, max));
 }
 
+/* Any answer of the new incarnation may be the first one: until a poll request
+ * has told what runs there, nothing else is started. */
+static void
+record_incarnation (struct snipe_pool_endpoint *endpoint,
+                    const struct snipe_endpoint_report *report, snipe_time now)
+{
+  if (endpoint->entry.started_ms == 0
+      || report->started_ms <= endpoint->entry.started_ms)
+    return;
+  begin_incarnation (endpoint, report->started_ms, now);
+  endpoint->entry_outdated = true;
+}
+
 static struct snipe_pool_endpoint *
 record_answer (struct snipe_pool *pool, const char *id,
                const struct snipe_endpoint_report *report, snipe_time now)
@@ -407,6 +420,7 @@
       endpoint->overdue = false;
       endpoint->unanswered_polls = 0;
       endpoint->unresponsive_until = 0;
+      record_incarnation (endpoint, report, now);
       if (report->sent_at > 0 && report->waited == 0)
         record_round_trip (pool, endpoint, now - report->sent_at);
       if (report->draining)
@@ -495,7 +509,8 @@
           run->state = RUN_ACTIVE;
           run->active_since = now;
         }
-      snipe_pool_send_poll (pool, endpoint, true, now);
+      snipe_pool_send_poll (pool, endpoint, endpoint->claim != CLAIM_PENDING,
+                            now);
       return;
     case SNIPE_ANSWER_NONE:
       handle_unanswered_start (pool, run, now);
@@ -688,16 +703,9 @@
   bool late = report->sent_at > 0 && report->sent_at < endpoint->poll_sent;
   snipe_time sent = late ? report->sent_at : endpoint->poll_sent;
 
-  if (report->started_ms != 0 && endpoint->entry.started_ms != 0)
-    {
-      if (report->started_ms < endpoint->entry.started_ms)
-        return; /* from the previous incarnation */
-      if (report->started_ms > endpoint->entry.started_ms)
-        {
-          begin_incarnation (endpoint, report->started_ms, now);
-          endpoint->entry_outdated = true;
-        }
-    }
+  if (report->started_ms != 0
+      && report->started_ms < endpoint->entry.started_ms)
+    return; /* from the previous incarnation */
   if (!late)
     endpoint->acknowledged_end
         = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
--- a/tests/pool/search.h
+++ b/tests/pool/search.h
@@ -963,6 +963,10 @@
     if (!(scenario->off >> kind & 1))
       printf (" %s", search_kind_names[kind]);
   printf ("\n");
+  while (from > 0
+         && g_array_index (trace, struct search_row, from - 1).time
+                > violation.time)
+    g_array_set_size (trace, --from);
   while (from > 0 && rows < SEARCH_TRACE_ROWS)
     rows += search_row_matters (
         &g_array_index (trace, struct search_row, --from), &violation);
--- /dev/null
+++ b/tests/pool/test_restarted_endpoint.c
@@ -0,0 +1,89 @@
+#include "pool/model.h"
+#include "suite.h"
+
+#define OWNER 0
+#define TASK_TIME (2 * SNIPE_S)
+#define CAPACITY 60000
+#define TASK_CPU 30000
+
+static snipe_time
+long_duration (const char *task)
+{
+  (void)task;
+  return TASK_TIME;
+}
+
+static struct model_job
+job (const char *name, uint64_t number, uint32_t count)
+{
+  return (struct model_job){ .coordinator = 1,
+                             .number = number,
+                             .job = name,
+                             .count = count,
+                             .estimate = TASK_TIME,
+                             .soft_deadline = 2 * TASK_TIME,
+                             .hard_deadline = 10 * TASK_TIME,
+                             .caller_deadline = 10 * TASK_TIME };
+}
+
+/* Starts with one owner that knows every endpoint, 20 ms after its claim. */
+static void
+start_model (struct model *model, uint32_t endpoints)
+{
+  model_init (model, endpoints, TASK_CPU, long_duration);
+  for (uint32_t i = 0; i < endpoints; i++)
+    model->endpoints[i].entry.capacity.cpu = CAPACITY;
+  model_claim (model, OWNER, 1 << 20, endpoints);
+  snipe_pool_directory_synced (model->owners[OWNER].pool);
+  model_advance (model, model->now + 20 * SNIPE_MS);
+}
+
+/* Guards against starts beyond the capacity of an endpoint that has restarted
+ * with less of it, when the answer to a start request is the first that tells
+ * of the restart: only poll requests were taken to tell of one. */
+static void
+test_restart_told_by_start_answer (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t tasks;
+    bool unhealthy;
+  } cases[] = {
+    { "the first start is accepted, the second is too much", 2, false },
+    { "the first start is rejected", 2, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job first = job ("0123456789abcdef", 1, 1);
+      struct model_job second = job ("fedcba9876543210", 2, cases[i].tasks);
+      unsigned int before = CU_get_number_of_failures ();
+      struct model model;
+
+      start_model (&model, 1);
+      model_restart (&model, 0);
+      model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+      model.endpoints[0].unhealthy = cases[i].unhealthy;
+      model_submit (&model, OWNER, &first);
+      model_advance (&model, model.now + 5 * SNIPE_MS);
+      model.endpoints[0].unhealthy = false;
+      model_submit (&model, OWNER, &second);
+      model_advance (&model, model.now + SNIPE_S);
+      CU_ASSERT_EQUAL (model.over_capacity, 0);
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s\n", cases[i].name);
+      model_clear (&model);
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "restart told by a start answer", test_restart_told_by_start_answer },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("restarted_endpoint", tests);
+}
