Ignore answers for an earlier run of the same number

Callers saw two runs of a task at the same time: a job that was cancelled and submitted again numbers its runs anew, and the rejection of a start request for the earlier run 1, held up on the way, was taken for one of the later run 1, whose start was still under way. Its task was then started again.

Answers to requests that were sent before the first start request of the run are now ignored, whether to starts or stops.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -489,6 +489,16 @@
   snipe_pool_resend_start (pool, run, now);
 }
 
+/* Whether an answer is to a request for an earlier run of the same number: a
+ * job that is submitted again numbers its runs anew. */
+static bool
+is_for_earlier_run (const struct run *run,
+                    const struct snipe_endpoint_report *report)
+{
+  return report != NULL && report->sent_at > 0
+         && report->sent_at < run->start_sent;
+}
+
 void
 snipe_pool_on_start (struct snipe_pool *pool, const char *id, const char *task,
                      uint32_t number, enum snipe_endpoint_answer answer,
@@ -499,7 +509,7 @@
   struct run *run
       = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
-  if (run == NULL)
+  if (run == NULL || is_for_earlier_run (run, report))
     return;
   switch (answer)
     {
@@ -566,7 +576,7 @@
   struct run *run
       = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
-  if (run == NULL)
+  if (run == NULL || is_for_earlier_run (run, report))
     return;
   run->stop_in_flight = false;
   switch (answer)
