Stop starts that are under way when an endpoint restarts

Callers saw two runs of a task at the same time: a start request was sent twice, one copy was confirmed, and the endpoint restarted. The run was taken as ended and the task started elsewhere. The other copy arrived later, and by the clock of the new incarnation, which starts anew, it was still valid.

The unanswered start requests of a run are now counted. If some may be under way at a restart, the run is stopped at the new incarnation, which then rejects its number, before the task is started again. A stop that the earlier incarnation confirmed does not count.

--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -34,6 +34,7 @@
   uint32_t task_index; /**< in batch->tasks */
   struct snipe_capacity resources;
   uint32_t start_requests; /**< number sent */
+  uint32_t start_answers;  /**< number of them that are answered */
   uint32_t stop_requests;  /**< number sent */
   bool start_overdue;      /**< the last start request is unanswered */
   bool stop_in_flight;
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -302,11 +302,39 @@
     }
 }
 
+/* Whether a start request for the run may still reach the endpoint. */
+static bool
+start_under_way (const struct run *run)
+{
+  return run->start_requests > run->start_answers;
+}
+
+/* A start request that is under way to the previous incarnation is valid for
+ * an unknown time by the clock of the new one. Once that one has confirmed a
+ * stop request, it rejects the start. */
+static void
+stop_starts_under_way (struct snipe_pool *pool,
+                       struct snipe_pool_endpoint *endpoint, snipe_time now)
+{
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (!start_under_way (run))
+        continue;
+      run->stop_confirmed = false;
+      /* Any other may be the first run of the new incarnation. */
+      if (run->state == RUN_ACTIVE)
+        snipe_pool_run_stop (pool, run, now);
+    }
+}
+
 /* The endpoint restarted under the same id. Runs of the previous incarnation
  * are gone, but a task requested since the restart may already run in the new
  * one: the next poll request reports which. */
 static void
-begin_incarnation (struct snipe_pool_endpoint *endpoint, int64_t started_ms,
+begin_incarnation (struct snipe_pool *pool,
+                   struct snipe_pool_endpoint *endpoint, int64_t started_ms,
                    snipe_time now)
 {
   endpoint->entry.started_ms = started_ms;
@@ -315,6 +343,7 @@
   endpoint->claim = CLAIM_PENDING;
   endpoint->restarted = true;
   endpoint->lease_extended = now;
+  stop_starts_under_way (pool, endpoint, now);
 }
 
 void
@@ -347,7 +376,7 @@
   else
     {
       endpoint->entry = *entry;
-      begin_incarnation (endpoint, started_ms, now);
+      begin_incarnation (pool, endpoint, started_ms, now);
       snipe_pool_send_claim_polls (pool, now);
     }
   endpoint->entry.started_ms = started_ms;
@@ -379,6 +408,14 @@
     endpoint->listed = false;
 }
 
+static bool
+is_from_earlier_incarnation (const struct snipe_pool_endpoint *endpoint,
+                             const struct snipe_endpoint_report *report)
+{
+  return report->started_ms != 0
+         && report->started_ms < endpoint->entry.started_ms;
+}
+
 static void
 record_round_trip (struct snipe_pool *pool,
                    struct snipe_pool_endpoint *endpoint, snipe_time time)
@@ -393,13 +430,14 @@
 /* Any answer of the new incarnation may be the first one: until a poll request
  * has told what runs there, nothing else is started. */
 static void
-record_incarnation (struct snipe_pool_endpoint *endpoint,
+record_incarnation (struct snipe_pool *pool,
+                    struct snipe_pool_endpoint *endpoint,
                     const struct snipe_endpoint_report *report, snipe_time now)
 {
   if (endpoint->entry.started_ms == 0
       || report->started_ms <= endpoint->entry.started_ms)
     return;
-  begin_incarnation (endpoint, report->started_ms, now);
+  begin_incarnation (pool, endpoint, report->started_ms, now);
   endpoint->entry_outdated = true;
 }
 
@@ -420,7 +458,7 @@
       endpoint->overdue = false;
       endpoint->unanswered_polls = 0;
       endpoint->unresponsive_until = 0;
-      record_incarnation (endpoint, report, now);
+      record_incarnation (pool, endpoint, report, now);
       if (report->sent_at > 0 && report->waited == 0)
         record_round_trip (pool, endpoint, now - report->sent_at);
       if (report->draining)
@@ -511,6 +549,8 @@
 
   if (run == NULL || is_for_earlier_run (run, report))
     return;
+  if (answer != SNIPE_ANSWER_NONE)
+    run->start_answers++;
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
@@ -519,6 +559,9 @@
           run->state = RUN_ACTIVE;
           run->active_since = now;
         }
+      if (report != NULL && is_from_earlier_incarnation (endpoint, report)
+          && start_under_way (run))
+        snipe_pool_run_stop (pool, run, now);
       snipe_pool_send_poll (pool, endpoint, endpoint->claim != CLAIM_PENDING,
                             now);
       return;
@@ -579,6 +622,8 @@
   if (run == NULL || is_for_earlier_run (run, report))
     return;
   run->stop_in_flight = false;
+  if (report != NULL && is_from_earlier_incarnation (endpoint, report))
+    return; /* snipe_pool_tick () sends it again */
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
@@ -713,9 +758,8 @@
   bool late = report->sent_at > 0 && report->sent_at < endpoint->poll_sent;
   snipe_time sent = late ? report->sent_at : endpoint->poll_sent;
 
-  if (report->started_ms != 0
-      && report->started_ms < endpoint->entry.started_ms)
-    return; /* from the previous incarnation */
+  if (is_from_earlier_incarnation (endpoint, report))
+    return;
   if (!late)
     endpoint->acknowledged_end
         = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -77,11 +77,78 @@
     }
 }
 
+static snipe_time late_start_delay;
+
+/* The first start request gets no answer and is carried out late. */
+static bool
+delay_first_start (struct model *model, struct model_event *event)
+{
+  if (event->kind == MODEL_START && model->start_requests == 1)
+    {
+      event->answer_lost = true;
+      event->time = model->now + late_start_delay;
+    }
+  return true;
+}
+
+/* Guards against a copy of a start request that arrives at a new incarnation
+ * of the endpoint: the earlier incarnation had confirmed the other copy, so
+ * the run was taken as ended by the restart and its task was started
+ * elsewhere, while the copy was valid by the new clock. The task ran twice at
+ * the same time. */
+static void
+test_copy_of_start_request (void)
+{
+  static const struct
+  {
+    const char *name;
+    snipe_time delay;
+    snipe_time restart_at;
+    bool listed; /**< the list tells of the restart, else an answer */
+  } cases[] = {
+    { "soon after the restart", 1 * SNIPE_S, 900 * SNIPE_MS, false },
+    { "after the end of the leases", 3 * SNIPE_S, 1500 * SNIPE_MS, false },
+    { "soon after the restart is listed", 1 * SNIPE_S, 900 * SNIPE_MS, true },
+    { "long after the restart is listed", 3 * SNIPE_S, 1500 * SNIPE_MS, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job sent = job ("0123456789abcdef", 1, 1);
+      unsigned int before = CU_get_number_of_failures ();
+      struct model model;
+      uint32_t chosen = 0;
+      snipe_time begin;
+
+      start_model (&model, 2);
+      begin = model.now;
+      late_start_delay = cases[i].delay;
+      model.on_message = delay_first_start;
+      model_submit (&model, OWNER, &sent);
+      model_advance (&model, begin + 100 * SNIPE_MS);
+      CU_ASSERT_EQUAL (model.starts, 1);
+      if (model.endpoints[1].run_count > 0)
+        chosen = 1;
+      model_advance (&model, begin + cases[i].restart_at);
+      model_restart (&model, chosen);
+      if (cases[i].listed)
+        snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                                 &model.endpoints[chosen].entry, model.now);
+      model_advance (&model, begin + 4 * TASK_TIME);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s\n", cases[i].name);
+      model_clear (&model);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "restart told by a start answer", test_restart_told_by_start_answer },
+    { "copy of a start request", test_copy_of_start_request },
     CU_TEST_INFO_NULL,
   };
 
