--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -120,7 +120,8 @@
   /** No run of a previous owner that has learned of the claim outlives it. */
   snipe_time claim_deadline;
   bool restarted; /**< since the claim: no run of a previous owner is left */
-  double duration_ratio; /**< actual over predicted duration, smoothed */
+  snipe_time restarted_at; /**< when the present incarnation became known */
+  double duration_ratio;   /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
   snipe_time suspended_until;    /**< because of failures */
   snipe_time unresponsive_until; /**< unless it answers before */
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -143,12 +143,38 @@
     }
 }
 
+/* Guards against starts beyond the capacity of an endpoint that has restarted
+ * with less of it: a start request without an answer was sent again although
+ * another answer had told of the restart. */
+static void
+test_start_sent_again (void)
+{
+  struct model_job sent = job ("0123456789abcdef", 1, 2);
+  struct model model;
+
+  start_model (&model, 1);
+  late_start_delay = 3 * SNIPE_S;
+  model.on_message = delay_first_start;
+  model_restart (&model, 0);
+  model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+  model_submit (&model, OWNER, &sent);
+  model_advance (&model, model.now + 500 * SNIPE_MS);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  model_advance (&model, model.now + 4 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.over_capacity, 0);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_clear (&model);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "restart told by a start answer", test_restart_told_by_start_answer },
     { "copy of a start request", test_copy_of_start_request },
+    { "start sent again", test_start_sent_again },
     CU_TEST_INFO_NULL,
   };
 
