Stop late starts of ended runs when an endpoint restarts

Callers saw an endpoint that was given more than its capacity: a start request was sent twice, its run ended, and the endpoint restarted. The other copy arrived at the new incarnation, whose clock starts anew, and ran there unknown to the owner, which does not poll an idle endpoint.

Starts that are unanswered at the end of their run are remembered for 15 s, and stopped at a new incarnation of the endpoint, which then rejects them. Their capacity counts as used until it has confirmed that.

--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -18,6 +18,8 @@
 #define SUSPEND_MAX (6 * SNIPE_S)
 /* An endpoint's clock may run 2 % slow. */
 #define CLOCK_DRIFT_DIVISOR 50
+/* Bounds the memory for starts that never get an answer. */
+#define FORGOTTEN_STARTS_MAX 32
 
 bool
 snipe_endpoint_entry_equal (const struct snipe_endpoint_entry *a,
@@ -43,6 +45,8 @@
   endpoint->entry = *entry;
   endpoint->listed = true;
   endpoint->runs = g_ptr_array_new_with_free_func (g_free);
+  endpoint->forgotten_starts
+      = g_array_new (FALSE, FALSE, sizeof (struct forgotten_start));
   endpoint->duration_ratio = 1.0;
   /* The endpoint's clock, which measures the lease, may run 2 % slow. */
   endpoint->claim_deadline = now + lease_max + lease_max / 20;
@@ -54,6 +58,7 @@
 snipe_pool_endpoint_free (struct snipe_pool_endpoint *endpoint)
 {
   g_ptr_array_free (endpoint->runs, TRUE);
+  g_array_free (endpoint->forgotten_starts, TRUE);
   g_free (endpoint);
 }
 
@@ -108,11 +113,33 @@
   return run;
 }
 
+bool
+snipe_pool_run_start_under_way (const struct run *run)
+{
+  return run->start_requests > run->start_answers;
+}
+
+static void
+remember_start (const struct run *run)
+{
+  GArray *starts = run->endpoint->forgotten_starts;
+  struct forgotten_start start = { .run = run->number,
+                                   .resources = run->resources,
+                                   .sent = run->start_sent };
+
+  if (starts->len == FORGOTTEN_STARTS_MAX)
+    g_array_remove_index (starts, 0);
+  g_strlcpy (start.task, run->task, sizeof start.task);
+  g_array_append_val (starts, start);
+}
+
 void
 snipe_pool_run_remove (struct run *run)
 {
   struct snipe_pool_endpoint *endpoint = run->endpoint;
 
+  if (snipe_pool_run_start_under_way (run))
+    remember_start (run);
   endpoint->used.cpu -= run->resources.cpu;
   endpoint->used.mem_mb -= run->resources.mem_mb;
   endpoint->used.gpu -= run->resources.gpu;
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -88,6 +88,19 @@
   bool started;             /**< a start request was sent at some time */
 };
 
+/** A start request that may still reach the endpoint although its run has
+ * ended. */
+struct forgotten_start
+{
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  struct snipe_capacity resources;
+  snipe_time sent; /**< first request */
+};
+
+/* Requests have been seen to arrive 12 s late. */
+#define FORGOTTEN_START_MAX (15 * SNIPE_S)
+
 enum claim_state
 {
   CLAIM_PENDING,   /**< first poll request not answered yet */
@@ -105,6 +118,8 @@
   bool entry_outdated;
   struct snipe_capacity used;
   GPtrArray *runs; /**< struct run, owned */
+  /** struct forgotten_start, by the end of their runs, for a restart */
+  GArray *forgotten_starts;
   uint64_t last_seen_end;
   uint64_t acknowledged_end;   /**< last_seen_end of the last answered poll */
   uint64_t poll_last_seen_end; /**< last_seen_end of the poll in flight */
@@ -170,6 +185,9 @@
                                 const char *task, uint32_t number,
                                 const struct snipe_capacity *size);
 void snipe_pool_run_remove (struct run *run);
+/** @return whether a start request for the run may still reach the endpoint.
+ */
+bool snipe_pool_run_start_under_way (const struct run *run);
 struct run *snipe_pool_run_find (struct snipe_pool_endpoint *endpoint,
                                  const char *task, uint32_t number);
 /** @return whether a run at the endpoint belongs to a batch and has to go on.
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -302,13 +302,6 @@
     }
 }
 
-/* Whether a start request for the run may still reach the endpoint. */
-static bool
-start_under_way (const struct run *run)
-{
-  return run->start_requests > run->start_answers;
-}
-
 /* A start request that is under way to the previous incarnation is valid for
  * an unknown time by the clock of the new one. Once that one has confirmed a
  * stop request, it rejects the start. */
@@ -316,17 +309,33 @@
 stop_starts_under_way (struct snipe_pool *pool,
                        struct snipe_pool_endpoint *endpoint, snipe_time now)
 {
+  GArray *forgotten = endpoint->forgotten_starts;
+
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       struct run *run = g_ptr_array_index (endpoint->runs, i);
 
-      if (!start_under_way (run))
+      if (!snipe_pool_run_start_under_way (run))
         continue;
       run->stop_confirmed = false;
       /* Any other may be the first run of the new incarnation. */
       if (run->state == RUN_ACTIVE)
         snipe_pool_run_stop (pool, run, now);
     }
+  for (guint i = 0; i < forgotten->len; i++)
+    {
+      const struct forgotten_start *start
+          = &g_array_index (forgotten, struct forgotten_start, i);
+
+      if (now - start->sent < FORGOTTEN_START_MAX
+          && snipe_pool_run_find (endpoint, start->task, start->run) == NULL)
+        snipe_pool_run_stop (pool,
+                             snipe_pool_run_add (endpoint, start->task,
+                                                 start->run,
+                                                 &start->resources),
+                             now);
+    }
+  g_array_set_size (forgotten, 0);
 }
 
 /* The endpoint restarted under the same id. Runs of the previous incarnation
@@ -567,7 +576,7 @@
           run->active_since = now;
         }
       if (report != NULL && is_from_earlier_incarnation (endpoint, report)
-          && start_under_way (run))
+          && snipe_pool_run_start_under_way (run))
         snipe_pool_run_stop (pool, run, now);
       snipe_pool_send_poll (pool, endpoint, endpoint->claim != CLAIM_PENDING,
                             now);
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -168,6 +168,39 @@
   model_clear (&model);
 }
 
+/* Guards against a copy of a start request that arrives at a new incarnation
+ * of the endpoint after its run has ended: the run was forgotten, and its
+ * capacity was given to other tasks. */
+static void
+test_copy_of_ended_run (void)
+{
+  struct model_job first = job ("0123456789abcdef", 1, 1);
+  struct model_job second = job ("fedcba9876543210", 2, 1);
+  struct model model;
+  snipe_time begin;
+
+  start_model (&model, 1);
+  model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  begin = model.now;
+  late_start_delay = 4 * SNIPE_S;
+  model.on_message = delay_first_start;
+  model_submit (&model, OWNER, &first);
+  model_advance (&model, begin + 3 * SNIPE_S);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_restart (&model, 0);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  model_advance (&model, begin + 4200 * SNIPE_MS);
+  model_submit (&model, OWNER, &second);
+  model_advance (&model, model.now + 2 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.over_capacity, 0);
+  CU_ASSERT_EQUAL (model.starts, 2);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 2));
+  model_clear (&model);
+}
+
 int
 main (void)
 {
@@ -175,6 +208,7 @@
     { "restart told by a start answer", test_restart_told_by_start_answer },
     { "copy of a start request", test_copy_of_start_request },
     { "start sent again", test_start_sent_again },
+    { "copy of the start of an ended run", test_copy_of_ended_run },
     CU_TEST_INFO_NULL,
   };
 
