Wait for the answer of an endpoint that restarts after a claim

Callers saw two runs of a task at the same time: the list told a new owner that an endpoint it did not reach had restarted, which it took for the end of all runs of the earlier owner there. The earlier owner, cut off from the new one, reached the endpoint, whose new incarnation knew no token, and started the task there while the new owner started it elsewhere.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -350,7 +350,6 @@
   endpoint->last_seen_end = 0;
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
-  endpoint->restarted = true;
   endpoint->restarted_at = now;
   endpoint->lease_extended = now;
   stop_starts_under_way (pool, endpoint, now);
@@ -513,7 +512,7 @@
   if (!run->start_overdue || run->state != RUN_UNCONFIRMED)
     return;
   /* The new incarnation may have less capacity. */
-  if (endpoint->restarted && run->start_sent <= endpoint->restarted_at)
+  if (run->start_sent <= endpoint->restarted_at)
     {
       snipe_pool_run_stop (pool, run, now);
       return;
--- a/tests/pool/test_cut_off_owner.c
+++ b/tests/pool/test_cut_off_owner.c
@@ -63,6 +63,63 @@
     }
 }
 
+/* Guards against taking a restart of an endpoint, told by the list, for the
+ * end of what an earlier owner does there: the new incarnation knows no token,
+ * and an earlier owner that is cut off from the new one starts tasks there. A
+ * resent task was started elsewhere at the same time. */
+static void
+test_restart_reached_by_earlier_owner (void)
+{
+  static const snipe_time listed_after[]
+      = { 0, 100 * SNIPE_MS, 300 * SNIPE_MS, 800 * SNIPE_MS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (listed_after); i++)
+    {
+      struct model_job sent = { .coordinator = 1,
+                                .number = 1,
+                                .job = "0123456789abcdef",
+                                .count = 1,
+                                .estimate = TASK_TIME,
+                                .soft_deadline = 2 * TASK_TIME,
+                                .hard_deadline = 4 * TASK_TIME,
+                                .caller_deadline = 4 * TASK_TIME };
+      struct model_job again = sent;
+      const struct model_result *result;
+      uint32_t used;
+      struct model model;
+
+      model_init (&model, 2, 60000, long_duration);
+      model_claim (&model, FIRST, 1 << 20, 2);
+      snipe_pool_directory_synced (model.owners[FIRST].pool);
+      model_advance (&model, model.now + 20 * SNIPE_MS);
+      model_submit (&model, FIRST, &sent);
+      model_advance (&model, model.now + 20 * SNIPE_MS);
+      used = model.endpoints[0].run_count > 0 ? 0 : 1;
+      model.endpoints[used].cut_owners = 1U << SECOND;
+      model.endpoints[1 - used].cut_owners = 1U << FIRST;
+      again.resent = true;
+      again.endpoint_digest = model_digest (&model, FIRST);
+      model_claim (&model, SECOND, 2 << 20, 2);
+      snipe_pool_directory_synced (model.owners[SECOND].pool);
+      model_submit (&model, SECOND, &again);
+      model_restart (&model, used);
+      model_advance (&model, model.now + listed_after[i]);
+      snipe_pool_endpoint_set (model.owners[FIRST].pool,
+                               &model.endpoints[used].entry, model.now);
+      snipe_pool_endpoint_set (model.owners[SECOND].pool,
+                               &model.endpoints[used].entry, model.now);
+      model_advance (&model, model.now + 2 * SNIPE_S);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      model.endpoints[used].cut_owners = 0;
+      model_release (&model, FIRST);
+      model_advance (&model, model.now + 2 * TASK_TIME);
+      result = model_find_result (&model, 1);
+      CU_ASSERT_TRUE (result != NULL && result->code == SNIPE_OK);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      model_clear (&model);
+    }
+}
+
 /* Guards against a takeover that waits for ever for a listed endpoint that
  * does not exist, such as that of a row by another writer. */
 static void
@@ -97,6 +154,8 @@
 {
   CU_TestInfo tests[] = {
     { "owner cut off from its successor", test_owner_cut_off },
+    { "restart reached by the earlier owner",
+      test_restart_reached_by_earlier_owner },
     { "absent endpoint", test_absent_endpoint },
     CU_TEST_INFO_NULL,
   };
