--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -34,6 +34,7 @@
   uint32_t task_index; /**< in batch->tasks */
   struct snipe_capacity resources;
   uint32_t start_requests; /**< number sent */
+  uint32_t start_answers;  /**< number of them that are answered */
   uint32_t stop_requests;  /**< number sent */
   bool start_overdue;      /**< the last start request is unanswered */
   bool stop_in_flight;
@@ -87,6 +88,19 @@
   bool started;             /**< a start request was sent at some time */
 };
 
+/** A start request that may still reach the endpoint although its run has
+ * ended. */
+struct forgotten_start
+{
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  struct snipe_capacity resources;
+  snipe_time sent; /**< first request */
+};
+
+/* Requests have been seen to arrive 12 s late. */
+#define FORGOTTEN_START_MAX (15 * SNIPE_S)
+
 enum claim_state
 {
   CLAIM_PENDING,   /**< first poll request not answered yet */
@@ -104,6 +118,8 @@
   bool entry_outdated;
   struct snipe_capacity used;
   GPtrArray *runs; /**< struct run, owned */
+  /** struct forgotten_start, by the end of their runs, for a restart */
+  GArray *forgotten_starts;
   uint64_t last_seen_end;
   uint64_t acknowledged_end;   /**< last_seen_end of the last answered poll */
   uint64_t poll_last_seen_end; /**< last_seen_end of the poll in flight */
@@ -118,8 +134,8 @@
   struct snipe_rtt rtt; /**< of requests that the endpoint answers at once */
   /** No run of a previous owner that has learned of the claim outlives it. */
   snipe_time claim_deadline;
-  bool restarted; /**< since the claim: no run of a previous owner is left */
-  double duration_ratio; /**< actual over predicted duration, smoothed */
+  snipe_time restarted_at; /**< when a restart became known, 0: none did */
+  double duration_ratio;   /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
   snipe_time suspended_until;    /**< because of failures */
   snipe_time unresponsive_until; /**< unless it answers before */
@@ -168,6 +184,9 @@
                                 const char *task, uint32_t number,
                                 const struct snipe_capacity *size);
 void snipe_pool_run_remove (struct run *run);
+/** @return whether a start request for the run may still reach the endpoint.
+ */
+bool snipe_pool_run_start_under_way (const struct run *run);
 struct run *snipe_pool_run_find (struct snipe_pool_endpoint *endpoint,
                                  const char *task, uint32_t number);
 /** @return whether a run at the endpoint belongs to a batch and has to go on.
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -302,19 +302,57 @@
     }
 }
 
+/* A start request that is under way to the previous incarnation is valid for
+ * an unknown time by the clock of the new one. Once that one has confirmed a
+ * stop request, it rejects the start. */
+static void
+stop_starts_under_way (struct snipe_pool *pool,
+                       struct snipe_pool_endpoint *endpoint, snipe_time now)
+{
+  GArray *forgotten = endpoint->forgotten_starts;
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      struct run *run = g_ptr_array_index (endpoint->runs, i);
+
+      if (!snipe_pool_run_start_under_way (run))
+        continue;
+      run->stop_confirmed = false;
+      /* Any other may be the first run of the new incarnation. */
+      if (run->state == RUN_ACTIVE)
+        snipe_pool_run_stop (pool, run, now);
+    }
+  for (guint i = 0; i < forgotten->len; i++)
+    {
+      const struct forgotten_start *start
+          = &g_array_index (forgotten, struct forgotten_start, i);
+
+      if (now - start->sent < FORGOTTEN_START_MAX
+          && snipe_pool_run_find (endpoint, start->task, start->run) == NULL)
+        snipe_pool_run_stop (pool,
+                             snipe_pool_run_add (endpoint, start->task,
+                                                 start->run,
+                                                 &start->resources),
+                             now);
+    }
+  g_array_set_size (forgotten, 0);
+}
+
 /* The endpoint restarted under the same id. Runs of the previous incarnation
  * are gone, but a task requested since the restart may already run in the new
  * one: the next poll request reports which. */
 static void
-begin_incarnation (struct snipe_pool_endpoint *endpoint, int64_t started_ms,
+begin_incarnation (struct snipe_pool *pool,
+                   struct snipe_pool_endpoint *endpoint, int64_t started_ms,
                    snipe_time now)
 {
   endpoint->entry.started_ms = started_ms;
   endpoint->last_seen_end = 0;
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
-  endpoint->restarted = true;
+  endpoint->restarted_at = now;
   endpoint->lease_extended = now;
+  stop_starts_under_way (pool, endpoint, now);
 }
 
 void
@@ -347,7 +385,7 @@
   else
     {
       endpoint->entry = *entry;
-      begin_incarnation (endpoint, started_ms, now);
+      begin_incarnation (pool, endpoint, started_ms, now);
       snipe_pool_send_claim_polls (pool, now);
     }
   endpoint->entry.started_ms = started_ms;
@@ -379,6 +417,14 @@
     endpoint->listed = false;
 }
 
+static bool
+is_from_earlier_incarnation (const struct snipe_pool_endpoint *endpoint,
+                             const struct snipe_endpoint_report *report)
+{
+  return report->started_ms != 0
+         && report->started_ms < endpoint->entry.started_ms;
+}
+
 static void
 record_round_trip (struct snipe_pool *pool,
                    struct snipe_pool_endpoint *endpoint, snipe_time time)
@@ -390,6 +436,20 @@
                  2 * snipe_rtt_timeout (&pool->rtt, REQUEST_TIMEOUT_MIN, max));
 }
 
+/* Any answer of the new incarnation may be the first one: until a poll request
+ * has told what runs there, nothing else is started. */
+static void
+record_incarnation (struct snipe_pool *pool,
+                    struct snipe_pool_endpoint *endpoint,
+                    const struct snipe_endpoint_report *report, snipe_time now)
+{
+  if (endpoint->entry.started_ms == 0
+      || report->started_ms <= endpoint->entry.started_ms)
+    return;
+  begin_incarnation (pool, endpoint, report->started_ms, now);
+  endpoint->entry_outdated = true;
+}
+
 static struct snipe_pool_endpoint *
 record_answer (struct snipe_pool *pool, const char *id,
                const struct snipe_endpoint_report *report, snipe_time now)
@@ -407,6 +467,7 @@
       endpoint->overdue = false;
       endpoint->unanswered_polls = 0;
       endpoint->unresponsive_until = 0;
+      record_incarnation (pool, endpoint, report, now);
       if (report->sent_at > 0 && report->waited == 0)
         record_round_trip (pool, endpoint, now - report->sent_at);
       if (report->draining)
@@ -450,6 +511,12 @@
 
   if (!run->start_overdue || run->state != RUN_UNCONFIRMED)
     return;
+  /* The new incarnation may have less capacity. */
+  if (run->start_sent <= endpoint->restarted_at)
+    {
+      snipe_pool_run_stop (pool, run, now);
+      return;
+    }
   if (run->start_requests < START_REQUESTS_MAX && run->batch != NULL)
     {
       if (snipe_retry_budget_take (&pool->resends))
@@ -475,6 +542,16 @@
   snipe_pool_resend_start (pool, run, now);
 }
 
+/* Whether an answer is to a request for an earlier run of the same number: a
+ * job that is submitted again numbers its runs anew. */
+static bool
+is_for_earlier_run (const struct run *run,
+                    const struct snipe_endpoint_report *report)
+{
+  return report != NULL && report->sent_at > 0
+         && report->sent_at < run->start_sent;
+}
+
 void
 snipe_pool_on_start (struct snipe_pool *pool, const char *id, const char *task,
                      uint32_t number, enum snipe_endpoint_answer answer,
@@ -485,8 +562,10 @@
   struct run *run
       = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
-  if (run == NULL)
+  if (run == NULL || is_for_earlier_run (run, report))
     return;
+  if (answer != SNIPE_ANSWER_NONE)
+    run->start_answers++;
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
@@ -495,7 +574,11 @@
           run->state = RUN_ACTIVE;
           run->active_since = now;
         }
-      snipe_pool_send_poll (pool, endpoint, true, now);
+      if (report != NULL && is_from_earlier_incarnation (endpoint, report)
+          && snipe_pool_run_start_under_way (run))
+        snipe_pool_run_stop (pool, run, now);
+      snipe_pool_send_poll (pool, endpoint, endpoint->claim != CLAIM_PENDING,
+                            now);
       return;
     case SNIPE_ANSWER_NONE:
       handle_unanswered_start (pool, run, now);
@@ -551,9 +634,11 @@
   struct run *run
       = endpoint == NULL ? NULL : snipe_pool_run_find (endpoint, task, number);
 
-  if (run == NULL)
+  if (run == NULL || is_for_earlier_run (run, report))
     return;
   run->stop_in_flight = false;
+  if (report != NULL && is_from_earlier_incarnation (endpoint, report))
+    return; /* snipe_pool_tick () sends it again */
   switch (answer)
     {
     case SNIPE_ANSWER_OK:
@@ -688,16 +773,8 @@
   bool late = report->sent_at > 0 && report->sent_at < endpoint->poll_sent;
   snipe_time sent = late ? report->sent_at : endpoint->poll_sent;
 
-  if (report->started_ms != 0 && endpoint->entry.started_ms != 0)
-    {
-      if (report->started_ms < endpoint->entry.started_ms)
-        return; /* from the previous incarnation */
-      if (report->started_ms > endpoint->entry.started_ms)
-        {
-          begin_incarnation (endpoint, report->started_ms, now);
-          endpoint->entry_outdated = true;
-        }
-    }
+  if (is_from_earlier_incarnation (endpoint, report))
+    return;
   if (!late)
     endpoint->acknowledged_end
         = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
--- /dev/null
+++ b/tests/pool/test_restarted_endpoint.c
@@ -0,0 +1,216 @@
+#include "pool/model.h"
+#include "suite.h"
+
+#define OWNER 0
+#define TASK_TIME (2 * SNIPE_S)
+#define CAPACITY 60000
+#define TASK_CPU 30000
+
+static snipe_time
+long_duration (const char *task)
+{
+  (void)task;
+  return TASK_TIME;
+}
+
+static struct model_job
+job (const char *name, uint64_t number, uint32_t count)
+{
+  return (struct model_job){ .coordinator = 1,
+                             .number = number,
+                             .job = name,
+                             .count = count,
+                             .estimate = TASK_TIME,
+                             .soft_deadline = 2 * TASK_TIME,
+                             .hard_deadline = 10 * TASK_TIME,
+                             .caller_deadline = 10 * TASK_TIME };
+}
+
+/* Starts with one owner that knows every endpoint, 20 ms after its claim. */
+static void
+start_model (struct model *model, uint32_t endpoints)
+{
+  model_init (model, endpoints, TASK_CPU, long_duration);
+  for (uint32_t i = 0; i < endpoints; i++)
+    model->endpoints[i].entry.capacity.cpu = CAPACITY;
+  model_claim (model, OWNER, 1 << 20, endpoints);
+  snipe_pool_directory_synced (model->owners[OWNER].pool);
+  model_advance (model, model->now + 20 * SNIPE_MS);
+}
+
+/* Guards against starts beyond the capacity of an endpoint that has restarted
+ * with less of it, when the answer to a start request is the first that tells
+ * of the restart: only poll requests were taken to tell of one. */
+static void
+test_restart_told_by_start_answer (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t tasks;
+    bool unhealthy;
+  } cases[] = {
+    { "the first start is accepted, the second is too much", 2, false },
+    { "the first start is rejected", 2, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job first = job ("0123456789abcdef", 1, 1);
+      struct model_job second = job ("fedcba9876543210", 2, cases[i].tasks);
+      unsigned int before = CU_get_number_of_failures ();
+      struct model model;
+
+      start_model (&model, 1);
+      model_restart (&model, 0);
+      model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+      model.endpoints[0].unhealthy = cases[i].unhealthy;
+      model_submit (&model, OWNER, &first);
+      model_advance (&model, model.now + 5 * SNIPE_MS);
+      model.endpoints[0].unhealthy = false;
+      model_submit (&model, OWNER, &second);
+      model_advance (&model, model.now + SNIPE_S);
+      CU_ASSERT_EQUAL (model.over_capacity, 0);
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s\n", cases[i].name);
+      model_clear (&model);
+    }
+}
+
+static snipe_time late_start_delay;
+
+/* The first start request gets no answer and is carried out late. */
+static bool
+delay_first_start (struct model *model, struct model_event *event)
+{
+  if (event->kind == MODEL_START && model->start_requests == 1)
+    {
+      event->answer_lost = true;
+      event->time = model->now + late_start_delay;
+    }
+  return true;
+}
+
+/* Guards against a copy of a start request that arrives at a new incarnation
+ * of the endpoint: the earlier incarnation had confirmed the other copy, so
+ * the run was taken as ended by the restart and its task was started
+ * elsewhere, while the copy was valid by the new clock. The task ran twice at
+ * the same time. */
+static void
+test_copy_of_start_request (void)
+{
+  static const struct
+  {
+    const char *name;
+    snipe_time delay;
+    snipe_time restart_at;
+    bool listed; /**< the list tells of the restart, else an answer */
+  } cases[] = {
+    { "soon after the restart", 1 * SNIPE_S, 900 * SNIPE_MS, false },
+    { "after the end of the leases", 3 * SNIPE_S, 1500 * SNIPE_MS, false },
+    { "soon after the restart is listed", 1 * SNIPE_S, 900 * SNIPE_MS, true },
+    { "long after the restart is listed", 3 * SNIPE_S, 1500 * SNIPE_MS, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job sent = job ("0123456789abcdef", 1, 1);
+      unsigned int before = CU_get_number_of_failures ();
+      struct model model;
+      uint32_t chosen = 0;
+      snipe_time begin;
+
+      start_model (&model, 2);
+      begin = model.now;
+      late_start_delay = cases[i].delay;
+      model.on_message = delay_first_start;
+      model_submit (&model, OWNER, &sent);
+      model_advance (&model, begin + 100 * SNIPE_MS);
+      CU_ASSERT_EQUAL (model.starts, 1);
+      if (model.endpoints[1].run_count > 0)
+        chosen = 1;
+      model_advance (&model, begin + cases[i].restart_at);
+      model_restart (&model, chosen);
+      if (cases[i].listed)
+        snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                                 &model.endpoints[chosen].entry, model.now);
+      model_advance (&model, begin + 4 * TASK_TIME);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s\n", cases[i].name);
+      model_clear (&model);
+    }
+}
+
+/* Guards against starts beyond the capacity of an endpoint that has restarted
+ * with less of it: a start request without an answer was sent again although
+ * another answer had told of the restart. */
+static void
+test_start_sent_again (void)
+{
+  struct model_job sent = job ("0123456789abcdef", 1, 2);
+  struct model model;
+
+  start_model (&model, 1);
+  late_start_delay = 3 * SNIPE_S;
+  model.on_message = delay_first_start;
+  model_restart (&model, 0);
+  model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+  model_submit (&model, OWNER, &sent);
+  model_advance (&model, model.now + 500 * SNIPE_MS);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  model_advance (&model, model.now + 4 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.over_capacity, 0);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_clear (&model);
+}
+
+/* Guards against a copy of a start request that arrives at a new incarnation
+ * of the endpoint after its run has ended: the run was forgotten, and its
+ * capacity was given to other tasks. */
+static void
+test_copy_of_ended_run (void)
+{
+  struct model_job first = job ("0123456789abcdef", 1, 1);
+  struct model_job second = job ("fedcba9876543210", 2, 1);
+  struct model model;
+  snipe_time begin;
+
+  start_model (&model, 1);
+  model.endpoints[0].entry.capacity.cpu = TASK_CPU;
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  begin = model.now;
+  late_start_delay = 4 * SNIPE_S;
+  model.on_message = delay_first_start;
+  model_submit (&model, OWNER, &first);
+  model_advance (&model, begin + 3 * SNIPE_S);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_restart (&model, 0);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &model.endpoints[0].entry,
+                           model.now);
+  model_advance (&model, begin + 4200 * SNIPE_MS);
+  model_submit (&model, OWNER, &second);
+  model_advance (&model, model.now + 2 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.over_capacity, 0);
+  CU_ASSERT_EQUAL (model.starts, 2);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 2));
+  model_clear (&model);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "restart told by a start answer", test_restart_told_by_start_answer },
+    { "copy of a start request", test_copy_of_start_request },
+    { "start sent again", test_start_sent_again },
+    { "copy of the start of an ended run", test_copy_of_ended_run },
+    CU_TEST_INFO_NULL,
+  };
+
+  return suite_run ("restarted_endpoint", tests);
+}
