Ignore the clock that an earlier incarnation of an endpoint reported

Callers saw two runs of a task at the same time: an answer of the earlier incarnation that was held up set the clock of the endpoint back to the earlier one, which was ahead. Start requests were then valid at the new incarnation for as long as the earlier one had been up, and a late one was carried out after its run had been taken as ended.

Answers of an earlier incarnation no longer change what is known of the endpoint, and after a restart its clock is unknown until it has answered.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -351,6 +351,7 @@
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
   endpoint->restarted_at = now;
+  endpoint->clock_read_at = 0;
   endpoint->lease_extended = now;
   stop_starts_under_way (pool, endpoint, now);
 }
@@ -461,7 +462,9 @@
     return NULL;
   if (report == NULL)
     endpoint->overdue = true;
-  else
+  /* An answer of an earlier incarnation tells nothing of the present one,
+   * whose clock starts anew. */
+  else if (!is_from_earlier_incarnation (endpoint, report))
     {
       endpoint->last_received_at = now;
       endpoint->overdue = false;
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -78,6 +78,7 @@
 }
 
 static snipe_time late_start_delay;
+static uint64_t late_answer_request;
 
 /* The first start request gets no answer and is carried out late. */
 static bool
@@ -201,6 +202,57 @@
   model_clear (&model);
 }
 
+/* The first start answer arrives late; later start requests arrive late and
+ * get no answer. */
+static bool
+delay_answer_then_start (struct model *model, struct model_event *event)
+{
+  if (event->kind == MODEL_START_ANSWER
+      && event->request == late_answer_request)
+    event->time = model->now + 500 * SNIPE_MS;
+  if (event->kind != MODEL_START || event->task[0] != 'f')
+    return true;
+  event->answer_lost = true;
+  if (model->endpoints[event->endpoint].drops_polls)
+    event->time = model->now + late_start_delay;
+  return true;
+}
+
+/* Guards against the clock of an earlier incarnation, told by an answer that
+ * was held up: start requests were valid at the new incarnation for as long as
+ * the earlier one had been up, so a late one was carried out after the run had
+ * been taken as ended. The task ran twice at the same time. */
+static void
+test_clock_of_earlier_incarnation (void)
+{
+  struct model_job first = job ("0123456789abcdef", 1, 1);
+  struct model_job second = job ("fedcba9876543210", 2, 1);
+  struct snipe_pool *pool;
+  struct model model;
+  uint32_t chosen;
+
+  start_model (&model, 2);
+  pool = model.owners[OWNER].pool;
+  late_start_delay = 2 * SNIPE_S;
+  late_answer_request = model.last_request + 1;
+  model.on_message = delay_answer_then_start;
+  model_submit (&model, OWNER, &first);
+  model_advance (&model, model.now + 100 * SNIPE_MS);
+  chosen = model.endpoints[0].run_count > 0 ? 0 : 1;
+  snipe_pool_cancel (pool, 1, 1, model.now);
+  model_advance (&model, model.now + 50 * SNIPE_MS);
+  model_restart (&model, chosen);
+  snipe_pool_endpoint_set (pool, &model.endpoints[chosen].entry, model.now);
+  model_advance (&model, model.now + 800 * SNIPE_MS);
+  model.endpoints[chosen].drops_polls = true;
+  model.endpoints[chosen].drops_stops = true;
+  model_submit (&model, OWNER, &second);
+  model_advance (&model, model.now + 4 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 2));
+  model_clear (&model);
+}
+
 int
 main (void)
 {
@@ -209,6 +261,7 @@
     { "copy of a start request", test_copy_of_start_request },
     { "start sent again", test_start_sent_again },
     { "copy of the start of an ended run", test_copy_of_ended_run },
+    { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
     CU_TEST_INFO_NULL,
   };
 
