Do not take starts that outlive a restart as expired

Callers saw two runs of a task at the same time: an endpoint was known to have restarted and was silent, and a run whose start was under way was taken as ended with the leases. The start was still valid by the clock of the new incarnation, arrived, and the task was started elsewhere as well.

Such a run is kept until the new incarnation has confirmed its stop, or 15 s after its start request; then the task starts elsewhere.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -332,7 +332,7 @@
   for (guint i = endpoint->runs->len; i > 0; i--)
     check_run (pool, g_ptr_array_index (endpoint->runs, i - 1), now);
   if (endpoint->runs->len > 0 && lease_certainly_expired (pool, endpoint, now))
-    snipe_pool_end_all_runs (pool, endpoint, SNIPE_ASSUMED_LEASE, now);
+    snipe_pool_end_expired_runs (pool, endpoint, now);
   if (!endpoint->poll_in_flight
       && (endpoint->claim != CLAIM_PENDING || !endpoint->listed)
       && ((endpoint->runs->len > 0
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -99,7 +99,7 @@
 };
 
 /* Requests have been seen to arrive 12 s late. */
-#define FORGOTTEN_START_MAX (15 * SNIPE_S)
+#define START_UNDER_WAY_MAX (15 * SNIPE_S)
 
 enum claim_state
 {
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -288,17 +288,45 @@
   snipe_pool_run_remove (run);
 }
 
+static void
+assume_end (struct snipe_pool *pool, struct run *run,
+            enum snipe_assumed_end_reason reason, snipe_time now)
+{
+  report_assumed_end (pool, run, reason, now);
+  end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+}
+
 void
 snipe_pool_end_all_runs (struct snipe_pool *pool,
                          struct snipe_pool_endpoint *endpoint,
                          enum snipe_assumed_end_reason reason, snipe_time now)
 {
   while (endpoint->runs->len > 0)
+    assume_end (pool, g_ptr_array_index (endpoint->runs, 0), reason, now);
+}
+
+/* Whether a start request of before a restart may be under way. */
+static bool
+start_outlives_restart (const struct run *run, snipe_time now)
+{
+  return run->stop_requests > 0 && !run->stop_confirmed
+         && run->start_sent <= run->endpoint->restarted_at
+         && now - run->start_sent < START_UNDER_WAY_MAX
+         && snipe_pool_run_start_under_way (run);
+}
+
+void
+snipe_pool_end_expired_runs (struct snipe_pool *pool,
+                             struct snipe_pool_endpoint *endpoint,
+                             snipe_time now)
+{
+  for (guint i = endpoint->runs->len; i > 0; i--)
     {
-      struct run *run = g_ptr_array_index (endpoint->runs, 0);
+      struct run *run = g_ptr_array_index (endpoint->runs, i - 1);
 
-      report_assumed_end (pool, run, reason, now);
-      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+      /* Valid for an unknown time: the new incarnation's clock starts anew. */
+      if (!start_outlives_restart (run, now))
+        assume_end (pool, run, SNIPE_ASSUMED_LEASE, now);
     }
 }
 
@@ -327,7 +355,7 @@
       const struct forgotten_start *start
           = &g_array_index (forgotten, struct forgotten_start, i);
 
-      if (now - start->sent < FORGOTTEN_START_MAX
+      if (now - start->sent < START_UNDER_WAY_MAX
           && snipe_pool_run_find (endpoint, start->task, start->run) == NULL)
         snipe_pool_run_stop (pool,
                              snipe_pool_run_add (endpoint, start->task,
@@ -761,8 +789,7 @@
 
       if (!settled || reported_running (report, run))
         continue;
-      report_assumed_end (pool, run, SNIPE_ASSUMED_MISSING, now);
-      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+      assume_end (pool, run, SNIPE_ASSUMED_MISSING, now);
     }
 }
 
--- a/src/pool/requests.h
+++ b/src/pool/requests.h
@@ -33,11 +33,16 @@
 /** Sends the first polls of endpoints whose runs are not known yet, a few at a
  * time. */
 void snipe_pool_send_claim_polls (struct snipe_pool *pool, snipe_time now);
-/** Ends all runs of an endpoint that has restarted or whose lease expired. */
+/** Ends all runs of an endpoint that has restarted. */
 void snipe_pool_end_all_runs (struct snipe_pool *pool,
                               struct snipe_pool_endpoint *endpoint,
                               enum snipe_assumed_end_reason reason,
                               snipe_time now);
+/** Ends the runs of an endpoint whose lease has expired, but for those that
+ * may still be started by its new incarnation. */
+void snipe_pool_end_expired_runs (struct snipe_pool *pool,
+                                  struct snipe_pool_endpoint *endpoint,
+                                  snipe_time now);
 /** Starts waiting tasks for which an endpoint has free capacity. */
 void snipe_pool_place_tasks (struct snipe_pool *pool, snipe_time now);
 
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -202,6 +202,73 @@
   model_clear (&model);
 }
 
+/* Guards against taking a start that is under way as expired with the leases
+ * although its endpoint is known to have restarted, and is silent: the start
+ * was valid by the clock of the new incarnation, and the task was started
+ * elsewhere at the same time. */
+static void
+test_silent_after_restart (void)
+{
+  static const snipe_time restarts[]
+      = { 100 * SNIPE_MS, 500 * SNIPE_MS, 1000 * SNIPE_MS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (restarts); i++)
+    {
+      struct model_job sent = job ("0123456789abcdef", 1, 1);
+      struct model model;
+      uint32_t chosen;
+      snipe_time begin;
+
+      start_model (&model, 2);
+      begin = model.now;
+      late_start_delay = 3 * SNIPE_S;
+      model.on_message = delay_first_start;
+      model_submit (&model, OWNER, &sent);
+      model_advance (&model, begin + 90 * SNIPE_MS);
+      chosen = model.endpoints[0].run_count > 0 ? 0 : 1;
+      model_advance (&model, begin + restarts[i]);
+      model.endpoints[chosen].drops_polls = true;
+      model.endpoints[chosen].drops_stops = true;
+      model_restart (&model, chosen);
+      model.endpoints[chosen].entry.draining = true;
+      snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                               &model.endpoints[chosen].entry, model.now);
+      model_advance (&model, begin + 3500 * SNIPE_MS);
+      model.endpoints[chosen].drops_polls = false;
+      model.endpoints[chosen].drops_stops = false;
+      model_advance (&model, begin + 5 * TASK_TIME);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+      CU_ASSERT_TRUE (snipe_pool_idle (model.owners[OWNER].pool));
+      model_clear (&model);
+    }
+}
+
+/* Guards against an endpoint that never comes back after a restart: its tasks
+ * start elsewhere once no start request can be under way. */
+static void
+test_gone_after_restart (void)
+{
+  struct model_job sent = job ("0123456789abcdef", 1, 1);
+  struct model model;
+  uint32_t chosen;
+
+  start_model (&model, 2);
+  late_start_delay = 60 * SNIPE_S;
+  model.on_message = delay_first_start;
+  model_submit (&model, OWNER, &sent);
+  model_advance (&model, model.now + 90 * SNIPE_MS);
+  chosen = model.endpoints[0].run_count > 0 ? 0 : 1;
+  model.endpoints[chosen].unresponsive = true;
+  model.endpoints[chosen].poll_pending = false;
+  model_restart (&model, chosen);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                           &model.endpoints[chosen].entry, model.now);
+  model_advance (&model, model.now + 18 * SNIPE_S);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_clear (&model);
+}
+
 /* The first start answer arrives late; later start requests arrive late and
  * get no answer. */
 static bool
@@ -261,6 +328,8 @@
     { "copy of a start request", test_copy_of_start_request },
     { "start sent again", test_start_sent_again },
     { "copy of the start of an ended run", test_copy_of_ended_run },
+    { "silent after a restart", test_silent_after_restart },
+    { "gone after a restart", test_gone_after_restart },
     { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
     CU_TEST_INFO_NULL,
   };
