Hold a task back while a late start of it is stopped

Callers saw two runs of a task at the same time: the start of a run that had been taken as ended arrived at a new incarnation of its endpoint, and while it was being stopped there the waiting task was started elsewhere.

The late start is now attached to the task that waits, which starts again when the new incarnation has confirmed the stop. It keeps the number of its unanswered requests, so that the rejection of one of several copies does not end it, and a second restart is handled in the same way.

--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -123,9 +123,11 @@
 remember_start (const struct run *run)
 {
   GArray *starts = run->endpoint->forgotten_starts;
-  struct forgotten_start start = { .run = run->number,
-                                   .resources = run->resources,
-                                   .sent = run->start_sent };
+  struct forgotten_start start
+      = { .run = run->number,
+          .resources = run->resources,
+          .requests = run->start_requests - run->start_answers,
+          .sent = run->start_sent };
 
   if (starts->len == FORGOTTEN_STARTS_MAX)
     g_array_remove_index (starts, 0);
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -95,7 +95,8 @@
   char task[SNIPE_TASK_NAME_BYTES];
   uint32_t run;
   struct snipe_capacity resources;
-  snipe_time sent; /**< first request */
+  uint32_t requests; /**< number of them without an answer */
+  snipe_time sent;   /**< first request */
 };
 
 /* Requests have been seen to arrive 12 s late. */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -330,6 +330,17 @@
     }
 }
 
+/* Attaches a run to the batch whose task waits for one.
+ * @return whether there is one */
+static bool
+adopt_run (struct snipe_pool *pool, struct run *run)
+{
+  for (guint i = 0; i < pool->batches->len; i++)
+    if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
+      return true;
+  return false;
+}
+
 /* A start request that is under way to the previous incarnation is valid for
  * an unknown time by the clock of the new one. Once that one has confirmed a
  * stop request, it rejects the start. */
@@ -357,11 +368,16 @@
 
       if (now - start->sent < START_UNDER_WAY_MAX
           && snipe_pool_run_find (endpoint, start->task, start->run) == NULL)
-        snipe_pool_run_stop (pool,
-                             snipe_pool_run_add (endpoint, start->task,
-                                                 start->run,
-                                                 &start->resources),
-                             now);
+        {
+          struct run *run = snipe_pool_run_add (endpoint, start->task,
+                                                start->run, &start->resources);
+
+          run->start_requests = start->requests;
+          run->start_sent = start->sent;
+          /* Its task does not start elsewhere before it is stopped. */
+          adopt_run (pool, run);
+          snipe_pool_run_stop (pool, run, now);
+        }
     }
   g_array_set_size (forgotten, 0);
 }
@@ -716,9 +732,8 @@
   /* The run was alive after this time, so the previous owner extended its
    * lease less than lease_max before. */
   run->orphaned_since = sent;
-  for (guint i = 0; i < pool->batches->len; i++)
-    if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
-      return;
+  if (adopt_run (pool, run))
+    return;
   /* All runs of previous owners are known here, so this one was started late,
    * after its task was given up. */
   if (endpoint->claim == CLAIM_CONFIRMED)
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -244,6 +244,44 @@
     }
 }
 
+/* Guards against starting a task while a late start of an earlier run of it is
+ * stopped at a new incarnation of the endpoint, where it may run. */
+static void
+test_waiting_task_of_late_start (void)
+{
+  struct model_job first = job ("0123456789abcdef", 1, 1);
+  struct model_job second = job ("fedcba9876543210", 2, 1);
+  struct snipe_endpoint_entry draining;
+  struct model model;
+  uint32_t late;
+
+  start_model (&model, 2);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      model.endpoints[i].entry.capacity.cpu = TASK_CPU;
+      snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                               &model.endpoints[i].entry, model.now);
+    }
+  model_submit (&model, OWNER, &first);
+  model_advance (&model, model.now + 20 * SNIPE_MS);
+  late = model.endpoints[0].run_count > 0 ? 1 : 0;
+  model.endpoints[late].start_delay = 1780 * SNIPE_MS;
+  model.endpoints[late].drops_stops = true;
+  model_submit (&model, OWNER, &second);
+  model_advance (&model, model.now + SNIPE_S);
+  draining = model.endpoints[late].entry;
+  draining.draining = true;
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &draining, model.now);
+  model_advance (&model, model.now + 700 * SNIPE_MS);
+  model_restart (&model, late);
+  model_advance (&model, model.now + 750 * SNIPE_MS);
+  model.endpoints[late].drops_stops = false;
+  model_advance (&model, model.now + 4 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 2));
+  model_clear (&model);
+}
+
 /* Guards against an endpoint that never comes back after a restart: its tasks
  * start elsewhere once no start request can be under way. */
 static void
@@ -328,6 +366,7 @@
     { "copy of a start request", test_copy_of_start_request },
     { "start sent again", test_start_sent_again },
     { "copy of the start of an ended run", test_copy_of_ended_run },
+    { "waiting task of a late start", test_waiting_task_of_late_start },
     { "silent after a restart", test_silent_after_restart },
     { "gone after a restart", test_gone_after_restart },
     { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
