--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -95,11 +95,12 @@
   char task[SNIPE_TASK_NAME_BYTES];
   uint32_t run;
   struct snipe_capacity resources;
-  snipe_time sent; /**< first request */
+  uint32_t requests; /**< number of them without an answer */
+  snipe_time sent;   /**< first request */
 };
 
 /* Requests have been seen to arrive 12 s late. */
-#define FORGOTTEN_START_MAX (15 * SNIPE_S)
+#define START_UNDER_WAY_MAX (15 * SNIPE_S)
 
 enum claim_state
 {
@@ -124,7 +125,7 @@
   uint64_t acknowledged_end;   /**< last_seen_end of the last answered poll */
   uint64_t poll_last_seen_end; /**< last_seen_end of the poll in flight */
   int64_t clock_base_ms;       /**< endpoint clock at clock_read_at */
-  snipe_time clock_read_at;
+  snipe_time clock_read_at;    /**< 0: unknown */
   bool poll_in_flight;
   snipe_time poll_sent;
   snipe_time poll_due; /**< an unanswered poll is not sent again before */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -288,20 +288,59 @@
   snipe_pool_run_remove (run);
 }
 
+static void
+assume_end (struct snipe_pool *pool, struct run *run,
+            enum snipe_assumed_end_reason reason, snipe_time now)
+{
+  report_assumed_end (pool, run, reason, now);
+  end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+}
+
 void
 snipe_pool_end_all_runs (struct snipe_pool *pool,
                          struct snipe_pool_endpoint *endpoint,
                          enum snipe_assumed_end_reason reason, snipe_time now)
 {
   while (endpoint->runs->len > 0)
+    assume_end (pool, g_ptr_array_index (endpoint->runs, 0), reason, now);
+}
+
+/* Whether a start request of before a restart may be under way. */
+static bool
+start_outlives_restart (const struct run *run, snipe_time now)
+{
+  return run->stop_requests > 0 && !run->stop_confirmed
+         && run->start_sent <= run->endpoint->restarted_at
+         && now - run->start_sent < START_UNDER_WAY_MAX
+         && snipe_pool_run_start_under_way (run);
+}
+
+void
+snipe_pool_end_expired_runs (struct snipe_pool *pool,
+                             struct snipe_pool_endpoint *endpoint,
+                             snipe_time now)
+{
+  for (guint i = endpoint->runs->len; i > 0; i--)
     {
-      struct run *run = g_ptr_array_index (endpoint->runs, 0);
+      struct run *run = g_ptr_array_index (endpoint->runs, i - 1);
 
-      report_assumed_end (pool, run, reason, now);
-      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+      /* Valid for an unknown time: the new incarnation's clock starts anew. */
+      if (!start_outlives_restart (run, now))
+        assume_end (pool, run, SNIPE_ASSUMED_LEASE, now);
     }
 }
 
+/* Attaches a run to the batch whose task waits for one.
+ * @return whether there is one */
+static bool
+adopt_run (struct snipe_pool *pool, struct run *run)
+{
+  for (guint i = 0; i < pool->batches->len; i++)
+    if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
+      return true;
+  return false;
+}
+
 /* A start request that is under way to the previous incarnation is valid for
  * an unknown time by the clock of the new one. Once that one has confirmed a
  * stop request, it rejects the start. */
@@ -327,13 +366,18 @@
       const struct forgotten_start *start
           = &g_array_index (forgotten, struct forgotten_start, i);
 
-      if (now - start->sent < FORGOTTEN_START_MAX
+      if (now - start->sent < START_UNDER_WAY_MAX
           && snipe_pool_run_find (endpoint, start->task, start->run) == NULL)
-        snipe_pool_run_stop (pool,
-                             snipe_pool_run_add (endpoint, start->task,
-                                                 start->run,
-                                                 &start->resources),
-                             now);
+        {
+          struct run *run = snipe_pool_run_add (endpoint, start->task,
+                                                start->run, &start->resources);
+
+          run->start_requests = start->requests;
+          run->start_sent = start->sent;
+          /* Its task does not start elsewhere before it is stopped. */
+          adopt_run (pool, run);
+          snipe_pool_run_stop (pool, run, now);
+        }
     }
   g_array_set_size (forgotten, 0);
 }
@@ -351,6 +395,7 @@
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
   endpoint->restarted_at = now;
+  endpoint->clock_read_at = 0;
   endpoint->lease_extended = now;
   stop_starts_under_way (pool, endpoint, now);
 }
@@ -461,7 +506,9 @@
     return NULL;
   if (report == NULL)
     endpoint->overdue = true;
-  else
+  /* An answer of an earlier incarnation tells nothing of the present one,
+   * whose clock starts anew. */
+  else if (!is_from_earlier_incarnation (endpoint, report))
     {
       endpoint->last_received_at = now;
       endpoint->overdue = false;
@@ -685,9 +732,8 @@
   /* The run was alive after this time, so the previous owner extended its
    * lease less than lease_max before. */
   run->orphaned_since = sent;
-  for (guint i = 0; i < pool->batches->len; i++)
-    if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
-      return;
+  if (adopt_run (pool, run))
+    return;
   /* All runs of previous owners are known here, so this one was started late,
    * after its task was given up. */
   if (endpoint->claim == CLAIM_CONFIRMED)
@@ -758,8 +804,7 @@
 
       if (!settled || reported_running (report, run))
         continue;
-      report_assumed_end (pool, run, SNIPE_ASSUMED_MISSING, now);
-      end_run (pool, run, SNIPE_RUN_LEASE_EXPIRED, now);
+      assume_end (pool, run, SNIPE_ASSUMED_MISSING, now);
     }
 }
 
