Cancel a batch that moves at the earlier owner of its pool

Callers saw a task run twice at the same time (TWICE) if a host lost the connection to its caller while a pool changed hands, and the caller submitted the job again through another host.

change_owner () sent each batch of the pool to the new owner and told the earlier one nothing. If that one still hears the coordinator, it goes on with the batch: it extends the leases, and starts waiting tasks, at endpoints that the new owner does not reach. A later cancellation goes to the new owner only. The second submission is not marked as resent, so the new owner starts it at once.

The coordinator now cancels a moved batch at the earlier owner, until that acknowledges it. The first message leaves 200 ms after the move, as the new owner's claim has to reach the endpoints first: it protects the runs that the new owner continues. If the batch is removed earlier, it leaves at once. With two messages lost, it arrives within 0.7 s; callers come back after 1.3 s.

The table of cancellations is keyed by owner and number, as a batch may have some at several owners. A batch that comes back to an owner drops the one there. Its host has remembered the cancellation for a second and would ignore the batch: a copy that is marked as resent and was sent more than 50 ms after the cancellation is accepted. The present owner of a batch may still report that it was cancelled, if an older cancellation arrives late or the host is of the version before; it gets the batch again each 200 ms, as does a new owner to which nothing could be sent, which never got it before. The form of the messages between hosts is unchanged. Cost: one message and one acknowledgement for each moved batch.

event=cancel_moved is the first such cancellation; cancel_resent and cancel_unsent have moved=.

--- a/include/snipe/coordinator.h
+++ b/include/snipe/coordinator.h
@@ -76,6 +76,15 @@
   uint64_t to_token;
 };
 
+/** Tells an owner of a pool to give up a batch. */
+struct snipe_coordinator_cancellation
+{
+  uint64_t owner;
+  uint64_t number; /**< of the batch */
+  bool moved;      /**< the batch has moved to another owner */
+  bool again;      /**< an earlier message was not acknowledged */
+};
+
 struct snipe_coordinator_callbacks
 {
   void *ctx;
@@ -86,11 +95,12 @@
   int (*submit) (void *ctx, uint64_t owner, const struct snipe_pool_id *pool,
                  const struct snipe_pool_batch *batch);
   /**
-   * Tells the owner of a pool to cancel a batch. Unless that is this host, the
-   * owner acknowledges it with a result whose code is SNIPE_E_CANCELLED.
-   * @param again an earlier message was not acknowledged
+   * Tells an owner of a pool to cancel a batch. Unless that is this host, the
+   * owner acknowledges it with a result without outcomes whose code is
+   * SNIPE_E_CANCELLED.
    */
-  void (*cancel) (void *ctx, uint64_t owner, uint64_t number, bool again);
+  void (*cancel) (void *ctx,
+                  const struct snipe_coordinator_cancellation *cancellation);
   /** For the log; may be NULL. */
   void (*moved) (void *ctx, const struct snipe_coordinator_move *move);
   /** Delivers the answer to a job, once per request; not called for an
@@ -161,7 +171,9 @@
 snipe_coordinator_job_count (const struct snipe_coordinator *coordinator);
 
 /** State of a pool as reported by its owner at @p now. A higher fencing token
- * than before means that the pool has a new owner. */
+ * than before means that the pool has a new owner: its batches are sent to
+ * that one, and cancelled at the earlier one, which may not know of the claim.
+ */
 struct snipe_coordinator_load
 {
   const struct snipe_pool_id *pool;
--- a/src/coordinator/cancellation.c
+++ b/src/coordinator/cancellation.c
@@ -1,25 +1,53 @@
-/* Batches that were cancelled while their job was abandoned. A cancellation
- * that was written to a connection may be lost with it, so it is repeated
- * until the pool's owner acknowledges it. */
+/* Batches that were cancelled at an owner of their pool: because their job was
+ * abandoned, or because they have moved to another owner. A cancellation that
+ * was written to a connection may be lost with it, so it is repeated until the
+ * owner acknowledges it. */
 #include "coordinator/private.h"
 
 /* The owner acknowledges within some milliseconds. A silent connection is
  * noticed after 400 ms, and the callers of an abandoned job resend it after a
  * second or more: the tasks have to be stopped by then. */
 #define CANCEL_RESEND_INTERVAL (200 * SNIPE_MS)
+/* A batch that has moved is cancelled at its earlier owner after this time.
+ * The claim of the new owner has reached the endpoints by then, where it
+ * protects the runs that the new owner continues. With one interval for a
+ * repetition, a cancellation that is lost twice still arrives 0.7 s before the
+ * caller is back, 1.3 s after its connection broke. */
+#define MOVED_CANCEL_DELAY (200 * SNIPE_MS)
 
+/* A batch may have cancellations at several owners at the same time, one of
+ * each. */
 struct cancellation
 {
-  uint64_t number; /**< of the batch */
-  uint64_t owner;
-  snipe_time resend_at;
+  struct snipe_coordinator_cancellation message; /**< the next one to send */
+  snipe_time due;
   snipe_time expires_at; /**< the pool ends the batch by itself then */
 };
 
+static guint
+hash_cancellation (gconstpointer key)
+{
+  const struct cancellation *cancellation = key;
+
+  return g_int64_hash (&cancellation->message.owner)
+         ^ g_int64_hash (&cancellation->message.number);
+}
+
+static gboolean
+equal_cancellations (gconstpointer a, gconstpointer b)
+{
+  const struct cancellation *one = a;
+  const struct cancellation *two = b;
+
+  return one->message.owner == two->message.owner
+         && one->message.number == two->message.number;
+}
+
 GHashTable *
 snipe_cancellations_new (void)
 {
-  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return g_hash_table_new_full (hash_cancellation, equal_cancellations, g_free,
+                                NULL);
 }
 
 void
@@ -32,59 +60,98 @@
   if (now >= expires_at)
     return;
   cancellation = g_new (struct cancellation, 1);
-  *cancellation
-      = (struct cancellation){ .number = number,
-                               .owner = owner,
-                               .resend_at = now + CANCEL_RESEND_INTERVAL,
-                               .expires_at = expires_at };
-  g_hash_table_replace (cancellations, &cancellation->number, cancellation);
+  *cancellation = (struct cancellation){
+    .message = { .owner = owner, .number = number, .again = true },
+    .due = now + CANCEL_RESEND_INTERVAL,
+    .expires_at = expires_at,
+  };
+  g_hash_table_replace (cancellations, cancellation, cancellation);
+}
+
+void
+snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
+                               uint64_t number, snipe_time expires_at,
+                               snipe_time now)
+{
+  struct cancellation *cancellation = g_new (struct cancellation, 1);
+
+  *cancellation = (struct cancellation){
+    .message = { .owner = owner, .number = number, .moved = true },
+    .due = now + MOVED_CANCEL_DELAY,
+    .expires_at = expires_at,
+  };
+  g_hash_table_replace (cancellations, cancellation, cancellation);
 }
 
 void
-snipe_cancellations_acknowledge (GHashTable *cancellations, uint64_t owner,
-                                 uint64_t number)
+snipe_cancellations_remove (GHashTable *cancellations, uint64_t owner,
+                            uint64_t number)
 {
-  const struct cancellation *cancellation
-      = g_hash_table_lookup (cancellations, &number);
+  const struct cancellation key
+      = { .message = { .owner = owner, .number = number } };
 
-  if (cancellation != NULL && cancellation->owner == owner)
-    g_hash_table_remove (cancellations, &number);
+  g_hash_table_remove (cancellations, &key);
 }
 
 void
 snipe_cancellations_expedite (GHashTable *cancellations, uint64_t owner)
 {
   GHashTableIter iter;
-  gpointer value;
+  gpointer key;
 
   g_hash_table_iter_init (&iter, cancellations);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct cancellation *)value)->owner == owner)
-      ((struct cancellation *)value)->resend_at = 0;
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct cancellation *cancellation = key;
+
+      if (cancellation->message.owner == owner && cancellation->message.again)
+        cancellation->due = 0;
+    }
+}
+
+void
+snipe_cancellations_batch_removed (GHashTable *cancellations, uint64_t number)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, cancellations);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct cancellation *cancellation = key;
+
+      if (cancellation->message.number == number
+          && !cancellation->message.again)
+        cancellation->due = 0;
+    }
 }
 
 void
-snipe_cancellations_resend (
-    GHashTable *cancellations,
-    const struct snipe_coordinator_callbacks *callbacks, snipe_time now)
+snipe_cancellations_send (GHashTable *cancellations, uint64_t incarnation,
+                          const struct snipe_coordinator_callbacks *callbacks,
+                          snipe_time now)
 {
   GHashTableIter iter;
-  gpointer value;
+  gpointer key;
 
   g_hash_table_iter_init (&iter, cancellations);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      struct cancellation *cancellation = value;
+      struct cancellation *cancellation = key;
+      struct snipe_coordinator_cancellation message = cancellation->message;
 
       if (now >= cancellation->expires_at)
         {
           g_hash_table_iter_remove (&iter);
           continue;
         }
-      if (now < cancellation->resend_at)
+      if (now < cancellation->due)
         continue;
-      cancellation->resend_at = now + CANCEL_RESEND_INTERVAL;
-      callbacks->cancel (callbacks->ctx, cancellation->owner,
-                         cancellation->number, true);
+      cancellation->message.again = true;
+      cancellation->due = now + CANCEL_RESEND_INTERVAL;
+      /* A message of this host to itself is not lost, nor acknowledged. */
+      if (message.owner == incarnation)
+        g_hash_table_iter_remove (&iter);
+      callbacks->cancel (callbacks->ctx, &message);
     }
 }
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -23,6 +23,10 @@
 /* Refreshing the list of endpoints takes a few milliseconds; if it takes
  * longer than this, the pools decide. */
 #define ENDPOINT_LIST_WAIT_MAX (100 * SNIPE_MS)
+/* Delay after which a batch that its owner does not have is sent to it again.
+ * A host of an earlier version ignores a batch for a second after it was
+ * cancelled there. */
+#define BATCH_RESEND_DELAY (200 * SNIPE_MS)
 
 struct job;
 
@@ -37,6 +41,7 @@
   uint32_t *indexes;
   uint32_t count;
   uint32_t attempts;        /**< number of times that it was sent */
+  snipe_time resend_at;     /**< its owner does not have it; 0: it does */
   bool declinable;          /**< the pool may decline it */
   uint64_t endpoint_digest; /**< of the endpoints that may run its tasks */
 };
@@ -129,6 +134,8 @@
 remove_batch (struct snipe_coordinator *coordinator, struct batch *batch)
 {
   g_ptr_array_remove (batch->job->batches, batch);
+  snipe_cancellations_batch_removed (coordinator->cancellations,
+                                     batch->number);
   g_hash_table_remove (coordinator->batches, &batch->number);
 }
 
@@ -136,8 +143,10 @@
 cancel_batch (struct snipe_coordinator *coordinator, const struct batch *batch,
               snipe_time now)
 {
-  coordinator->callbacks.cancel (coordinator->callbacks.ctx, batch->owner,
-                                 batch->number, false);
+  struct snipe_coordinator_cancellation message
+      = { .owner = batch->owner, .number = batch->number };
+
+  coordinator->callbacks.cancel (coordinator->callbacks.ctx, &message);
   /* A message of this host to itself is not lost. */
   if (batch->owner != coordinator->incarnation)
     snipe_cancellations_add (coordinator->cancellations, batch->owner,
@@ -488,6 +497,29 @@
   return found;
 }
 
+/* Sends a batch to the present owner of its pool, which may have changed. */
+static void
+send_batch_again (struct snipe_coordinator *coordinator, struct batch *batch,
+                  snipe_time now)
+{
+  uint64_t earlier = batch->owner;
+
+  if (send_batch (coordinator, batch, true) != SNIPE_OK)
+    {
+      batch->resend_at = now + BATCH_RESEND_DELAY;
+      return;
+    }
+  batch->resend_at = 0;
+  if (batch->owner == earlier)
+    return;
+  /* An owner from which the pool was taken may claim it again. */
+  snipe_cancellations_remove (coordinator->cancellations, batch->owner,
+                              batch->number);
+  snipe_cancellations_add_moved (coordinator->cancellations, earlier,
+                                 batch->number,
+                                 batch->job->spec.caller_deadline, now);
+}
+
 static void
 report_move (const struct snipe_coordinator *coordinator,
              const struct batch *batch)
@@ -506,10 +538,11 @@
 
 /* The pool has a new owner, or its owner is back after it was lost. All
  * batches of the pool are sent again: tasks that may run there are continued,
- * and a result that was lost is sent again. */
+ * and a result that was lost is sent again. The earlier owner may be cut off
+ * from the new one only, and would go on with them. */
 static void
 change_owner (struct snipe_coordinator *coordinator, struct pool_view *pool,
-              uint64_t owner, uint64_t token)
+              uint64_t owner, uint64_t token, snipe_time now)
 {
   GPtrArray *batches;
 
@@ -522,7 +555,7 @@
       struct batch *batch = g_ptr_array_index (batches, i);
 
       report_move (coordinator, batch);
-      send_batch (coordinator, batch, true);
+      send_batch_again (coordinator, batch, now);
     }
   g_ptr_array_free (batches, TRUE);
 }
@@ -534,7 +567,7 @@
   if (pool->owner == 0)
     snipe_views_pool_split (coordinator->pools, &pool->id, now);
   if (token > pool->token || (token == pool->token && pool->owner == 0))
-    change_owner (coordinator, pool, owner, token);
+    change_owner (coordinator, pool, owner, token, now);
 }
 
 void
@@ -573,6 +606,14 @@
   snipe_views_owner_lost (coordinator->pools, owner, now);
 }
 
+/* Whether a result acknowledges a cancellation, unlike the result of a batch
+ * whose job goes on for another host. */
+static bool
+is_acknowledgement (const struct snipe_pool_result *result)
+{
+  return result->code == SNIPE_E_CANCELLED && result->count == 0;
+}
+
 void
 snipe_coordinator_handle_result (struct snipe_coordinator *coordinator,
                                  uint64_t from,
@@ -589,8 +630,12 @@
   bool declined;
 
   if (result->code == SNIPE_E_CANCELLED)
-    snipe_cancellations_acknowledge (coordinator->cancellations, from,
-                                     result->number);
+    snipe_cancellations_remove (coordinator->cancellations, from,
+                                result->number);
+  /* A cancellation from before the batch came back to this owner arrived after
+   * it, or made the owner ignore it. */
+  if (batch != NULL && is_acknowledgement (result) && batch->owner == from)
+    batch->resend_at = now + BATCH_RESEND_DELAY;
   if (batch == NULL || result->count != batch->count
       || (result->code != SNIPE_OK
           && (batch->owner != from || batch->attempts != result->attempt)))
@@ -721,6 +766,24 @@
   dispatch_held_jobs (coordinator, ready, now);
 }
 
+/* Sends the batches again that their owners do not have. */
+static void
+resend_batches (struct snipe_coordinator *coordinator, snipe_time now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, coordinator->batches);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct batch *batch = value;
+
+      if (batch->resend_at != 0 && now >= batch->resend_at
+          && batch->pool->owner != 0)
+        send_batch_again (coordinator, batch, now);
+    }
+}
+
 void
 snipe_coordinator_tick (struct snipe_coordinator *coordinator, snipe_time now)
 {
@@ -753,8 +816,10 @@
                    now);
     }
   g_ptr_array_free (ended, TRUE);
-  snipe_cancellations_resend (coordinator->cancellations,
-                              &coordinator->callbacks, now);
+  resend_batches (coordinator, now);
+  snipe_cancellations_send (coordinator->cancellations,
+                            coordinator->incarnation, &coordinator->callbacks,
+                            now);
 }
 
 void
--- a/src/coordinator/private.h
+++ b/src/coordinator/private.h
@@ -39,22 +39,36 @@
 void snipe_views_owner_lost (GPtrArray *pools, uint64_t owner, snipe_time now);
 
 /* cancellation.c */
-/** @return a table of cancelled batches whose owners have not acknowledged it
- * yet, by number. */
+/** @return a table of cancellations that the owners have not acknowledged, by
+ * owner and number of the batch. */
 GHashTable *snipe_cancellations_new (void);
 /** Adds a cancellation that has just been sent. It is repeated until
  * @p expires_at, when the pool ends the batch by itself. */
 void snipe_cancellations_add (GHashTable *cancellations, uint64_t owner,
                               uint64_t number, snipe_time expires_at,
                               snipe_time now);
-void snipe_cancellations_acknowledge (GHashTable *cancellations,
-                                      uint64_t owner, uint64_t number);
-/** The connection to the owner was replaced: makes its cancellations due. */
+/** Adds a cancellation at the earlier owner of a batch that has moved. It is
+ * sent as soon as the claim of the new owner has reached the endpoints, and
+ * repeated until @p expires_at. */
+void snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
+                                    uint64_t number, snipe_time expires_at,
+                                    snipe_time now);
+/** The owner has acknowledged the cancellation, or gets the batch again. */
+void snipe_cancellations_remove (GHashTable *cancellations, uint64_t owner,
+                                 uint64_t number);
+/** The connection to the owner was replaced: the cancellations that were sent
+ * on it become due. */
 void snipe_cancellations_expedite (GHashTable *cancellations, uint64_t owner);
-/** Sends the cancellations that are due again, and drops expired ones. */
-void snipe_cancellations_resend (
-    GHashTable *cancellations,
-    const struct snipe_coordinator_callbacks *callbacks, snipe_time now);
+/** The batch is not continued anywhere: its cancellations that have not been
+ * sent yet become due. */
+void snipe_cancellations_batch_removed (GHashTable *cancellations,
+                                        uint64_t number);
+/** Sends the cancellations that are due, and drops expired ones.
+ * @param incarnation of this host */
+void
+snipe_cancellations_send (GHashTable *cancellations, uint64_t incarnation,
+                          const struct snipe_coordinator_callbacks *callbacks,
+                          snipe_time now);
 
 /* route.c */
 /** Part of a job's tasks that is planned for one pool. */
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -10,6 +10,10 @@
  * but its clock is not this host's, and its message takes time. A batch whose
  * result was dropped too early would be started again. */
 #define RESULT_RETENTION_MARGIN (1 * SNIPE_S)
+/* The time of sending is exact but for the difference between the transit
+ * times of two messages. A batch that was sent later, but is taken for an old
+ * copy, is acknowledged as cancelled, and its coordinator sends it again. */
+#define SENT_TIME_ERROR (50 * SNIPE_MS)
 
 void
 snipe_local_message_free (struct local_message *message)
@@ -68,22 +72,24 @@
 }
 
 static void
-retain_result (struct snipe_node *node, const struct snipe_pool_result *result)
+retain_result (struct snipe_node *node, const struct snipe_pool_result *result,
+               snipe_time now)
 {
   struct retained_result *retained = g_new0 (struct retained_result, 1);
 
   retained->result = copy_result (result);
+  retained->retained_at = now;
   retained->expires_at = result->caller_deadline + RESULT_RETENTION_MARGIN;
   g_ptr_array_add (node->retained_results, retained);
 }
 
-static const struct retained_result *
+static struct retained_result *
 find_retained_result (const struct snipe_node *node, uint64_t coordinator,
                       uint64_t number)
 {
   for (guint i = 0; i < node->retained_results->len; i++)
     {
-      const struct retained_result *retained
+      struct retained_result *retained
           = g_ptr_array_index (node->retained_results, i);
 
       if (retained->result.coordinator == coordinator
@@ -239,7 +245,7 @@
       snipe_node_send_result (node, result);
       return;
     }
-  retain_result (node, result);
+  retain_result (node, result, snipe_clock_now ());
   snipe_node_send_result (node, result);
 }
 
@@ -297,15 +303,33 @@
   g_free (ends);
 }
 
+/* Whether a batch was cancelled here because it had moved to another owner,
+ * and is back. The coordinator of an abandoned job sends its batch no more: a
+ * copy of it that arrives was sent before the cancellation. */
+static bool
+is_back (const struct retained_result *retained,
+         const struct snipe_pool_batch *batch, snipe_time sent)
+{
+  return retained->result.code == SNIPE_E_CANCELLED
+         && retained->result.count == 0 && batch->resent
+         && sent > retained->retained_at + SENT_TIME_ERROR;
+}
+
 void
 snipe_node_accept_batch (struct snipe_node *node,
                          const struct snipe_pool_id *id,
-                         const struct snipe_pool_batch *batch, snipe_time now)
+                         const struct snipe_pool_batch *batch, snipe_time sent,
+                         snipe_time now)
 {
   struct owned_pool *pool = snipe_node_find_pool (node, id);
-  const struct retained_result *retained
+  struct retained_result *retained
       = find_retained_result (node, batch->coordinator, batch->number);
 
+  if (retained != NULL && is_back (retained, batch, sent))
+    {
+      g_ptr_array_remove_fast (node->retained_results, retained);
+      retained = NULL;
+    }
   if (retained != NULL)
     {
       resend_result (node, retained, batch);
@@ -345,7 +369,7 @@
   /* A copy of the batch on an earlier connection may arrive after this
    * message, and must not be started. */
   if (find_retained_result (node, coordinator, number) == NULL)
-    retain_result (node, &result);
+    retain_result (node, &result, now);
   snipe_node_send_result (node, &result);
 }
 
@@ -357,7 +381,7 @@
     {
     case LOCAL_BATCH:
       snipe_node_accept_batch (node, &message->u.batch.pool,
-                               &message->u.batch.batch, now);
+                               &message->u.batch.batch, now, now);
       break;
     case LOCAL_CANCEL:
       snipe_node_cancel_batch (node, message->u.cancel.coordinator,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -88,10 +88,12 @@
   } u;
 };
 
-/** A result that its coordinator may not have received. */
+/** A result that its coordinator may not have received, or the
+ * acknowledgement of a cancellation, which has no outcomes. */
 struct retained_result
 {
   struct snipe_pool_result result;
+  snipe_time retained_at;
   snipe_time expires_at;
 };
 
@@ -210,11 +212,12 @@
 void snipe_retained_result_free (gpointer result);
 /** Drops the results that no coordinator asks for any more. */
 void snipe_node_expire_results (struct snipe_node *node, snipe_time now);
-/** Submits a batch to the pool of this host that it is for, or rejects it. */
+/** Submits a batch to the pool of this host that it is for, or rejects it.
+ * @param sent when it was sent, by this host's clock */
 void snipe_node_accept_batch (struct snipe_node *node,
                               const struct snipe_pool_id *id,
                               const struct snipe_pool_batch *batch,
-                              snipe_time now);
+                              snipe_time sent, snipe_time now);
 
 /** Cancels a batch in whichever pool of this host it is, and acknowledges that
  * to its coordinator if it is another host. */
@@ -229,8 +232,8 @@
 int snipe_node_send_batch (void *ctx, uint64_t owner,
                            const struct snipe_pool_id *pool,
                            const struct snipe_pool_batch *batch);
-void snipe_node_send_cancel (void *ctx, uint64_t owner, uint64_t number,
-                             bool again);
+void snipe_node_send_cancel (
+    void *ctx, const struct snipe_coordinator_cancellation *cancellation);
 void snipe_node_send_result (struct snipe_node *node,
                              const struct snipe_pool_result *result);
 void snipe_node_send_heartbeat (struct snipe_node *node, const char *address,
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -162,37 +162,46 @@
 }
 
 void
-snipe_node_send_cancel (void *ctx, uint64_t owner, uint64_t number, bool again)
+snipe_node_send_cancel (
+    void *ctx, const struct snipe_coordinator_cancellation *cancellation)
 {
   struct snipe_node *node = ctx;
   struct snipe_link_message message
       = { .procedure = LINK_SEND_CANCEL,
-          .args.cancel
-          = { .coordinator = node->incarnation, .number = number } };
+          .args.cancel = { .coordinator = node->incarnation,
+                           .number = cancellation->number } };
   struct local_message *local;
   bool sent;
 
-  if (owner != node->incarnation)
+  if (cancellation->moved && !cancellation->again)
+    snipe_node_log (node,
+                    "event=cancel_moved batch=%" G_GUINT64_FORMAT
+                    " owner=%016" G_GINT64_MODIFIER "x",
+                    cancellation->number, cancellation->owner);
+  if (cancellation->owner != node->incarnation)
     {
-      sent = send_to (node, owner, &message) == SNIPE_OK;
+      sent = send_to (node, cancellation->owner, &message) == SNIPE_OK;
       /* It is repeated until the owner acknowledges it; only the first failure
        * is logged. */
-      if (sent && again)
+      if (sent && cancellation->again)
         snipe_node_log (node,
                         "event=cancel_resent batch=%" G_GUINT64_FORMAT
-                        " owner=%016" G_GINT64_MODIFIER "x",
-                        number, owner);
-      else if (!sent && !again)
+                        " owner=%016" G_GINT64_MODIFIER "x moved=%d",
+                        cancellation->number, cancellation->owner,
+                        (int)cancellation->moved);
+      else if (!sent && !cancellation->again)
         snipe_node_log (node,
                         "event=cancel_unsent batch=%" G_GUINT64_FORMAT
-                        " owner=%016" G_GINT64_MODIFIER "x reason=\"%s\"",
-                        number, owner, snipe_status_last ());
+                        " owner=%016" G_GINT64_MODIFIER
+                        "x moved=%d reason=\"%s\"",
+                        cancellation->number, cancellation->owner,
+                        (int)cancellation->moved, snipe_status_last ());
       return;
     }
   local = g_new0 (struct local_message, 1);
   local->kind = LOCAL_CANCEL;
   local->u.cancel.coordinator = node->incarnation;
-  local->u.cancel.number = number;
+  local->u.cancel.number = cancellation->number;
   g_queue_push_tail (&node->local_queue, local);
 }
 
@@ -575,7 +584,7 @@
   delay = snipe_members_delay (node->members, from->coordinator,
                                decode_sent (from->sent_us), now);
   if (delay <= BATCH_DELAY_MAX)
-    snipe_node_accept_batch (node, &id, &batch, now);
+    snipe_node_accept_batch (node, &id, &batch, now - delay, now);
   else
     {
       snipe_node_log (node,
--- a/tests/coordinator/test_cancellation.c
+++ b/tests/coordinator/test_cancellation.c
@@ -36,14 +36,16 @@
 }
 
 static void
-on_cancel (void *ctx, uint64_t owner, uint64_t number, bool again)
+on_cancel (void *ctx,
+           const struct snipe_coordinator_cancellation *cancellation)
 {
   struct record *record = ctx;
 
-  CU_ASSERT_EQUAL (number, record->number);
-  record->owner = owner;
+  CU_ASSERT_EQUAL (cancellation->number, record->number);
+  CU_ASSERT_FALSE (cancellation->moved);
+  record->owner = cancellation->owner;
   record->cancels++;
-  record->repeated += again;
+  record->repeated += cancellation->again;
 }
 
 static void
--- a/tests/coordinator/test_coordinator.c
+++ b/tests/coordinator/test_coordinator.c
@@ -57,13 +57,12 @@
 }
 
 static void
-on_cancel (void *ctx, uint64_t owner, uint64_t number, bool again)
+on_cancel (void *ctx,
+           const struct snipe_coordinator_cancellation *cancellation)
 {
   struct record *record = ctx;
 
-  (void)owner;
-  (void)number;
-  (void)again;
+  (void)cancellation;
   record->cancels++;
 }
 
--- a/tests/coordinator/test_fleet_load.c
+++ b/tests/coordinator/test_fleet_load.c
@@ -98,14 +98,15 @@
 }
 
 static void
-on_cancel (void *ctx, uint64_t owner, uint64_t number, bool again)
+on_cancel (void *ctx,
+           const struct snipe_coordinator_cancellation *cancellation)
 {
   struct host *host = ctx;
 
-  (void)again;
-  send_message (host->index, (uint32_t)(owner - OWNER_ID (0)), MESSAGE_CANCEL)
+  send_message (host->index, (uint32_t)(cancellation->owner - OWNER_ID (0)),
+                MESSAGE_CANCEL)
       ->number
-      = number;
+      = cancellation->number;
 }
 
 static void
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -11,6 +11,9 @@
 #define RUNNING_BATCH 1
 #define LATE_BATCH 2
 #define HEARTBEAT_INTERVAL (50 * SNIPE_MS)
+/* Earliest time after its cancellation at which a batch comes back: the owner
+ * claims the pool again after 300 ms, and is cancelled after 200 ms. */
+#define BACK_DELAY (100 * SNIPE_MS)
 #define TIME_MAX (20 * SNIPE_S)
 
 enum step
@@ -19,7 +22,10 @@
   STEP_START,            /**< it starts the task of the first batch */
   STEP_CANCEL_RUNNING,   /**< which is then cancelled */
   STEP_CANCEL_UNKNOWN,   /**< the second batch is cancelled, */
-  STEP_SUBMIT_CANCELLED, /**< and arrives afterwards */
+  STEP_SUBMIT_CANCELLED, /**< and arrives afterwards, */
+  STEP_SUBMIT_OLD,       /**< as does a copy that was sent again before. */
+  STEP_SUBMIT_AGAIN,     /**< It comes back after the cancellation, */
+  STEP_CANCEL_AGAIN,     /**< starts, and is cancelled again */
   STEP_END,
 };
 
@@ -32,6 +38,7 @@
   char link_address[32];
   enum step step;
   snipe_time started_at;
+  snipe_time cancelled_at; /**< before the second batch is cancelled */
   snipe_time heartbeat_due;
   bool poll_pending;
   uint64_t poll_token;
@@ -114,7 +121,7 @@
 }
 
 static void
-send_batch (struct test *test, uint64_t number, snipe_time now)
+send_batch (struct test *test, uint64_t number, snipe_time sent, bool resent)
 {
   u_int index = 0;
   struct snipe_link_message message = {
@@ -122,10 +129,11 @@
     .args.batch
     = { .coordinator = COORDINATOR,
         .number = number,
-        .sent_us = now,
+        .sent_us = sent,
         .pool
         = { .service = (char *)"work", .domain = (char *)"a", .shards = 1 },
-        .job = (char *)"0123456789abcdef",
+        .job = (char *)(number == RUNNING_BATCH ? "0123456789abcdef"
+                                                : "fedcba9876543210"),
         .route = (char *)"r",
         .spec = { .spec_len = 1, .spec_val = (char *)"s" },
         .indexes = { .indexes_len = 1, .indexes_val = &index },
@@ -138,6 +146,7 @@
         .soft_deadline_ms = 60000,
         .hard_deadline_ms = 60000,
         .caller_deadline_ms = 60000,
+        .resent = resent,
         .attempt = 2 }
   };
 
@@ -167,7 +176,7 @@
   snipe_node_directory_synced (test->node, now, now);
   if (test->step == STEP_CLAIM)
     {
-      send_batch (test, RUNNING_BATCH, now);
+      send_batch (test, RUNNING_BATCH, now, false);
       test->step = STEP_START;
     }
 }
@@ -196,18 +205,41 @@
       if (test->acknowledgements < 1)
         break;
       CU_ASSERT_EQUAL (test->stops, 1);
+      test->cancelled_at = now;
       send_cancel (test, LATE_BATCH);
       test->step = STEP_CANCEL_UNKNOWN;
       break;
     case STEP_CANCEL_UNKNOWN:
       if (test->acknowledgements < 2)
         break;
-      send_batch (test, LATE_BATCH, now);
+      send_batch (test, LATE_BATCH, now, false);
       test->step = STEP_SUBMIT_CANCELLED;
       break;
     case STEP_SUBMIT_CANCELLED:
       if (test->acknowledgements < 3)
         break;
+      send_batch (test, LATE_BATCH, test->cancelled_at, true);
+      test->step = STEP_SUBMIT_OLD;
+      break;
+    case STEP_SUBMIT_OLD:
+      if (test->acknowledgements < 4)
+        break;
+      CU_ASSERT_EQUAL (test->starts, 1);
+      if (now - test->cancelled_at < BACK_DELAY)
+        break;
+      send_batch (test, LATE_BATCH, now, true);
+      test->step = STEP_SUBMIT_AGAIN;
+      break;
+    case STEP_SUBMIT_AGAIN:
+      if (test->starts < 2)
+        break;
+      CU_ASSERT_EQUAL (test->acknowledgements, 4);
+      send_cancel (test, LATE_BATCH);
+      test->step = STEP_CANCEL_AGAIN;
+      break;
+    case STEP_CANCEL_AGAIN:
+      if (test->acknowledgements < 5)
+        break;
       test->step = STEP_END;
       snipe_loop_stop (test->loop);
       break;
@@ -218,8 +250,9 @@
 }
 
 /* Guards against an owner that does not acknowledge cancellations, so that its
- * peers cannot tell that one was lost (TWICE, review/2), and against starting
- * a copy of a batch that arrives after its cancellation. */
+ * peers cannot tell that one was lost (TWICE, review/2), against starting a
+ * copy of a batch that arrives after its cancellation, and against ignoring a
+ * batch that has moved to another owner and comes back to this one. */
 static void
 test_acknowledged (void)
 {
@@ -259,7 +292,8 @@
   snipe_node_directory_synced (test.node, now, now);
   snipe_loop_run (test.loop, on_tick, &test);
   CU_ASSERT_EQUAL (test.step, STEP_END);
-  CU_ASSERT_EQUAL (test.starts, 1);
+  CU_ASSERT_EQUAL (test.starts, 2);
+  CU_ASSERT_EQUAL (test.stops, 2);
   snipe_link_free (test.link);
   snipe_node_free (test.node);
   snipe_loop_free (test.loop);
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -134,6 +134,7 @@
   /** Receives the results of batches; NULL: they are added to results. */
   void (*on_result) (struct model *model,
                      const struct snipe_pool_result *result);
+  uint32_t result_owner; /**< the owner whose result is being received */
   uint32_t starts;
   uint32_t start_requests;
   uint32_t stop_requests;
@@ -280,6 +281,7 @@
 
   if (model->on_result != NULL)
     {
+      model->result_owner = model_owner_index (model, ctx);
       model->on_result (model, result);
       return;
     }
