Cancel a batch at its present owner if an earlier one completes it

A result SNIPE_OK of an earlier owner counts, and ended the batch without a message to the present owner. That one had it as resent. If the earlier owner has acknowledged the ends to the endpoints, the present one never learns of them and starts the tasks once more, after the caller has its answer.

The coordinator now cancels the batch at the present owner, and drops the cancellation at the earlier one, which no longer has the batch.

test_moved_batch: two of its cases on completion by the earlier owner failed before (no message to the present owner; one message too many to the earlier one).

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -668,6 +668,14 @@
       job->declines++;
       g_array_set_size (batch->pool->free_cpu, 0);
     }
+  /* An earlier owner has completed the batch: the present one, which may have
+   * learned nothing of that, would run it again. */
+  if (batch->owner != from)
+    {
+      cancel_batch (coordinator, batch, now);
+      snipe_cancellations_remove (coordinator->cancellations, from,
+                                  batch->number);
+    }
   batch->owner = 0;
   remove_batch (coordinator, batch);
   if (failed)
--- a/tests/coordinator/test_moved_batch.c
+++ b/tests/coordinator/test_moved_batch.c
@@ -456,6 +456,22 @@
     { { OWNER, B, 2 }, { WAIT, 0, 220 }, { RESULT, A, SNIPE_OK } },
     1,
     { [A] = 1 },
+    { [B] = 1 },
+    { [A] = 1, [B] = 1 },
+    SNIPE_COORDINATOR_COMPLETE },
+  { "completed by the earlier owner, the other lost a message",
+    A,
+    { { OWNER, B, 2 }, { RESULT, A, SNIPE_OK }, { WAIT, 0, 220 } },
+    1,
+    { 0 },
+    { [B] = 2 },
+    { [A] = 1, [B] = 1 },
+    SNIPE_COORDINATOR_COMPLETE },
+  { "completed by the present owner",
+    A,
+    { { OWNER, B, 2 }, { RESULT, B, SNIPE_OK }, { WAIT, 0, 20 } },
+    1,
+    { [A] = 1 },
     { 0 },
     { [A] = 1, [B] = 1 },
     SNIPE_COORDINATOR_COMPLETE },
@@ -487,8 +503,8 @@
 };
 
 /* Guards against an owner that goes on with a batch which has moved to another
- * one, against cancelling it where it is continued, and against a job that
- * ends because an earlier owner has given it up. */
+ * one or was completed by it, against cancelling it where it is continued, and
+ * against a job that ends because an earlier owner has given it up. */
 static void
 test_owners_told (void)
 {
