Send batches again once the owner's new connection can be opened

A job got no answer before its caller's deadline if its batch was lost with a connection to the pool's owner, and the connection could not be opened again at once, although the owner stayed live.

snipe_coordinator_resend () is called once when a connection is closed, and ignored that nothing could be sent. The next chance came with a change of owner only.

Such a batch is now due with the next tick, and then each 200 ms, like one that could not be sent to a new owner.

test_moved_batch: the case "connection replaced, and not usable at once" failed before (no second message).

--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -28,6 +28,9 @@
  * cancelled there. */
 #define BATCH_RESEND_DELAY (200 * SNIPE_MS)
 
+/* A time that has passed. */
+#define DUE ((snipe_time)1)
+
 struct job;
 
 /** Tasks of a job that were sent to one pool. */
@@ -842,8 +845,10 @@
     {
       struct batch *batch = value;
 
-      if (batch->pool->owner == owner && batch->owner == owner)
-        send_batch (coordinator, batch, true);
+      if (batch->pool->owner != owner || batch->owner != owner)
+        continue;
+      if (send_batch (coordinator, batch, true) != SNIPE_OK)
+        batch->resend_at = DUE;
     }
   snipe_cancellations_expedite (coordinator->cancellations, owner);
 }
