Close the connection to a host that is lost, and call it on a new one

When the open connections between all hosts went silent in both directions, without a reset, the hosts never found each other again.

A lost host stayed in the table of outgoing connections, so the discovery heartbeats that were to find it went into the silent connection. A silent connection is closed only if a heartbeat of the peer says that it receives nothing; if both directions are silent, none arrives.

A host that is counted as lost now has its connection closed and gets a heartbeat on a new one, unless another process is live at its address. New connections work, so the host answers. A connection is judged silent only by the time since it was opened: the first heartbeats after a loss tell of the time before it, and closed the new connection once more.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -189,6 +189,10 @@
 const struct snipe_member *
 snipe_members_find_by_address (const struct snipe_members *members,
                                const char *address);
+/** @return the address of a host's link, also if the host was lost; NULL if it
+ * is unknown. Valid until the next call that changes the view. */
+const char *snipe_members_address (const struct snipe_members *members,
+                                   uint64_t incarnation);
 /** Calls @p visit for each live host other than this one. */
 void snipe_members_each (const struct snipe_members *members,
                          void (*visit) (void *ctx,
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -361,6 +361,16 @@
   return status;
 }
 
+snipe_time
+snipe_link_age (const struct snipe_link *link, const char *address,
+                snipe_time now)
+{
+  const struct channel *channel
+      = g_hash_table_lookup (link->outgoing, address);
+
+  return channel == NULL ? INT64_MAX : now - channel->opened_at;
+}
+
 void
 snipe_link_reset (struct snipe_link *link, const char *address)
 {
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -81,6 +81,10 @@
  * so that the next message connects anew without delay. */
 void snipe_link_retry (struct snipe_link *link, const char *address,
                        snipe_time now);
+/** @return the time since the connection to @p address was opened, INT64_MAX
+ * if there is none. */
+snipe_time snipe_link_age (const struct snipe_link *link, const char *address,
+                           snipe_time now);
 /** Closes the connection to @p address, whose messages seem not to arrive. */
 void snipe_link_reset (struct snipe_link *link, const char *address);
 
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -459,6 +459,15 @@
   return NULL;
 }
 
+const char *
+snipe_members_address (const struct snipe_members *members,
+                       uint64_t incarnation)
+{
+  const struct peer *peer = find_peer (members, incarnation);
+
+  return peer == NULL ? NULL : peer->advertised.address;
+}
+
 void
 snipe_members_each (const struct snipe_members *members,
                     void (*visit) (void *ctx,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -456,6 +456,22 @@
   discover_listed_hosts (node, now);
 }
 
+/* Closes the connection to a host that was lost, and calls the host on a new
+ * one. The old one may have gone silent in both directions: then no heartbeat
+ * of the host says so, and discovery heartbeats would go into it as well. */
+static void
+reconnect_lost_host (struct snipe_node *node, uint64_t lost, snipe_time now)
+{
+  const char *address = snipe_members_address (node->members, lost);
+
+  /* Another process at the address uses the connection by now. */
+  if (address == NULL
+      || snipe_members_find_by_address (node->members, address) != NULL)
+    return;
+  snipe_link_reset (node->link, address);
+  snipe_node_send_heartbeat (node, address, lost, now);
+}
+
 static void
 handle_lost_hosts (struct snipe_node *node, snipe_time now)
 {
@@ -465,6 +481,7 @@
     {
       g_message ("host: event=lost incarnation=%016" G_GINT64_MODIFIER "x",
                  lost);
+      reconnect_lost_host (node, lost, now);
       node->ownership_due = 0;
       snipe_coordinator_owner_lost (node->coordinator, lost, now);
       for (guint i = 0; i < node->owned_pools->len; i++)
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -462,6 +462,10 @@
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, heartbeat->claims.claims_len + 1);
   enum snipe_heartbeat_effect effect;
+  /* A new connection is not to blame for what was lost before it. */
+  snipe_time silence
+      = MIN (heartbeat->since_last_received_ms * SNIPE_MS,
+             snipe_link_age (node->link, heartbeat->address, now));
 
   if (heartbeat->incarnation == node->incarnation)
     {
@@ -504,8 +508,7 @@
   if (heartbeat->since_last_received_ms != UINT32_MAX
       && now - node->last_link_reset > SNIPE_S
       && snipe_members_outbound_stalled (node->members, member.incarnation,
-                                         heartbeat->since_last_received_ms
-                                             * SNIPE_MS))
+                                         silence))
     {
       node->last_link_reset = now;
       snipe_link_reset (node->link, member.address);
