Remember cancelled jobs at every host, and start none of them again

A cancellation by id acted on a job that a host had at that moment and was then forgotten. A host that handles a cancellation tells all live hosts, also if the job is its own. A request with a remembered id is answered as a cancelled job is. A batch of such a job from a host that does not know of it is not started, and its coordinator is told. The form of the messages stays: hosts of the version before obey them as they did.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -72,6 +72,7 @@
   g_queue_init (&node->local_queue);
   node->retained_results
       = g_ptr_array_new_with_free_func (snipe_retained_result_free);
+  node->cancelled_jobs = snipe_cancelled_jobs_new ();
   link.loop = options->loop;
   link.listen = options->listen;
   link.received = snipe_node_received;
@@ -139,6 +140,7 @@
   g_ptr_array_free (node->groups, TRUE);
   g_array_free (node->all_pools, TRUE);
   g_ptr_array_free (node->retained_results, TRUE);
+  snipe_cancelled_jobs_free (node->cancelled_jobs);
   g_free (node);
 }
 
@@ -232,6 +234,19 @@
   node->full_heartbeat_due = 0;
 }
 
+/* Answers a late copy of the request of a job that was cancelled. */
+static void
+answer_cancelled_job (struct snipe_node *node,
+                      const struct snipe_coordinator_job *job, snipe_time now)
+{
+  struct snipe_coordinator_answer answer
+      = { .outcome = SNIPE_COORDINATOR_FAILED, .code = SNIPE_E_CANCELLED };
+
+  snipe_node_log (node, "event=job_cancelled_before job=%s", job->id);
+  snipe_node_answer (node, job->ctx, &answer);
+  snipe_node_process_local_queue (node, now);
+}
+
 void
 snipe_node_submit (struct snipe_node *node,
                    const struct snipe_coordinator_job *job, snipe_time now)
@@ -239,6 +254,11 @@
   struct snipe_coordinator_job checked = *job;
 
   snipe_node_tick_after_pause (node, now);
+  if (snipe_cancelled_jobs_contains (node->cancelled_jobs, job->id, now))
+    {
+      answer_cancelled_job (node, job, now);
+      return;
+    }
   checked.feasibility = snipe_node_job_feasibility (node, job, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
@@ -545,6 +565,7 @@
   snipe_node_process_local_queue (node, now);
   snipe_node_send_loads (node, now);
   snipe_node_expire_results (node, now);
+  snipe_cancelled_jobs_expire (node->cancelled_jobs, now);
   return is_busy (node) ? TICK_INTERVAL_BUSY : TICK_INTERVAL_IDLE;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -123,8 +123,9 @@
                         snipe_time now);
 void snipe_node_abandon (struct snipe_node *node, void *job_ctx,
                          snipe_time now);
-/** Cancels a job at whichever host coordinates it. @return whether this host
- * does. */
+/** Cancels a job at whichever host coordinates it. A request for it that
+ * arrives at any host within SNIPE_CANCELLED_JOBS_RETENTION is answered as
+ * cancelled. @return whether this host coordinates the job. */
 bool snipe_node_cancel (struct snipe_node *node, const char *id,
                         snipe_time now);
 bool snipe_node_has_job (const struct snipe_node *node, const char *id);
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 #include "link/link.h"
+#include "node/cancelled_jobs.h"
 #include "node/directory.h"
 #include "node/node.h"
 #include "node/directory_sync.h"
@@ -120,6 +121,7 @@
   bool awaiting_listed_hosts;
   GQueue local_queue;
   GPtrArray *retained_results; /**< struct retained_result */
+  struct snipe_cancelled_jobs *cancelled_jobs;
   snipe_time failure_timeout;
   snipe_time last_tick;
   snipe_time full_heartbeat_due; /**< next heartbeat to all hosts */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -420,9 +420,10 @@
   bool here;
 
   snipe_node_tick_after_pause (node, now);
+  snipe_cancelled_jobs_add (node->cancelled_jobs, id, true, now);
   here = snipe_coordinator_cancel (node->coordinator, id, now);
-  if (!here)
-    send_to_hosts (&broadcast, &message);
+  /* A copy of the job's request may arrive at any host. */
+  send_to_hosts (&broadcast, &message);
   snipe_node_process_local_queue (node, now);
   return here;
 }
@@ -540,6 +541,28 @@
     snipe_coordinator_update_load (node->coordinator, &view, now);
 }
 
+/* Rejects a batch whose coordinator does not know that its job was cancelled,
+ * and tells it. */
+static void
+reject_cancelled_batch (struct snipe_node *node, const link_batch *batch,
+                        snipe_time now)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = batch->job } };
+
+  snipe_node_log (node,
+                  "event=batch_cancelled_before job=%s "
+                  "batch=%" G_GUINT64_FORMAT
+                  " coordinator=%016" G_GINT64_MODIFIER "x",
+                  batch->job, batch->number, batch->coordinator);
+  /* First, so that the job is answered as a cancelled one. */
+  if (send_to (node, batch->coordinator, &message) < 0)
+    snipe_node_log (node, "event=cancel_job_unsent job=%s reason=\"%s\"",
+                    batch->job, snipe_status_last ());
+  snipe_node_cancel_batch (node, batch->coordinator, batch->number, now);
+}
+
 static void
 on_batch (struct snipe_node *node, const link_batch *from, snipe_time now)
 {
@@ -575,6 +598,11 @@
       snipe_node_reject_batch (node, &batch, SNIPE_E_INVALID);
       return;
     }
+  if (snipe_cancelled_jobs_contains (node->cancelled_jobs, from->job, now))
+    {
+      reject_cancelled_batch (node, from, now);
+      return;
+    }
   delay = snipe_members_delay (node->members, from->coordinator,
                                decode_sent (from->sent_us), now);
   if (delay <= BATCH_DELAY_MAX)
@@ -705,6 +733,8 @@
                                message->args.cancel.number, now);
       break;
     case LINK_SEND_CANCEL_JOB:
+      snipe_cancelled_jobs_add (node->cancelled_jobs,
+                                message->args.cancel_job.job, false, now);
       snipe_coordinator_cancel (node->coordinator,
                                 message->args.cancel_job.job, now);
       break;
@@ -753,10 +783,10 @@
   struct snipe_node *node = ctx;
   const struct snipe_member *member
       = snipe_members_find_by_address (node->members, address);
+  snipe_time now = snipe_clock_now ();
 
   snipe_node_send_heartbeat (node, address,
-                             member == NULL ? 0 : member->incarnation,
-                             snipe_clock_now ());
+                             member == NULL ? 0 : member->incarnation, now);
 }
 
 void
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -1,6 +1,7 @@
 /* A pool's owner that receives cancellations of another host's batches. */
 #include <CUnit/Basic.h>
 #include <glib.h>
+#include <string.h>
 
 #include "link/link.h"
 #include "node/callbacks.h"
@@ -10,6 +11,8 @@
 #define COORDINATOR 77
 #define RUNNING_BATCH 1
 #define LATE_BATCH 2
+#define COPY_BATCH 3
+#define JOB_ID "0123456789abcdef"
 #define HEARTBEAT_INTERVAL (50 * SNIPE_MS)
 #define TIME_MAX (20 * SNIPE_S)
 
@@ -20,6 +23,7 @@
   STEP_CANCEL_RUNNING,   /**< which is then cancelled */
   STEP_CANCEL_UNKNOWN,   /**< the second batch is cancelled, */
   STEP_SUBMIT_CANCELLED, /**< and arrives afterwards */
+  STEP_CANCELLED_JOB,    /**< the third one is of a cancelled job */
   STEP_END,
 };
 
@@ -38,6 +42,7 @@
   uint32_t starts;
   uint32_t stops;
   uint32_t acknowledgements;
+  uint32_t job_cancellations;
 };
 
 static void
@@ -77,6 +82,9 @@
       && message->args.result.coordinator == COORDINATOR
       && message->args.result.code == SNIPE_E_CANCELLED)
     test->acknowledgements++;
+  if (message->procedure == LINK_SEND_CANCEL_JOB
+      && strcmp (message->args.cancel_job.job, JOB_ID) == 0)
+    test->job_cancellations++;
 }
 
 static void
@@ -125,7 +133,7 @@
         .sent_us = now,
         .pool
         = { .service = (char *)"work", .domain = (char *)"a", .shards = 1 },
-        .job = (char *)"0123456789abcdef",
+        .job = (char *)JOB_ID,
         .route = (char *)"r",
         .spec = { .spec_len = 1, .spec_val = (char *)"s" },
         .indexes = { .indexes_len = 1, .indexes_val = &index },
@@ -154,6 +162,16 @@
   send_message (test, &message);
 }
 
+static void
+send_cancel_job (struct test *test)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = (char *)JOB_ID } };
+
+  send_message (test, &message);
+}
+
 static void
 answer_poll (struct test *test, snipe_time now)
 {
@@ -208,6 +226,15 @@
     case STEP_SUBMIT_CANCELLED:
       if (test->acknowledgements < 3)
         break;
+      CU_ASSERT_EQUAL (test->job_cancellations, 0);
+      send_cancel_job (test);
+      send_batch (test, COPY_BATCH, now);
+      test->step = STEP_CANCELLED_JOB;
+      break;
+    case STEP_CANCELLED_JOB:
+      if (test->acknowledgements < 4)
+        break;
+      CU_ASSERT_EQUAL (test->job_cancellations, 1);
       test->step = STEP_END;
       snipe_loop_stop (test->loop);
       break;
@@ -219,7 +246,8 @@
 
 /* Guards against an owner that does not acknowledge cancellations, so that its
  * peers cannot tell that one was lost (TWICE, review/2), and against starting
- * a copy of a batch that arrives after its cancellation. */
+ * a copy of a batch that arrives after its cancellation, or a batch of a job
+ * that was cancelled by its id, which its coordinator has to be told. */
 static void
 test_acknowledged (void)
 {
