Send cancelled jobs again to hosts that may not have been told

A job was cancelled at a host that does not have it, 0.2 s after the connection to the job's host had gone silent.

The host tells the others with one message each, which nobody acknowledges and which was not sent again; one that is written into a silent connection is lost.

A host now sends the jobs that were cancelled at it again: those of the last 10 s on each new connection to a live host and to a host that has counted it as lost, as that has dropped its messages; to a host that is heard, besides that, all since it was last heard. Hosts do not pass on what they were told, so the cost does not grow with the square of the fleet.

--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -24,6 +24,11 @@
 /* Hosts of other domains need less recent loads, as jobs go to the pools of
  * their own domain unless those are full. */
 #define LOAD_INTERVAL_PER_HOST_OTHER_DOMAIN (6 * SNIPE_MS)
+/* Cancelled jobs are sent again to a host if its connection was replaced or it
+ * was lost. The longest time in which a host receives nothing before that is
+ * noticed is 4.8 s, in a large fleet, and some of that may pass twice: until
+ * one host closes the connection, and until the other hears of it. */
+#define CANCELLED_JOB_RESEND_AGE (10 * SNIPE_S)
 
 static int32_t
 ms_until (snipe_time when, snipe_time now)
@@ -410,6 +415,37 @@
   send_to_hosts (&broadcast, &message);
 }
 
+struct cancelled_job_recipient
+{
+  struct snipe_node *node;
+  const char *address;
+};
+
+static void
+send_cancelled_job (void *ctx, const char *id)
+{
+  const struct cancelled_job_recipient *to = ctx;
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = (char *)id } };
+
+  if (snipe_link_send (to->node->link, to->address, &message) < 0)
+    snipe_node_log (to->node, "event=cancel_job_unsent job=%s reason=\"%s\"",
+                    id, snipe_status_last ());
+}
+
+/* Sends a host the jobs that were cancelled here within @p age: it may not
+ * have received the first message. */
+static void
+resend_cancelled_jobs (struct snipe_node *node, const char *address,
+                       snipe_time age, snipe_time now)
+{
+  struct cancelled_job_recipient to = { .node = node, .address = address };
+
+  snipe_cancelled_jobs_each_own (node->cancelled_jobs, age, send_cancelled_job,
+                                 &to, now);
+}
+
 bool
 snipe_node_cancel (struct snipe_node *node, const char *id, snipe_time now)
 {
@@ -463,6 +499,8 @@
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, heartbeat->claims.claims_len + 1);
   enum snipe_heartbeat_effect effect;
+  snipe_time since_received = snipe_members_time_since_received (
+      node->members, heartbeat->incarnation, now);
   /* A new connection is not to blame for what was lost before it. */
   snipe_time silence
       = MIN (heartbeat->since_last_received_ms * SNIPE_MS,
@@ -502,6 +540,12 @@
       snipe_link_retry (node->link, member.address, now);
       snipe_node_send_heartbeat (node, member.address, member.incarnation,
                                  now);
+      /* Nothing was sent to it while it was lost. */
+      resend_cancelled_jobs (
+          node, member.address,
+          MIN (since_received, SNIPE_CANCELLED_JOBS_RETENTION)
+              + CANCELLED_JOB_RESEND_AGE,
+          now);
     }
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_coordinator_set_owner (node->coordinator, &claims[i].pool,
@@ -513,10 +557,16 @@
     {
       node->last_link_reset = now;
       snipe_link_reset (node->link, member.address);
+      snipe_node_send_heartbeat (node, member.address, member.incarnation,
+                                 now);
       snipe_coordinator_resend (node->coordinator, member.incarnation);
     }
   if (effect == SNIPE_HEARTBEAT_LOST_SELF)
-    snipe_coordinator_resend (node->coordinator, member.incarnation);
+    {
+      snipe_coordinator_resend (node->coordinator, member.incarnation);
+      resend_cancelled_jobs (node, member.address, CANCELLED_JOB_RESEND_AGE,
+                             now);
+    }
   request_config (node, heartbeat, now);
   g_free (claims);
 }
@@ -787,6 +837,10 @@
 
   snipe_node_send_heartbeat (node, address,
                              member == NULL ? 0 : member->incarnation, now);
+  /* Messages on the previous connection may be lost. A host that is not live
+   * gets the jobs when it is heard. */
+  if (member != NULL)
+    resend_cancelled_jobs (node, address, CANCELLED_JOB_RESEND_AGE, now);
 }
 
 void
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -24,6 +24,8 @@
   STEP_CANCEL_UNKNOWN,   /**< the second batch is cancelled, */
   STEP_SUBMIT_CANCELLED, /**< and arrives afterwards */
   STEP_CANCELLED_JOB,    /**< the third one is of a cancelled job */
+  STEP_CANCEL_HERE,      /**< a job is cancelled at the node, */
+  STEP_LOST,             /**< which the coordinator then counts as lost */
   STEP_END,
 };
 
@@ -43,6 +45,7 @@
   uint32_t stops;
   uint32_t acknowledgements;
   uint32_t job_cancellations;
+  uint32_t losses; /**< of the node, as the coordinator announces them */
 };
 
 static void
@@ -112,7 +115,8 @@
                               .address = test->link_address,
                               .domain = (char *)"b",
                               .cpu_millicores = 100,
-                              .heartbeat_interval_ms = 150 } };
+                              .heartbeat_interval_ms = 150,
+                              .loss_count = test->losses } };
 
   /* The node calls first, as the coordinator is listed. */
   if (*test->node_address == '\0' || now < test->heartbeat_due)
@@ -235,6 +239,18 @@
       if (test->acknowledgements < 4)
         break;
       CU_ASSERT_EQUAL (test->job_cancellations, 1);
+      snipe_node_cancel (test->node, JOB_ID, now);
+      test->step = STEP_CANCEL_HERE;
+      break;
+    case STEP_CANCEL_HERE:
+      if (test->job_cancellations < 2)
+        break;
+      test->losses++;
+      test->step = STEP_LOST;
+      break;
+    case STEP_LOST:
+      if (test->job_cancellations < 3)
+        break;
       test->step = STEP_END;
       snipe_loop_stop (test->loop);
       break;
@@ -247,7 +263,9 @@
 /* Guards against an owner that does not acknowledge cancellations, so that its
  * peers cannot tell that one was lost (TWICE, review/2), and against starting
  * a copy of a batch that arrives after its cancellation, or a batch of a job
- * that was cancelled by its id, which its coordinator has to be told. */
+ * that was cancelled by its id, which its coordinator has to be told. A host
+ * that counted the node as lost has dropped its messages, so it is told again.
+ */
 static void
 test_acknowledged (void)
 {
--- a/tests/node/test_cancel_job.c
+++ b/tests/node/test_cancel_job.c
@@ -313,6 +313,21 @@
   free_hosts (&test);
 }
 
+/* Guards against a cancellation that is lost, so that the job runs to its end,
+ * because the connection to the job's host has just gone silent (UNASKED,
+ * review/5). */
+static void
+test_unheard (void)
+{
+  static const struct test_case cases[] = {
+    { "connections work", 1, false, -1 },
+    { "connections are silent", 1, true, -1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    run_case (&cases[i]);
+}
+
 /* Guards against starting a cancelled job again, because a copy of its request
  * arrives after it was answered (UNASKED, review/4). */
 static void
@@ -323,17 +338,64 @@
     { "at the job's host", 0, false, 0 },
     { "at the job's host, cancelled at the other one", 1, false, 0 },
     { "at the host that cancelled it", 1, false, 1 },
+    { "at the other host, over silent connections", 1, true, 1 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     run_case (&cases[i]);
 }
 
+static snipe_time
+on_started_later_tick (void *ctx, snipe_time now)
+{
+  struct test *test = ctx;
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      snipe_node_tick (test->hosts[i].node, now);
+      answer_requests (&test->hosts[i], now);
+    }
+  if (test->step == STEP_READY && snipe_node_can_serve (test->hosts[1].node))
+    {
+      CU_ASSERT (snipe_cancelled_jobs_contains (
+          test->hosts[1].node->cancelled_jobs, JOB_ID, now));
+      submit (&test->hosts[1], now);
+      test->step = STEP_COPY;
+    }
+  if (test->hosts[1].answers > 0 || now - test->started_at > TIME_MAX)
+    snipe_loop_stop (test->loop);
+  return 2 * SNIPE_MS;
+}
+
+/* Guards against a host that starts a cancelled job because it was not there
+ * when the others were told, though the host that cancelled the job still is.
+ */
+static void
+test_started_later (void)
+{
+  snipe_time now = snipe_clock_now ();
+  struct test test = { .started_at = now };
+
+  CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&test.loop), SNIPE_OK);
+  start_host (&test, 0, now);
+  /* Earlier than what is sent on any new connection. */
+  snipe_node_cancel (test.hosts[0].node, JOB_ID, now - 30 * SNIPE_S);
+  start_host (&test, 1, now);
+  list_hosts (&test, now);
+  snipe_loop_run (test.loop, on_started_later_tick, &test);
+  CU_ASSERT_EQUAL (test.hosts[1].answers, 1);
+  check_cancelled (&test.hosts[1]);
+  CU_ASSERT_EQUAL (test.hosts[0].starts, 0);
+  free_hosts (&test);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
+    { "unheard cancellation", test_unheard },
     { "late copy", test_late_copy },
+    { "host started later", test_started_later },
     CU_TEST_INFO_NULL,
   };
 
