--- a/src/node/node.c
+++ b/src/node/node.c
@@ -72,6 +72,7 @@
   g_queue_init (&node->local_queue);
   node->retained_results
       = g_ptr_array_new_with_free_func (snipe_retained_result_free);
+  node->cancelled_jobs = snipe_cancelled_jobs_new ();
   link.loop = options->loop;
   link.listen = options->listen;
   link.received = snipe_node_received;
@@ -139,6 +140,7 @@
   g_ptr_array_free (node->groups, TRUE);
   g_array_free (node->all_pools, TRUE);
   g_ptr_array_free (node->retained_results, TRUE);
+  snipe_cancelled_jobs_free (node->cancelled_jobs);
   g_free (node);
 }
 
@@ -232,6 +234,19 @@
   node->full_heartbeat_due = 0;
 }
 
+/* Answers a late copy of the request of a job that was cancelled. */
+static void
+answer_cancelled_job (struct snipe_node *node,
+                      const struct snipe_coordinator_job *job, snipe_time now)
+{
+  struct snipe_coordinator_answer answer
+      = { .outcome = SNIPE_COORDINATOR_FAILED, .code = SNIPE_E_CANCELLED };
+
+  snipe_node_log (node, "event=job_cancelled_before job=%s", job->id);
+  snipe_node_answer (node, job->ctx, &answer);
+  snipe_node_process_local_queue (node, now);
+}
+
 void
 snipe_node_submit (struct snipe_node *node,
                    const struct snipe_coordinator_job *job, snipe_time now)
@@ -239,6 +254,11 @@
   struct snipe_coordinator_job checked = *job;
 
   snipe_node_tick_after_pause (node, now);
+  if (snipe_cancelled_jobs_contains (node->cancelled_jobs, job->id, now))
+    {
+      answer_cancelled_job (node, job, now);
+      return;
+    }
   checked.feasibility = snipe_node_job_feasibility (node, job, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
   snipe_node_log (node,
@@ -456,6 +476,22 @@
   discover_listed_hosts (node, now);
 }
 
+/* Closes the connection to a host that was lost, and calls the host on a new
+ * one. The old one may have gone silent in both directions: then no heartbeat
+ * of the host says so, and discovery heartbeats would go into it as well. */
+static void
+reconnect_lost_host (struct snipe_node *node, uint64_t lost, snipe_time now)
+{
+  const char *address = snipe_members_address (node->members, lost);
+
+  /* Another process at the address uses the connection by now. */
+  if (address == NULL
+      || snipe_members_find_by_address (node->members, address) != NULL)
+    return;
+  snipe_link_reset (node->link, address);
+  snipe_node_send_heartbeat (node, address, lost, now);
+}
+
 static void
 handle_lost_hosts (struct snipe_node *node, snipe_time now)
 {
@@ -465,6 +501,7 @@
     {
       g_message ("host: event=lost incarnation=%016" G_GINT64_MODIFIER "x",
                  lost);
+      reconnect_lost_host (node, lost, now);
       node->ownership_due = 0;
       snipe_coordinator_owner_lost (node->coordinator, lost, now);
       for (guint i = 0; i < node->owned_pools->len; i++)
@@ -528,6 +565,7 @@
   snipe_node_process_local_queue (node, now);
   snipe_node_send_loads (node, now);
   snipe_node_expire_results (node, now);
+  snipe_cancelled_jobs_expire (node->cancelled_jobs, now);
   return is_busy (node) ? TICK_INTERVAL_BUSY : TICK_INTERVAL_IDLE;
 }
 
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -24,6 +24,11 @@
 /* Hosts of other domains need less recent loads, as jobs go to the pools of
  * their own domain unless those are full. */
 #define LOAD_INTERVAL_PER_HOST_OTHER_DOMAIN (6 * SNIPE_MS)
+/* Cancelled jobs are sent again to a host if its connection was replaced or it
+ * was lost. The longest time in which a host receives nothing before that is
+ * noticed is 4.8 s, in a large fleet, and some of that may pass twice: until
+ * one host closes the connection, and until the other hears of it. */
+#define CANCELLED_JOB_RESEND_AGE (10 * SNIPE_S)
 
 static int32_t
 ms_until (snipe_time when, snipe_time now)
@@ -419,6 +424,37 @@
   send_to_hosts (&broadcast, &message);
 }
 
+struct cancelled_job_recipient
+{
+  struct snipe_node *node;
+  const char *address;
+};
+
+static void
+send_cancelled_job (void *ctx, const char *id)
+{
+  const struct cancelled_job_recipient *to = ctx;
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = (char *)id } };
+
+  if (snipe_link_send (to->node->link, to->address, &message) < 0)
+    snipe_node_log (to->node, "event=cancel_job_unsent job=%s reason=\"%s\"",
+                    id, snipe_status_last ());
+}
+
+/* Sends a host the jobs that were cancelled here within @p age: it may not
+ * have received the first message. */
+static void
+resend_cancelled_jobs (struct snipe_node *node, const char *address,
+                       snipe_time age, snipe_time now)
+{
+  struct cancelled_job_recipient to = { .node = node, .address = address };
+
+  snipe_cancelled_jobs_each_own (node->cancelled_jobs, age, send_cancelled_job,
+                                 &to, now);
+}
+
 bool
 snipe_node_cancel (struct snipe_node *node, const char *id, snipe_time now)
 {
@@ -429,9 +465,10 @@
   bool here;
 
   snipe_node_tick_after_pause (node, now);
+  snipe_cancelled_jobs_add (node->cancelled_jobs, id, true, now);
   here = snipe_coordinator_cancel (node->coordinator, id, now);
-  if (!here)
-    send_to_hosts (&broadcast, &message);
+  /* A copy of the job's request may arrive at any host. */
+  send_to_hosts (&broadcast, &message);
   snipe_node_process_local_queue (node, now);
   return here;
 }
@@ -471,6 +508,12 @@
   struct snipe_claim *claims
       = g_new0 (struct snipe_claim, heartbeat->claims.claims_len + 1);
   enum snipe_heartbeat_effect effect;
+  snipe_time since_received = snipe_members_time_since_received (
+      node->members, heartbeat->incarnation, now);
+  /* A new connection is not to blame for what was lost before it. */
+  snipe_time silence
+      = MIN (heartbeat->since_last_received_ms * SNIPE_MS,
+             snipe_link_age (node->link, heartbeat->address, now));
 
   if (heartbeat->incarnation == node->incarnation)
     {
@@ -506,6 +549,12 @@
       snipe_link_retry (node->link, member.address, now);
       snipe_node_send_heartbeat (node, member.address, member.incarnation,
                                  now);
+      /* Nothing was sent to it while it was lost. */
+      resend_cancelled_jobs (
+          node, member.address,
+          MIN (since_received, SNIPE_CANCELLED_JOBS_RETENTION)
+              + CANCELLED_JOB_RESEND_AGE,
+          now);
     }
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_coordinator_set_owner (node->coordinator, &claims[i].pool,
@@ -513,15 +562,20 @@
   if (heartbeat->since_last_received_ms != UINT32_MAX
       && now - node->last_link_reset > SNIPE_S
       && snipe_members_outbound_stalled (node->members, member.incarnation,
-                                         heartbeat->since_last_received_ms
-                                             * SNIPE_MS))
+                                         silence))
     {
       node->last_link_reset = now;
       snipe_link_reset (node->link, member.address);
+      snipe_node_send_heartbeat (node, member.address, member.incarnation,
+                                 now);
       snipe_coordinator_resend (node->coordinator, member.incarnation);
     }
   if (effect == SNIPE_HEARTBEAT_LOST_SELF)
-    snipe_coordinator_resend (node->coordinator, member.incarnation);
+    {
+      snipe_coordinator_resend (node->coordinator, member.incarnation);
+      resend_cancelled_jobs (node, member.address, CANCELLED_JOB_RESEND_AGE,
+                             now);
+    }
   request_config (node, heartbeat, now);
   g_free (claims);
 }
@@ -546,6 +600,28 @@
     snipe_coordinator_update_load (node->coordinator, &view, now);
 }
 
+/* Rejects a batch whose coordinator does not know that its job was cancelled,
+ * and tells it. */
+static void
+reject_cancelled_batch (struct snipe_node *node, const link_batch *batch,
+                        snipe_time now)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = batch->job } };
+
+  snipe_node_log (node,
+                  "event=batch_cancelled_before job=%s "
+                  "batch=%" G_GUINT64_FORMAT
+                  " coordinator=%016" G_GINT64_MODIFIER "x",
+                  batch->job, batch->number, batch->coordinator);
+  /* First, so that the job is answered as a cancelled one. */
+  if (send_to (node, batch->coordinator, &message) < 0)
+    snipe_node_log (node, "event=cancel_job_unsent job=%s reason=\"%s\"",
+                    batch->job, snipe_status_last ());
+  snipe_node_cancel_batch (node, batch->coordinator, batch->number, now);
+}
+
 static void
 on_batch (struct snipe_node *node, const link_batch *from, snipe_time now)
 {
@@ -581,6 +657,11 @@
       snipe_node_reject_batch (node, &batch, SNIPE_E_INVALID);
       return;
     }
+  if (snipe_cancelled_jobs_contains (node->cancelled_jobs, from->job, now))
+    {
+      reject_cancelled_batch (node, from, now);
+      return;
+    }
   delay = snipe_members_delay (node->members, from->coordinator,
                                decode_sent (from->sent_us), now);
   if (delay <= BATCH_DELAY_MAX)
@@ -711,6 +792,8 @@
                                message->args.cancel.number, now);
       break;
     case LINK_SEND_CANCEL_JOB:
+      snipe_cancelled_jobs_add (node->cancelled_jobs,
+                                message->args.cancel_job.job, false, now);
       snipe_coordinator_cancel (node->coordinator,
                                 message->args.cancel_job.job, now);
       break;
@@ -759,10 +842,14 @@
   struct snipe_node *node = ctx;
   const struct snipe_member *member
       = snipe_members_find_by_address (node->members, address);
+  snipe_time now = snipe_clock_now ();
 
   snipe_node_send_heartbeat (node, address,
-                             member == NULL ? 0 : member->incarnation,
-                             snipe_clock_now ());
+                             member == NULL ? 0 : member->incarnation, now);
+  /* Messages on the previous connection may be lost. A host that is not live
+   * gets the jobs when it is heard. */
+  if (member != NULL)
+    resend_cancelled_jobs (node, address, CANCELLED_JOB_RESEND_AGE, now);
 }
 
 void
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -1,6 +1,7 @@
 /* A pool's owner that receives cancellations of another host's batches. */
 #include <CUnit/Basic.h>
 #include <glib.h>
+#include <string.h>
 
 #include "link/link.h"
 #include "node/callbacks.h"
@@ -10,6 +11,8 @@
 #define COORDINATOR 77
 #define RUNNING_BATCH 1
 #define LATE_BATCH 2
+#define COPY_BATCH 3
+#define JOB_ID "0123456789abcdef"
 #define HEARTBEAT_INTERVAL (50 * SNIPE_MS)
 /* Earliest time after its cancellation at which a batch comes back: the owner
  * claims the pool again after 300 ms, and is cancelled after 200 ms. */
@@ -26,6 +29,9 @@
   STEP_SUBMIT_OLD,       /**< as does a copy that was sent again before. */
   STEP_SUBMIT_AGAIN,     /**< It comes back after the cancellation, */
   STEP_CANCEL_AGAIN,     /**< starts, and is cancelled again */
+  STEP_CANCELLED_JOB,    /**< the third one is of a cancelled job */
+  STEP_CANCEL_HERE,      /**< a job is cancelled at the node, */
+  STEP_LOST,             /**< which the coordinator then counts as lost */
   STEP_END,
 };
 
@@ -45,6 +51,8 @@
   uint32_t starts;
   uint32_t stops;
   uint32_t acknowledgements;
+  uint32_t job_cancellations;
+  uint32_t losses; /**< of the node, as the coordinator announces them */
 };
 
 static void
@@ -84,6 +92,9 @@
       && message->args.result.coordinator == COORDINATOR
       && message->args.result.code == SNIPE_E_CANCELLED)
     test->acknowledgements++;
+  if (message->procedure == LINK_SEND_CANCEL_JOB
+      && strcmp (message->args.cancel_job.job, JOB_ID) == 0)
+    test->job_cancellations++;
 }
 
 static void
@@ -111,7 +122,8 @@
                               .address = test->link_address,
                               .domain = (char *)"b",
                               .cpu_millicores = 100,
-                              .heartbeat_interval_ms = 150 } };
+                              .heartbeat_interval_ms = 150,
+                              .loss_count = test->losses } };
 
   /* The node calls first, as the coordinator is listed. */
   if (*test->node_address == '\0' || now < test->heartbeat_due)
@@ -132,8 +144,7 @@
         .sent_us = sent,
         .pool
         = { .service = (char *)"work", .domain = (char *)"a", .shards = 1 },
-        .job = (char *)(number == RUNNING_BATCH ? "0123456789abcdef"
-                                                : "fedcba9876543210"),
+        .job = (char *)(number == LATE_BATCH ? "fedcba9876543210" : JOB_ID),
         .route = (char *)"r",
         .spec = { .spec_len = 1, .spec_val = (char *)"s" },
         .indexes = { .indexes_len = 1, .indexes_val = &index },
@@ -163,6 +174,16 @@
   send_message (test, &message);
 }
 
+static void
+send_cancel_job (struct test *test)
+{
+  struct snipe_link_message message
+      = { .procedure = LINK_SEND_CANCEL_JOB,
+          .args.cancel_job = { .job = (char *)JOB_ID } };
+
+  send_message (test, &message);
+}
+
 static void
 answer_poll (struct test *test, snipe_time now)
 {
@@ -240,6 +261,27 @@
     case STEP_CANCEL_AGAIN:
       if (test->acknowledgements < 5)
         break;
+      CU_ASSERT_EQUAL (test->job_cancellations, 0);
+      send_cancel_job (test);
+      send_batch (test, COPY_BATCH, now, false);
+      test->step = STEP_CANCELLED_JOB;
+      break;
+    case STEP_CANCELLED_JOB:
+      if (test->acknowledgements < 6)
+        break;
+      CU_ASSERT_EQUAL (test->job_cancellations, 1);
+      snipe_node_cancel (test->node, JOB_ID, now);
+      test->step = STEP_CANCEL_HERE;
+      break;
+    case STEP_CANCEL_HERE:
+      if (test->job_cancellations < 2)
+        break;
+      test->losses++;
+      test->step = STEP_LOST;
+      break;
+    case STEP_LOST:
+      if (test->job_cancellations < 3)
+        break;
       test->step = STEP_END;
       snipe_loop_stop (test->loop);
       break;
@@ -251,8 +293,11 @@
 
 /* Guards against an owner that does not acknowledge cancellations, so that its
  * peers cannot tell that one was lost (TWICE, review/2), against starting a
- * copy of a batch that arrives after its cancellation, and against ignoring a
- * batch that has moved to another owner and comes back to this one. */
+ * copy of a batch that arrives after its cancellation, against ignoring a
+ * batch that has moved to another owner and comes back to this one, and
+ * against starting a batch of a job that was cancelled by its id, which its
+ * coordinator has to be told. A host that counted the node as lost has dropped
+ * its messages, so it is told again. */
 static void
 test_acknowledged (void)
 {
