Continue a run that the answer lacking another one lists

Callers saw two runs of a task at the same time: a poll answer of a restarted endpoint lacked the run of a task, but listed another one of it, which an earlier owner had started there. The missing run was ended after the listed ones had been looked at, so the listed one was taken as unclaimed and the task started elsewhere at once.

Missing runs are now ended first, and the listed one continues the task.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -828,8 +828,9 @@
   if (sent < endpoint->poll_processed)
     return;
   endpoint->poll_processed = sent;
-  process_running_runs (pool, endpoint, report, sent, now);
+  /* A task whose run is missing may have another one here. */
   end_missing_runs (pool, endpoint, report, sent, now);
+  process_running_runs (pool, endpoint, report, sent, now);
   endpoint->claim = CLAIM_CONFIRMED;
   if (endpoint->runs->len > 0)
     snipe_pool_send_poll (pool, endpoint, true, now);
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -282,6 +282,37 @@
   model_clear (&model);
 }
 
+/* Guards against starting a task again although the poll answer that lacks its
+ * run lists another one of it, which an earlier owner has started at the new
+ * incarnation. */
+static void
+test_run_of_earlier_owner (void)
+{
+  struct model_job sent = job ("0123456789abcdef", 1, 1);
+  struct model model;
+  struct model_run run;
+  uint32_t chosen;
+
+  start_model (&model, 2);
+  model_submit (&model, OWNER, &sent);
+  model_advance (&model, model.now + 100 * SNIPE_MS);
+  chosen = model.endpoints[0].run_count > 0 ? 0 : 1;
+  run = model.endpoints[chosen].runs[0];
+  run.run++;
+  model.endpoints[chosen].poll_pending = false;
+  model_restart (&model, chosen);
+  model.endpoints[chosen].runs[0] = run;
+  model.endpoints[chosen].run_count = 1;
+  model.endpoints[chosen].lease_until = model.now + 1200 * SNIPE_MS;
+  snipe_pool_endpoint_set (model.owners[OWNER].pool,
+                           &model.endpoints[chosen].entry, model.now);
+  model_advance (&model, model.now + 2 * TASK_TIME);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  CU_ASSERT_EQUAL (model.starts, 1);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 1));
+  model_clear (&model);
+}
+
 /* Guards against an endpoint that never comes back after a restart: its tasks
  * start elsewhere once no start request can be under way. */
 static void
@@ -367,6 +398,7 @@
     { "start sent again", test_start_sent_again },
     { "copy of the start of an ended run", test_copy_of_ended_run },
     { "waiting task of a late start", test_waiting_task_of_late_start },
+    { "run of an earlier owner", test_run_of_earlier_owner },
     { "silent after a restart", test_silent_after_restart },
     { "gone after a restart", test_gone_after_restart },
     { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
