Move the codec of messages between hosts into a file of its own

A test can then replace the transport and still encode and decode with the real XDR code. Behaviour is unchanged; on_record () calls snipe_link_decode () in place of decoding inline.

--- a/src/link/link.c
+++ b/src/link/link.c
@@ -49,36 +49,6 @@
   GPtrArray *incoming;
 };
 
-static xdrproc_t
-message_codec (uint32_t procedure)
-{
-  switch (procedure)
-    {
-    case LINK_SEND_HEARTBEAT:
-      return (xdrproc_t)xdr_link_heartbeat;
-    case LINK_SEND_LOAD:
-      return (xdrproc_t)xdr_link_load;
-    case LINK_SEND_BATCH:
-      return (xdrproc_t)xdr_link_batch;
-    case LINK_SEND_RESULT:
-      return (xdrproc_t)xdr_link_result;
-    case LINK_SEND_CANCEL:
-      return (xdrproc_t)xdr_link_cancel;
-    case LINK_SEND_CANCEL_JOB:
-      return (xdrproc_t)xdr_link_cancel_job;
-    case LINK_SEND_CONFIG_REQUEST:
-      return (xdrproc_t)xdr_link_config_request;
-    case LINK_SEND_CONFIG:
-      return (xdrproc_t)xdr_link_config;
-    case LINK_SEND_DRAIN:
-      return (xdrproc_t)xdr_link_drain;
-    case LINK_SEND_ENDPOINT_CHANGES:
-      return (xdrproc_t)xdr_link_endpoint_changes;
-    default:
-      return NULL;
-    }
-}
-
 static void
 channel_free (struct channel *channel)
 {
@@ -103,35 +73,19 @@
 {
   struct channel *channel = ctx;
   struct snipe_link *link = channel->link;
-  struct snipe_link_message message = { 0 };
-  struct rpc_msg header = { 0 };
-  char verifier[2 * MAX_AUTH_BYTES];
-  int status = SNIPE_E_INVALID;
-  xdrproc_t decode;
-  XDR xdrs;
-
-  header.rm_call.cb_cred.oa_base = verifier;
-  header.rm_call.cb_verf.oa_base = verifier + MAX_AUTH_BYTES;
-  xdrmem_create (&xdrs, connection->record, (u_int)connection->record_len,
-                 XDR_DECODE);
-  if (xdr_callmsg (&xdrs, &header) && header.rm_call.cb_prog == SNIPE_LINK
-      && header.rm_call.cb_vers == SNIPE_LINK_V1)
+  struct snipe_link_message message;
+  int status = snipe_link_decode (&message, connection->record,
+                                  connection->record_len);
+
+  if (status == SNIPE_OK)
     {
-      message.procedure = (uint32_t)header.rm_call.cb_proc;
-      decode = message_codec (message.procedure);
-      if (decode != NULL && decode (&xdrs, &message.args))
-        {
-          status = SNIPE_OK;
-          if (message.procedure == LINK_SEND_HEARTBEAT)
-            channel->incarnation = message.args.heartbeat.incarnation;
-          link->options.received (link->options.ctx, channel->incarnation,
-                                  &message);
-        }
-      if (decode != NULL)
-        xdr_free (decode, (char *)&message.args);
+      if (message.procedure == LINK_SEND_HEARTBEAT)
+        channel->incarnation = message.args.heartbeat.incarnation;
+      link->options.received (link->options.ctx, channel->incarnation,
+                              &message);
+      snipe_link_message_clear (&message);
     }
-  xdr_destroy (&xdrs);
-  if (status != SNIPE_OK)
+  else
     g_warning ("link: closing a connection: cannot decode a record of "
                "%zu bytes",
                connection->record_len);
@@ -285,41 +239,6 @@
   return channel;
 }
 
-int
-snipe_link_encode (struct snipe_str *out,
-                   const struct snipe_link_message *message)
-{
-  struct rpc_msg header = { .rm_direction = CALL };
-  xdrproc_t body = message_codec (message->procedure);
-  unsigned long len;
-  char *data;
-  bool encoded;
-  XDR xdrs;
-
-  header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
-  header.rm_call.cb_prog = SNIPE_LINK;
-  header.rm_call.cb_vers = SNIPE_LINK_V1;
-  header.rm_call.cb_proc = message->procedure;
-  header.rm_call.cb_cred = _null_auth;
-  header.rm_call.cb_verf = _null_auth;
-  len = xdr_sizeof (body, (void *)&message->args);
-  if (len == 0)
-    return snipe_status_set (SNIPE_E_TOO_LARGE,
-                             "message %u exceeds a size limit of the protocol",
-                             message->procedure);
-  len += xdr_sizeof ((xdrproc_t)xdr_callmsg, &header);
-  data = malloc (len);
-  if (data == NULL)
-    return snipe_status_set (SNIPE_E_NOMEM,
-                             "out of memory for encoding a message");
-  xdrmem_create (&xdrs, data, (u_int)len, XDR_ENCODE);
-  encoded
-      = xdr_callmsg (&xdrs, &header) && body (&xdrs, (void *)&message->args);
-  xdr_destroy (&xdrs);
-  snipe_str_take (out, data, len);
-  return encoded ? SNIPE_OK : SNIPE_E_INTERNAL;
-}
-
 int
 snipe_link_send_encoded (struct snipe_link *link, const char *address,
                          const struct snipe_str *message)
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -74,6 +74,12 @@
  * snipe_str_clear (). */
 int snipe_link_encode (struct snipe_str *out,
                        const struct snipe_link_message *message);
+/** Decodes a record that snipe_link_encode () has made.
+ * @return 0, or SNIPE_E_INVALID if it is not a valid message. After 0, @p out
+ * has to be cleared by snipe_link_message_clear (). */
+int snipe_link_decode (struct snipe_link_message *out, const char *data,
+                       size_t len);
+void snipe_link_message_clear (struct snipe_link_message *message);
 int snipe_link_send_encoded (struct snipe_link *link, const char *address,
                              const struct snipe_str *message);
 /** To be called when the host at @p address turns out to be live. Abandons a
