Add a randomized search that plays whole hosts in virtual time

Real nodes over a transport and endpoints in virtual time, under disturbances that a seed determines. It checks that no task has two runs at a time, that each job gets one answer, that no run is left and that the answers are true.

--- /dev/null
+++ b/tests/fleet/endpoints.h
@@ -0,0 +1,450 @@
+/**
+ * @file endpoints.h
+ * Endpoints that serve the requests of nodes in virtual time, by the same
+ * rules as those of tests/pool/model.h, and record every run.
+ */
+#ifndef TESTS_FLEET_ENDPOINTS_H
+#define TESTS_FLEET_ENDPOINTS_H
+
+#include "fleet/sim.h"
+
+#define ENDPOINTS_MAX 12
+#define ENDPOINT_RUNS 64
+#define ENDPOINT_LEASE (1000 * SNIPE_MS)
+#define ENDPOINT_DELAY (SNIPE_MS / 2)
+/* As in platform/workers.c: an answer that is later still is not read. */
+#define ENDPOINT_LATE_ANSWER_MAX (2 * SNIPE_S)
+
+enum endpoint_request_kind
+{
+  ENDPOINT_START,
+  ENDPOINT_STOP,
+  ENDPOINT_POLL,
+};
+
+/** A request of a node. */
+struct endpoint_request
+{
+  enum endpoint_request_kind kind;
+  uint32_t host;
+  uint32_t generation; /**< of the host's process */
+  uint32_t endpoint;
+  uint64_t token;
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  int64_t valid_until;
+  uint64_t last_seen_end;
+  snipe_time sent_at;
+  snipe_time wait;
+  snipe_time timeout;
+  uint64_t coordinator;
+  bool late; /**< held back, and not answered */
+  bool answered;
+  enum snipe_endpoint_answer answer;
+  struct snipe_endpoint_report report;
+};
+
+/** A run that was started, also after its end. */
+struct endpoint_run
+{
+  char task[SNIPE_TASK_NAME_BYTES];
+  uint32_t run;
+  uint32_t endpoint;
+  uint32_t host; /**< that requested it */
+  uint64_t token;
+  uint64_t coordinator;
+  snipe_time requested_at;
+  snipe_time started_at;
+  snipe_time until; /**< when it is done */
+  snipe_time ended_at;
+  enum snipe_run_outcome outcome;
+};
+
+struct endpoint
+{
+  struct snipe_endpoint_entry entry;
+  uint64_t token;
+  struct endpoint_run *runs[ENDPOINT_RUNS];
+  uint32_t run_count;
+  GArray *ended; /**< struct snipe_endpoint_ended_run */
+  uint64_t last_end;
+  snipe_time lease_until;
+  double clock_rate;
+  uint32_t cuts[SIM_HOSTS];      /**< per host: drops its requests */
+  uint32_t late[SIM_HOSTS][3];   /**< per host and kind: held back */
+  struct endpoint_request *poll; /**< waits for the end of a run */
+  snipe_time poll_until;
+};
+
+struct endpoints
+{
+  struct endpoint list[ENDPOINTS_MAX];
+  uint32_t count;
+  GPtrArray *runs; /**< struct endpoint_run, all that were ever started */
+  /** Provided by the fleet. */
+  snipe_time (*duration) (const char *task);
+  int64_t (*size) (const char *task);
+  void (*answered) (const struct endpoint_request *request,
+                    enum snipe_endpoint_answer answer,
+                    const struct snipe_endpoint_report *report);
+  void (*duplicate) (const struct endpoint_run *run,
+                     const struct endpoint_run *other);
+  uint32_t over_capacity;
+};
+
+static struct endpoints endpoints;
+
+static const char *
+endpoint_answer_name (enum snipe_endpoint_answer answer)
+{
+  static const char *const names[]
+      = { "ok",      "none",        "unreachable", "fenced",    "stale run",
+          "expired", "no capacity", "unhealthy",   "restarted", "invalid" };
+
+  return names[answer];
+}
+
+static int64_t
+endpoint_clock (const struct endpoint *endpoint)
+{
+  return 5000 + (int64_t)((double)sim.now * endpoint->clock_rate) / SNIPE_MS;
+}
+
+static void endpoint_wake (void *data);
+
+static void
+endpoint_extend_lease (struct endpoint *endpoint, int64_t valid_until)
+{
+  snipe_time time = MIN (ENDPOINT_LEASE,
+                         (valid_until - endpoint_clock (endpoint)) * SNIPE_MS);
+  snipe_time until
+      = sim.now + (snipe_time)((double)time / endpoint->clock_rate);
+
+  if (until <= endpoint->lease_until)
+    return;
+  endpoint->lease_until = until;
+  sim_at (until + 1, SIM_NO_HOST, endpoint_wake, endpoint);
+}
+
+/* An answer reaches the process that sent the request. */
+static void
+endpoint_pass_answer (void *data)
+{
+  struct endpoint_request *request = data;
+
+  if (!request->answered
+      || sim.now - request->sent_at
+             <= request->timeout + ENDPOINT_LATE_ANSWER_MAX)
+    endpoints.answered (request, request->answer, &request->report);
+  request->answered = true;
+}
+
+static void
+endpoint_pass_timeout (void *data)
+{
+  struct endpoint_request *request = data;
+
+  if (request->answered)
+    return;
+  request->answered = true;
+  endpoints.answered (request, SNIPE_ANSWER_NONE, NULL);
+}
+
+static void
+endpoint_answer (struct endpoint *endpoint, struct endpoint_request *request,
+                 enum snipe_endpoint_answer answer)
+{
+  request->answer = answer;
+  request->report.clock_ms = endpoint_clock (endpoint);
+  request->report.started_ms = endpoint->entry.started_ms;
+  request->report.sent_at = request->sent_at;
+  request->report.waited = request->wait;
+  if (!request->late && endpoint->cuts[request->host] == 0)
+    sim_at_process (sim.now + ENDPOINT_DELAY, request->host,
+                    request->generation, endpoint_pass_answer, request);
+}
+
+static void
+endpoint_answer_poll (struct endpoint *endpoint)
+{
+  struct endpoint_request *request = endpoint->poll;
+  struct snipe_endpoint_run *running
+      = sim_alloc ((endpoint->run_count + 1) * sizeof *running);
+  struct snipe_endpoint_ended_run *ended
+      = sim_alloc ((endpoint->ended->len + 1) * sizeof *ended);
+  uint32_t count = 0;
+
+  endpoint->poll = NULL;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    {
+      g_strlcpy (running[i].task, endpoint->runs[i]->task,
+                 sizeof running[i].task);
+      running[i].run = endpoint->runs[i]->run;
+    }
+  for (guint i = 0; i < endpoint->ended->len; i++)
+    {
+      const struct snipe_endpoint_ended_run *from = &g_array_index (
+          endpoint->ended, struct snipe_endpoint_ended_run, i);
+
+      if (from->sequence > request->last_seen_end)
+        ended[count++] = *from;
+    }
+  request->report.running = running;
+  request->report.running_count = endpoint->run_count;
+  request->report.ended = ended;
+  request->report.ended_count = count;
+  endpoint_answer (endpoint, request, SNIPE_ANSWER_OK);
+}
+
+static void
+endpoint_end_run (struct endpoint *endpoint, uint32_t index,
+                  enum snipe_run_outcome outcome)
+{
+  struct endpoint_run *run = endpoint->runs[index];
+  struct snipe_endpoint_ended_run ended = { .sequence = ++endpoint->last_end,
+                                            .run = run->run,
+                                            .outcome = outcome };
+
+  run->ended_at = sim.now;
+  run->outcome = outcome;
+  g_strlcpy (ended.task, run->task, sizeof ended.task);
+  g_array_append_val (endpoint->ended, ended);
+  endpoint->runs[index] = endpoint->runs[--endpoint->run_count];
+  sim_note (SIM_NO_HOST, false, "END task=%s run=%u endpoint=%s outcome=%d",
+            run->task, run->run, endpoint->entry.id, (int)outcome);
+  if (endpoint->poll != NULL)
+    endpoint_answer_poll (endpoint);
+}
+
+/* Handles what happens at an endpoint without a request. */
+static void
+endpoint_wake (void *data)
+{
+  struct endpoint *endpoint = data;
+
+  for (uint32_t i = endpoint->run_count; i > 0; i--)
+    if (endpoint->runs[i - 1]->until <= sim.now)
+      endpoint_end_run (endpoint, i - 1, SNIPE_RUN_DONE);
+  while (endpoint->run_count > 0 && endpoint->lease_until < sim.now)
+    endpoint_end_run (endpoint, 0, SNIPE_RUN_LEASE_EXPIRED);
+  if (endpoint->poll != NULL && endpoint->poll_until <= sim.now)
+    endpoint_answer_poll (endpoint);
+}
+
+static void
+endpoint_check_duplicates (const struct endpoint_run *run)
+{
+  for (uint32_t k = 0; k < endpoints.count; k++)
+    {
+      endpoint_wake (&endpoints.list[k]);
+      for (uint32_t i = 0; i < endpoints.list[k].run_count; i++)
+        if (endpoints.list[k].runs[i] != run
+            && strcmp (endpoints.list[k].runs[i]->task, run->task) == 0)
+          endpoints.duplicate (run, endpoints.list[k].runs[i]);
+    }
+}
+
+static enum snipe_endpoint_answer
+endpoint_start (struct endpoint *endpoint,
+                const struct endpoint_request *request)
+{
+  struct endpoint_run *run;
+  int64_t used = 0;
+
+  if (request->token < endpoint->token)
+    return SNIPE_ANSWER_FENCED;
+  endpoint->token = request->token;
+  if (request->valid_until < endpoint_clock (endpoint))
+    return SNIPE_ANSWER_EXPIRED;
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    {
+      if (strcmp (endpoint->runs[i]->task, request->task) == 0
+          && endpoint->runs[i]->run == request->run)
+        return SNIPE_ANSWER_OK;
+      used += endpoints.size (endpoint->runs[i]->task);
+    }
+  for (guint i = 0; i < endpoint->ended->len; i++)
+    {
+      const struct snipe_endpoint_ended_run *ended = &g_array_index (
+          endpoint->ended, struct snipe_endpoint_ended_run, i);
+
+      if (strcmp (ended->task, request->task) == 0
+          && ended->run >= request->run)
+        return SNIPE_ANSWER_STALE_RUN;
+    }
+  if (used + endpoints.size (request->task) > endpoint->entry.capacity.cpu
+      || endpoint->run_count == ENDPOINT_RUNS)
+    {
+      endpoints.over_capacity++;
+      return SNIPE_ANSWER_NO_CAPACITY;
+    }
+  run = sim_alloc (sizeof *run);
+  g_strlcpy (run->task, request->task, sizeof run->task);
+  run->run = request->run;
+  run->endpoint = request->endpoint;
+  run->host = request->host;
+  run->token = request->token;
+  run->coordinator = request->coordinator;
+  run->requested_at = request->sent_at;
+  run->started_at = sim.now;
+  run->until = sim.now + endpoints.duration (request->task);
+  endpoint->runs[endpoint->run_count++] = run;
+  g_ptr_array_add (endpoints.runs, run);
+  sim_at (run->until, SIM_NO_HOST, endpoint_wake, endpoint);
+  endpoint_extend_lease (endpoint, request->valid_until);
+  sim_note (SIM_NO_HOST, false,
+            "START task=%s run=%u endpoint=%s owner=h%u "
+            "coordinator=%016" G_GINT64_MODIFIER "x",
+            run->task, run->run, endpoint->entry.id, request->host,
+            request->coordinator);
+  endpoint_check_duplicates (run);
+  return SNIPE_ANSWER_OK;
+}
+
+static enum snipe_endpoint_answer
+endpoint_stop (struct endpoint *endpoint,
+               const struct endpoint_request *request)
+{
+  if (request->token < endpoint->token)
+    return SNIPE_ANSWER_FENCED;
+  for (uint32_t i = endpoint->run_count; i > 0; i--)
+    if (strcmp (endpoint->runs[i - 1]->task, request->task) == 0
+        && endpoint->runs[i - 1]->run == request->run)
+      endpoint_end_run (endpoint, i - 1, SNIPE_RUN_STOPPED);
+  return SNIPE_ANSWER_OK;
+}
+
+static void
+endpoint_poll (struct endpoint *endpoint, struct endpoint_request *request)
+{
+  if (request->token < endpoint->token)
+    {
+      endpoint_answer (endpoint, request, SNIPE_ANSWER_FENCED);
+      return;
+    }
+  endpoint->token = request->token;
+  if (request->valid_until > 0)
+    endpoint_extend_lease (endpoint, request->valid_until);
+  if (endpoint->poll != NULL)
+    endpoint_answer_poll (endpoint);
+  endpoint->poll = request;
+  endpoint->poll_until = sim.now + request->wait;
+  if (request->wait == 0
+      || (endpoint->ended->len > 0
+          && endpoint->last_end > request->last_seen_end))
+    endpoint_answer_poll (endpoint);
+  else
+    sim_at (endpoint->poll_until, SIM_NO_HOST, endpoint_wake, endpoint);
+}
+
+static void
+endpoint_receive (void *data)
+{
+  struct endpoint_request *request = data;
+  struct endpoint *endpoint = &endpoints.list[request->endpoint];
+  enum snipe_endpoint_answer answer;
+
+  if (!request->late && endpoint->cuts[request->host] > 0)
+    return;
+  endpoint_wake (endpoint);
+  if (request->kind == ENDPOINT_POLL)
+    {
+      endpoint_poll (endpoint, request);
+      return;
+    }
+  answer = request->kind == ENDPOINT_START ? endpoint_start (endpoint, request)
+                                           : endpoint_stop (endpoint, request);
+  if (answer != SNIPE_ANSWER_OK || request->late)
+    sim_note (SIM_NO_HOST, false,
+              "%s%s task=%s run=%u endpoint=%s owner=h%u "
+              "answer=%s",
+              request->late ? "LATE " : "",
+              request->kind == ENDPOINT_START ? "start" : "stop",
+              request->task, request->run, endpoint->entry.id, request->host,
+              endpoint_answer_name (answer));
+  endpoint_answer (endpoint, request, answer);
+}
+
+static uint32_t
+endpoint_index (const char *id)
+{
+  for (uint32_t i = 0; i < endpoints.count; i++)
+    if (strcmp (endpoints.list[i].entry.id, id) == 0)
+      return i;
+  g_error ("unknown endpoint %s", id);
+}
+
+/* Sends a request of a host, and schedules its timeout. */
+static void
+endpoint_send (const struct endpoint_request *from)
+{
+  struct endpoint_request *request = sim_alloc (sizeof *request);
+  struct endpoint *endpoint = &endpoints.list[from->endpoint];
+  snipe_time delay = ENDPOINT_DELAY + sim_draw (&sim.random, 0, 500);
+
+  *request = *from;
+  request->generation = sim.processes[from->host].generation;
+  request->sent_at = sim.now;
+  request->late = endpoint->late[from->host][from->kind] > 0;
+  if (request->late)
+    delay = sim_draw (&sim.random, 2 * SNIPE_S, 12 * SNIPE_S);
+  sim_at (sim.now + delay, SIM_NO_HOST, endpoint_receive, request);
+  sim_at (sim.now + request->timeout, request->host, endpoint_pass_timeout,
+          request);
+}
+
+/* The endpoint restarts under its id; its runs are gone. */
+static void
+endpoint_restart (struct endpoint *endpoint)
+{
+  endpoint_wake (endpoint);
+  for (uint32_t i = 0; i < endpoint->run_count; i++)
+    {
+      endpoint->runs[i]->ended_at = sim.now;
+      endpoint->runs[i]->outcome = SNIPE_RUN_LEASE_EXPIRED;
+      sim_note (SIM_NO_HOST, false, "END task=%s run=%u endpoint=%s restarted",
+                endpoint->runs[i]->task, endpoint->runs[i]->run,
+                endpoint->entry.id);
+    }
+  endpoint->run_count = 0;
+  endpoint->poll = NULL;
+  g_array_set_size (endpoint->ended, 0);
+  endpoint->last_end = 0;
+  endpoint->token = 0;
+  endpoint->lease_until = 0;
+  endpoint->entry.started_ms++;
+}
+
+static void
+endpoint_add (const char *domain, uint32_t index, int64_t cpu,
+              double clock_rate)
+{
+  struct endpoint *endpoint = &endpoints.list[endpoints.count++];
+
+  g_snprintf (endpoint->entry.id, sizeof endpoint->entry.id, "%s%u", domain,
+              index);
+  g_strlcpy (endpoint->entry.service, "work", sizeof endpoint->entry.service);
+  g_strlcpy (endpoint->entry.domain, domain, sizeof endpoint->entry.domain);
+  endpoint->entry.started_ms = 1;
+  endpoint->entry.capacity
+      = (struct snipe_capacity){ .cpu = cpu, .mem_mb = 65536 };
+  endpoint->clock_rate = clock_rate;
+  endpoint->ended
+      = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_ended_run));
+}
+
+static void
+endpoints_begin (void)
+{
+  endpoints = (struct endpoints){ .runs = g_ptr_array_new () };
+}
+
+static void
+endpoints_end (void)
+{
+  for (uint32_t i = 0; i < endpoints.count; i++)
+    g_array_free (endpoints.list[i].ended, TRUE);
+  g_ptr_array_free (endpoints.runs, TRUE);
+}
+
+#endif
--- /dev/null
+++ b/tests/fleet/plan.h
@@ -0,0 +1,192 @@
+/**
+ * @file plan.h
+ * What a seed plays: hosts, endpoints, jobs and disturbances.
+ */
+#ifndef TESTS_FLEET_PLAN_H
+#define TESTS_FLEET_PLAN_H
+
+#include "fleet/endpoints.h"
+#include "fleet/sim.h"
+
+#define PLAN_JOBS_MAX 48
+#define PLAN_DISTURBANCES_MAX 24
+#define PLAN_DOMAINS 3
+/* Jobs arrive and disturbances begin within this time, once the hosts have
+ * claimed their pools. */
+#define PLAN_BEGIN (2 * SNIPE_S)
+#define PLAN_LENGTH (8 * SNIPE_S)
+
+enum plan_mode
+{
+  PLAN_NEVER_AGAIN = 1, /**< callers never submit a job again */
+  PLAN_AGAIN = 2,       /**< after a broken connection or an unknown outcome */
+};
+
+enum disturbance_kind
+{
+  DISTURB_CUT, /**< between two hosts, both directions */
+  DISTURB_CUT_ONE_WAY,
+  DISTURB_RESET,  /**< of the connection between two hosts */
+  DISTURB_SILENT, /**< the connection delivers nothing more */
+  DISTURB_KILL,   /**< one host */
+  DISTURB_KILL_ALL,
+  DISTURB_FREEZE,
+  DISTURB_ENDPOINT_CUT, /**< between a host and an endpoint */
+  DISTURB_LATE,         /**< requests of one kind are carried out late */
+  DISTURB_RESTART,      /**< of an endpoint */
+  DISTURB_SLOW_CLOCK,   /**< of an endpoint, for the whole time */
+  DISTURB_LEAVE,        /**< a caller */
+  DISTURB_CALLER_RESET, /**< connection of a caller */
+  DISTURB_CANCEL,       /**< by job id at another host */
+  DISTURB_KINDS,
+};
+
+static const char *const disturbance_names[] = { "cut",
+                                                 "one-way cut",
+                                                 "reset",
+                                                 "silent connection",
+                                                 "kill",
+                                                 "kill all",
+                                                 "freeze",
+                                                 "endpoint cut",
+                                                 "late requests",
+                                                 "endpoint restart",
+                                                 "slow endpoint clock",
+                                                 "caller leaves",
+                                                 "caller reset",
+                                                 "cancellation" };
+
+struct disturbance
+{
+  enum disturbance_kind kind;
+  snipe_time begin; /**< since the start */
+  snipe_time length;
+  uint32_t host;
+  uint32_t other;  /**< host, endpoint or job */
+  uint32_t detail; /**< kind of request, or percent */
+  bool hard;       /**< a lossy cut; the machine is lost, not the process */
+  bool off;
+};
+
+struct plan_job
+{
+  char id[17];
+  uint32_t host;
+  snipe_time begin;
+  uint32_t tasks;
+  snipe_time duration;
+  snipe_time estimate;
+  snipe_time patience; /**< of its caller */
+  int64_t cpu;
+  bool off;
+};
+
+struct plan
+{
+  uint64_t seed;
+  enum plan_mode mode;
+  uint32_t host_count;
+  uint32_t domain_count;
+  uint32_t host_domains[SIM_HOSTS];
+  uint32_t endpoint_counts[PLAN_DOMAINS];
+  uint32_t endpoint_count;
+  int64_t endpoint_cpu;
+  struct plan_job jobs[PLAN_JOBS_MAX];
+  uint32_t job_count;
+  struct disturbance disturbances[PLAN_DISTURBANCES_MAX];
+  uint32_t disturbance_count;
+};
+
+static void
+plan_draw_disturbance (struct disturbance *out, const struct plan *plan,
+                       struct sim_random *random)
+{
+  *out = (struct disturbance){
+    .kind = (enum disturbance_kind)sim_draw (random, 0, DISTURB_KINDS - 1),
+    .begin = PLAN_BEGIN + sim_draw (random, 0, PLAN_LENGTH),
+    .length = sim_draw (random, 50, 3000) * SNIPE_MS,
+    .host = (uint32_t)sim_draw (random, 0, plan->host_count - 1),
+    .hard = sim_chance (random, 50),
+  };
+  switch (out->kind)
+    {
+    case DISTURB_CUT:
+    case DISTURB_CUT_ONE_WAY:
+    case DISTURB_RESET:
+    case DISTURB_SILENT:
+      out->other
+          = (out->host + (uint32_t)sim_draw (random, 1, plan->host_count - 1))
+            % plan->host_count;
+      break;
+    case DISTURB_KILL:
+    case DISTURB_KILL_ALL:
+      out->length = sim_draw (random, 300, 1500) * SNIPE_MS;
+      break;
+    case DISTURB_FREEZE:
+      out->length = sim_draw (random, 300, 3000) * SNIPE_MS;
+      out->detail = (uint32_t)sim_draw (random, 0, 1);
+      break;
+    case DISTURB_LATE:
+      out->detail = (uint32_t)sim_draw (random, 0, 2);
+      out->other = (uint32_t)sim_draw (random, 0, plan->endpoint_count - 1);
+      break;
+    case DISTURB_SLOW_CLOCK:
+      out->detail = (uint32_t)sim_draw (random, 1, 20);
+      out->other = (uint32_t)sim_draw (random, 0, plan->endpoint_count - 1);
+      break;
+    case DISTURB_ENDPOINT_CUT:
+    case DISTURB_RESTART:
+      out->other = (uint32_t)sim_draw (random, 0, plan->endpoint_count - 1);
+      break;
+    case DISTURB_LEAVE:
+    case DISTURB_CALLER_RESET:
+    case DISTURB_CANCEL:
+      out->other = (uint32_t)sim_draw (random, 0, plan->job_count - 1);
+      out->begin = plan->jobs[out->other].begin
+                   + sim_draw (random, 5, 1500) * SNIPE_MS;
+      break;
+    case DISTURB_KINDS:
+      break;
+    }
+}
+
+static void
+plan_draw (struct plan *plan, uint64_t seed, enum plan_mode mode)
+{
+  struct sim_random random = { seed };
+
+  *plan = (struct plan){ .seed = seed, .mode = mode };
+  plan->domain_count = (uint32_t)sim_draw (&random, 1, PLAN_DOMAINS);
+  plan->host_count
+      = (uint32_t)sim_draw (&random, MAX (plan->domain_count, 2), SIM_HOSTS);
+  for (uint32_t i = 0; i < plan->host_count; i++)
+    plan->host_domains[i] = i % plan->domain_count;
+  for (uint32_t i = 0; i < plan->domain_count; i++)
+    plan->endpoint_count += plan->endpoint_counts[i]
+        = (uint32_t)sim_draw (&random, 2, 4);
+  plan->endpoint_cpu = sim_draw (&random, 2, 8) * 1000;
+  plan->job_count = (uint32_t)sim_draw (&random, 8, PLAN_JOBS_MAX);
+  for (uint32_t i = 0; i < plan->job_count; i++)
+    {
+      struct plan_job *job = &plan->jobs[i];
+
+      g_snprintf (job->id, sizeof job->id, "%08x%08x",
+                  (unsigned int)(seed & 0xffffffffU), i + 1);
+      job->host = (uint32_t)sim_draw (&random, 0, plan->host_count - 1);
+      job->begin = PLAN_BEGIN + sim_draw (&random, 0, PLAN_LENGTH);
+      job->tasks = (uint32_t)sim_draw (&random, 1, 4);
+      job->duration
+          = (sim_chance (&random, 50) ? sim_draw (&random, 60, 500)
+                                      : sim_draw (&random, 300, 3000))
+            * SNIPE_MS;
+      job->estimate = job->duration * sim_draw (&random, 70, 130) / 100;
+      job->patience = sim_draw (&random, 1500, 6000) * SNIPE_MS;
+      job->cpu = sim_draw (&random, 1, 2) * 1000;
+    }
+  plan->disturbance_count
+      = (uint32_t)sim_draw (&random, 2, PLAN_DISTURBANCES_MAX);
+  for (uint32_t i = 0; i < plan->disturbance_count; i++)
+    plan_draw_disturbance (&plan->disturbances[i], plan, &random);
+}
+
+#endif
--- /dev/null
+++ b/tests/fleet/test_fleet_search.c
@@ -0,0 +1,194 @@
+/* Randomized search for faults of a whole fleet: hosts with their
+ * coordinators, members and pools, in virtual time, under disturbances that a
+ * seed determines.
+ *
+ * SNIPE_SEARCH_SEED plays one seed, or the first of SNIPE_SEARCH_COUNT seeds;
+ * SNIPE_SEARCH_MODE (1 or 2) restricts the mode of the callers. */
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+
+#include "fleet/fleet.h"
+#include "suite.h"
+
+#define SEEDS 60
+/* Lines of a trace, the last ones before the violation. */
+#define TRACE_LINES 90
+
+static void
+print_trace (void)
+{
+  char id[17];
+  guint first = sim.lines->len;
+  guint shown = 0;
+
+  g_strlcpy (id, fleet.violation.task, sizeof id);
+  for (; first > 0 && shown < TRACE_LINES; first--)
+    {
+      const struct sim_line *line
+          = &g_array_index (sim.lines, struct sim_line, first - 1);
+
+      shown += line->fleet || strstr (line->text, id) != NULL;
+    }
+  for (guint i = first; i < sim.lines->len; i++)
+    {
+      const struct sim_line *line
+          = &g_array_index (sim.lines, struct sim_line, i);
+      snipe_time at = line->time - fleet.start;
+
+      if (!line->fleet && strstr (line->text, id) == NULL)
+        continue;
+      printf ("  %3" G_GINT64_FORMAT ".%03" G_GINT64_FORMAT " ", at / SNIPE_S,
+              at % SNIPE_S / SNIPE_MS);
+      if (line->host == SIM_NO_HOST)
+        printf ("   %s\n", line->text);
+      else
+        printf ("h%u %s\n", line->host, line->text);
+    }
+}
+
+static bool
+still_fails (const struct plan *plan, enum violation_kind kind)
+{
+  bool fails = fleet_play (plan, false).kind == kind;
+
+  fleet_end ();
+  return fails;
+}
+
+/* Switches off what the violation does not need. */
+static void
+shrink (struct plan *plan, enum violation_kind kind)
+{
+  struct plan smaller;
+
+  for (enum disturbance_kind off = 0; off < DISTURB_KINDS; off++)
+    {
+      smaller = *plan;
+      for (uint32_t i = 0; i < plan->disturbance_count; i++)
+        smaller.disturbances[i].off |= smaller.disturbances[i].kind == off;
+      if (still_fails (&smaller, kind))
+        *plan = smaller;
+    }
+  for (uint32_t i = 0; i < plan->disturbance_count; i++)
+    {
+      smaller = *plan;
+      smaller.disturbances[i].off = true;
+      if (!plan->disturbances[i].off && still_fails (&smaller, kind))
+        *plan = smaller;
+    }
+  for (uint32_t i = 0; i < plan->job_count; i++)
+    {
+      smaller = *plan;
+      smaller.jobs[i].off = true;
+      if (still_fails (&smaller, kind))
+        *plan = smaller;
+    }
+}
+
+static void
+print_plan (const struct plan *plan)
+{
+  uint32_t jobs = 0;
+
+  for (uint32_t i = 0; i < plan->job_count; i++)
+    jobs += !plan->jobs[i].off;
+  printf ("  %u hosts in %u domains, %u endpoints, %u jobs; disturbances "
+          "left:\n",
+          plan->host_count, plan->domain_count, plan->endpoint_count, jobs);
+  for (uint32_t i = 0; i < plan->disturbance_count; i++)
+    {
+      const struct disturbance *at = &plan->disturbances[i];
+
+      if (!at->off)
+        printf ("    %6" G_GINT64_FORMAT " ms for %5" G_GINT64_FORMAT
+                " ms: %s host=h%u other=%u detail=%u%s\n",
+                at->begin / SNIPE_MS, at->length / SNIPE_MS,
+                disturbance_names[at->kind], at->host, at->other, at->detail,
+                at->hard ? " hard" : "");
+    }
+}
+
+static bool
+play_seed (uint64_t seed, enum plan_mode mode)
+{
+  struct plan plan;
+  struct violation violation;
+
+  plan_draw (&plan, seed, mode);
+  violation = fleet_play (&plan, false);
+  fleet_end ();
+  if (violation.kind == VIOLATION_NONE)
+    return true;
+  printf ("\n  seed %" G_GUINT64_FORMAT " mode %d: task %s: %s\n", seed,
+          (int)mode, violation.task, violation.text);
+  if (getenv ("SNIPE_SEARCH_BRIEF") != NULL)
+    return false;
+  shrink (&plan, violation.kind);
+  violation = fleet_play (&plan, true);
+  printf ("  after shrinking: at %" G_GINT64_FORMAT " ms: task %s: %s\n",
+          (violation.at - fleet.start) / SNIPE_MS, violation.task,
+          violation.text);
+  print_plan (&plan);
+  print_trace ();
+  fleet_end ();
+  return false;
+}
+
+static void
+search (enum plan_mode mode)
+{
+  const char *seed = getenv ("SNIPE_SEARCH_SEED");
+  const char *count = getenv ("SNIPE_SEARCH_COUNT");
+  const char *only = getenv ("SNIPE_SEARCH_MODE");
+  uint64_t first = seed == NULL ? 1 : g_ascii_strtoull (seed, NULL, 10);
+  uint64_t seeds = count != NULL  ? g_ascii_strtoull (count, NULL, 10)
+                   : seed != NULL ? 1
+                                  : SEEDS;
+  uint32_t failures = 0;
+
+  if (only != NULL && atoi (only) != (int)mode)
+    return;
+  fleet_totals = (struct fleet_totals){ 0 };
+  for (uint64_t i = 0; i < seeds; i++)
+    failures += !play_seed (first + i, mode);
+  printf (
+      "\n  mode %d: %u of %" G_GUINT64_FORMAT
+      " seeds failed; played %" G_GUINT64_FORMAT
+      ": submissions=%" G_GUINT64_FORMAT " runs=%" G_GUINT64_FORMAT
+      " complete=%" G_GUINT64_FORMAT " failed=%" G_GUINT64_FORMAT
+      " not_run=%" G_GUINT64_FORMAT " unknown=%" G_GUINT64_FORMAT
+      " over_capacity=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT "\n",
+      (int)mode, failures, seeds, fleet_totals.seeds, fleet_totals.submissions,
+      fleet_totals.runs, fleet_totals.answers[0], fleet_totals.answers[1],
+      fleet_totals.answers[2], fleet_totals.answers[3],
+      fleet_totals.over_capacity, fleet_totals.events);
+  CU_ASSERT_EQUAL (failures, 0);
+}
+
+/* Guards against a task with two runs at a time, a wrong or missing answer and
+ * a run that is left, whatever fails, if callers never submit a job again. */
+static void
+test_never_again (void)
+{
+  search (PLAN_NEVER_AGAIN);
+}
+
+/* The same with callers that submit a job again at another host. */
+static void
+test_again (void)
+{
+  search (PLAN_AGAIN);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "jobs are never submitted again", test_never_again },
+    { "jobs are submitted again", test_again },
+    CU_TEST_INFO_NULL,
+  };
+
+  g_log_set_writer_func (sim_log_writer, NULL, NULL);
+  return suite_run ("fleet_search", tests);
+}
