--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -3,7 +3,9 @@
  * seed determines.
  *
  * SNIPE_SEARCH_SEED plays one seed, or the first of SNIPE_SEARCH_COUNT seeds;
- * SNIPE_SEARCH_MODE (1 or 2) restricts the mode of the callers. */
+ * SNIPE_SEARCH_MODE (1 or 2) restricts the mode of the callers;
+ * SNIPE_SEARCH_BRIEF prints failed seeds without traces, and
+ * SNIPE_SEARCH_FIRST ends the search with the first one. */
 #include <CUnit/Basic.h>
 #include <stdlib.h>
 
@@ -149,7 +151,9 @@
   if (only != NULL && atoi (only) != (int)mode)
     return;
   fleet_totals = (struct fleet_totals){ 0 };
-  for (uint64_t i = 0; i < seeds; i++)
+  for (uint64_t i = 0;
+       i < seeds && (failures == 0 || getenv ("SNIPE_SEARCH_FIRST") == NULL);
+       i++)
     failures += !play_seed (first + i, mode);
   printf (
       "\n  mode %d: %u of %" G_GUINT64_FORMAT
