--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -518,6 +518,42 @@
                      fleet.plan->jobs[disturbance->other].id, sim.now);
 }
 
+/* Cuts a host off from all others, or heals that. */
+static void
+fleet_isolate (const struct disturbance *disturbance, bool begins)
+{
+  void (*change) (uint32_t from, uint32_t to, bool lossy)
+      = begins ? transport_cut : transport_heal;
+
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    if (i != disturbance->host)
+      {
+        change (i, disturbance->host, disturbance->hard);
+        change (disturbance->host, i, disturbance->hard);
+      }
+}
+
+/* Cuts the domain of a host off from the other domains, or heals that. */
+static void
+fleet_cut_domain (const struct disturbance *disturbance, bool begins)
+{
+  void (*change) (uint32_t from, uint32_t to, bool lossy)
+      = begins ? transport_cut : transport_heal;
+  const char *domain = fleet.hosts[disturbance->host].domain;
+
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    {
+      bool inside = strcmp (fleet.hosts[i].domain, domain) == 0;
+
+      for (uint32_t k = 0; k < fleet.plan->host_count; k++)
+        if (inside != (strcmp (fleet.hosts[k].domain, domain) == 0))
+          change (i, k, disturbance->hard);
+      for (uint32_t k = 0; k < endpoints.count; k++)
+        if (inside != (strcmp (endpoints.list[k].entry.domain, domain) == 0))
+          endpoints.list[k].cuts[i] += begins ? 1U : -1U;
+    }
+}
+
 static void
 fleet_note_disturbance (const struct disturbance *disturbance, bool begins)
 {
@@ -545,6 +581,12 @@
     case DISTURB_CUT_ONE_WAY:
       transport_cut (host, other, disturbance->hard);
       break;
+    case DISTURB_ISOLATE:
+      fleet_isolate (disturbance, true);
+      break;
+    case DISTURB_CUT_DOMAIN:
+      fleet_cut_domain (disturbance, true);
+      break;
     case DISTURB_RESET:
       transport_reset (host, other);
       if (disturbance->hard)
@@ -604,6 +646,12 @@
     case DISTURB_CUT_ONE_WAY:
       transport_heal (host, other, disturbance->hard);
       break;
+    case DISTURB_ISOLATE:
+      fleet_isolate (disturbance, false);
+      break;
+    case DISTURB_CUT_DOMAIN:
+      fleet_cut_domain (disturbance, false);
+      break;
     case DISTURB_KILL:
       if (!sim.processes[host].running)
         fleet_host_start (&fleet.hosts[host], false);
--- a/tests/fleet/plan.h
+++ b/tests/fleet/plan.h
@@ -27,9 +27,11 @@
 {
   DISTURB_CUT, /**< between two hosts, both directions */
   DISTURB_CUT_ONE_WAY,
-  DISTURB_RESET,  /**< of the connection between two hosts */
-  DISTURB_SILENT, /**< the connection delivers nothing more */
-  DISTURB_KILL,   /**< one host */
+  DISTURB_ISOLATE,    /**< a host from all hosts, but not from endpoints */
+  DISTURB_CUT_DOMAIN, /**< its hosts and endpoints from all other hosts */
+  DISTURB_RESET,      /**< of the connection between two hosts */
+  DISTURB_SILENT,     /**< the connection delivers nothing more */
+  DISTURB_KILL,       /**< one host */
   DISTURB_KILL_ALL,
   DISTURB_FREEZE,
   DISTURB_ENDPOINT_CUT, /**< between a host and an endpoint */
@@ -44,6 +46,8 @@
 
 static const char *const disturbance_names[] = { "cut",
                                                  "one-way cut",
+                                                 "isolated host",
+                                                 "domain cut",
                                                  "reset",
                                                  "silent connection",
                                                  "kill",
@@ -172,6 +176,8 @@
       out->other = plan_job_at (plan, out->begin, random);
       out->begin = MAX (out->begin, plan->jobs[out->other].begin + SNIPE_MS);
       break;
+    case DISTURB_ISOLATE:
+    case DISTURB_CUT_DOMAIN:
     case DISTURB_KINDS:
       break;
     }
--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -193,6 +193,7 @@
     CU_TEST_INFO_NULL,
   };
 
+  setvbuf (stdout, NULL, _IOLBF, 0);
   g_log_set_writer_func (sim_log_writer, NULL, NULL);
   return suite_run ("fleet_search", tests);
 }
