--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -86,6 +86,8 @@
   struct violation violation;
 };
 
+static const char *const fleet_domains[PLAN_DOMAINS] = { "a", "b", "c" };
+
 static struct fleet fleet;
 static struct fleet_totals fleet_totals;
 
@@ -759,16 +761,14 @@
                           = g_ptr_array_new_with_free_func (g_free) };
   for (uint32_t i = 0; i < plan->domain_count; i++)
     for (uint32_t k = 0; k < plan->endpoint_counts[i]; k++)
-      endpoint_add ((const char *[]){ "a", "b", "c" }[i], k,
-                    plan->endpoint_cpu, 1.0);
+      endpoint_add (fleet_domains[i], k, plan->endpoint_cpu, 1.0);
   for (uint32_t i = 0; i < plan->host_count; i++)
     {
       struct fleet_host *host = &fleet.hosts[i];
 
       host->index = i;
       g_snprintf (host->name, sizeof host->name, "h%u", i);
-      g_strlcpy (host->domain,
-                 (const char *[]){ "a", "b", "c" }[plan->host_domains[i]],
+      g_strlcpy (host->domain, fleet_domains[plan->host_domains[i]],
                  sizeof host->domain);
       transport_address (i, host->address);
     }
