--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -759,7 +759,7 @@
                           .store_version = 100,
                           .submissions
                           = g_ptr_array_new_with_free_func (g_free) };
-  for (uint32_t i = 0; i < plan->domain_count; i++)
+  for (uint32_t i = 0; i < PLAN_DOMAINS; i++)
     for (uint32_t k = 0; k < plan->endpoint_counts[i]; k++)
       endpoint_add (fleet_domains[i], k, plan->endpoint_cpu, 1.0);
   for (uint32_t i = 0; i < plan->host_count; i++)
