--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -556,6 +556,26 @@
     }
 }
 
+/* Cuts two sides of the fleet off from each other, or heals that. Each host
+ * and each endpoint is on the side that a bit of the disturbance tells. */
+static void
+fleet_partition (const struct disturbance *disturbance, bool begins)
+{
+  void (*change) (uint32_t from, uint32_t to, bool lossy)
+      = begins ? transport_cut : transport_heal;
+  uint32_t sides = disturbance->detail;
+
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    {
+      for (uint32_t k = 0; k < fleet.plan->host_count; k++)
+        if ((sides >> i & 1) != (sides >> k & 1))
+          change (i, k, disturbance->hard);
+      for (uint32_t k = 0; k < endpoints.count; k++)
+        if ((sides >> i & 1) != (sides >> (SIM_HOSTS + k) & 1))
+          endpoints.list[k].cuts[i] += begins ? 1U : -1U;
+    }
+}
+
 static void
 fleet_note_disturbance (const struct disturbance *disturbance, bool begins)
 {
@@ -589,6 +609,9 @@
     case DISTURB_CUT_DOMAIN:
       fleet_cut_domain (disturbance, true);
       break;
+    case DISTURB_PARTITION:
+      fleet_partition (disturbance, true);
+      break;
     case DISTURB_RESET:
       transport_reset (host, other);
       if (disturbance->hard)
@@ -654,6 +677,9 @@
     case DISTURB_CUT_DOMAIN:
       fleet_cut_domain (disturbance, false);
       break;
+    case DISTURB_PARTITION:
+      fleet_partition (disturbance, false);
+      break;
     case DISTURB_KILL:
       if (!sim.processes[host].running)
         fleet_host_start (&fleet.hosts[host], false);
--- a/tests/fleet/plan.h
+++ b/tests/fleet/plan.h
@@ -29,6 +29,7 @@
   DISTURB_CUT_ONE_WAY,
   DISTURB_ISOLATE,    /**< a host from all hosts, but not from endpoints */
   DISTURB_CUT_DOMAIN, /**< its hosts and endpoints from all other hosts */
+  DISTURB_PARTITION,  /**< into two sides, each with hosts and endpoints */
   DISTURB_RESET,      /**< of the connection between two hosts */
   DISTURB_SILENT,     /**< the connection delivers nothing more */
   DISTURB_KILL,       /**< one host */
@@ -48,6 +49,7 @@
                                                  "one-way cut",
                                                  "isolated host",
                                                  "domain cut",
+                                                 "partition",
                                                  "reset",
                                                  "silent connection",
                                                  "kill",
@@ -68,7 +70,7 @@
   snipe_time length;
   uint32_t host;
   uint32_t other;  /**< host, endpoint or job */
-  uint32_t detail; /**< kind of request, or percent */
+  uint32_t detail; /**< kind of request, permille, or bit set of one side */
   bool hard;       /**< a lossy cut; the machine is lost, not the process */
   bool off;
 };
@@ -176,6 +178,10 @@
       out->other = plan_job_at (plan, out->begin, random);
       out->begin = MAX (out->begin, plan->jobs[out->other].begin + SNIPE_MS);
       break;
+    case DISTURB_PARTITION:
+      out->detail = (uint32_t)sim_draw (
+          random, 0, (1 << (SIM_HOSTS + ENDPOINTS_MAX)) - 1);
+      break;
     case DISTURB_ISOLATE:
     case DISTURB_CUT_DOMAIN:
     case DISTURB_KINDS:
