Wait for the answer of an endpoint that restarts after a claim

Two runs of one task could be at work at the same time: one started by the earlier owner of a pool, one by its successor.

A resent batch starts nothing until every listed endpoint has answered the new owner, because the earlier owner may be cut off from it and reach other endpoints. An endpoint that had restarted since the claim was left out of that wait. But the earlier owner learns of the restart as well, from the list of endpoints, and goes on to start tasks in the new incarnation, which has not seen the higher token.

The new test in test_cut_off_owner fails without the change.

--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -137,7 +137,8 @@
 
 /* Whether the endpoint may have a run of a previous owner that is not known
  * yet. That owner may reach a listed endpoint that this one does not reach,
- * and extends the lease there until it learns of the claim. */
+ * and extends the lease there until it learns of the claim. A restart of the
+ * endpoint ends its runs, but that owner may start new ones after it. */
 static bool
 may_have_unknown_run (const struct snipe_pool *pool,
                       const struct snipe_pool_endpoint *endpoint,
@@ -147,8 +148,7 @@
 
   if (endpoint->listed)
     deadline += CLAIM_NOTICE_LEASES * pool->lease_max;
-  return endpoint->claim == CLAIM_PENDING && !endpoint->restarted
-         && now < deadline;
+  return endpoint->claim == CLAIM_PENDING && now < deadline;
 }
 
 /* Whether every run that a previous owner may have started is known. */
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -118,7 +118,6 @@
   struct snipe_rtt rtt; /**< of requests that the endpoint answers at once */
   /** No run of a previous owner that has learned of the claim outlives it. */
   snipe_time claim_deadline;
-  bool restarted; /**< since the claim: no run of a previous owner is left */
   double duration_ratio; /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
   snipe_time suspended_until;    /**< because of failures */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -313,7 +313,6 @@
   endpoint->last_seen_end = 0;
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
-  endpoint->restarted = true;
   endpoint->lease_extended = now;
 }
 
--- a/tests/pool/test_cut_off_owner.c
+++ b/tests/pool/test_cut_off_owner.c
@@ -63,6 +63,64 @@
     }
 }
 
+/* Guards against taking an endpoint that has restarted since the claim for one
+ * without runs of the earlier owner: that owner may be cut off from this one,
+ * and start tasks in the new incarnation (two runs at a time, fleet search
+ * seeds 211 and 867). */
+static void
+test_endpoint_restarts (void)
+{
+  struct model_job sent = { .coordinator = 1,
+                            .number = 1,
+                            .job = "0123456789abcdef",
+                            .count = 1,
+                            .estimate = TASK_TIME,
+                            .soft_deadline = 2 * TASK_TIME,
+                            .hard_deadline = 3 * TASK_TIME,
+                            .caller_deadline = 3 * TASK_TIME };
+  struct model_job again = sent;
+  const struct model_result *result;
+  struct model model;
+
+  model_init (&model, ENDPOINTS, 60000, long_duration);
+  /* The task fits only at the first endpoint until the second owner claims. */
+  for (uint32_t i = 1; i < ENDPOINTS; i++)
+    model.endpoints[i].entry.capacity.cpu = 1000;
+  model_claim (&model, FIRST, 1 << 20, ENDPOINTS);
+  snipe_pool_directory_synced (model.owners[FIRST].pool);
+  model_advance (&model, model.now + 100 * SNIPE_MS);
+  for (uint32_t i = 1; i < ENDPOINTS; i++)
+    {
+      model.endpoints[i].entry.capacity.cpu = 64000;
+      model.endpoints[i].cut_owners |= 1U << FIRST;
+    }
+  model.endpoints[0].cut_owners |= 1U << SECOND;
+  model_claim (&model, SECOND, 2 << 20, ENDPOINTS);
+  snipe_pool_directory_synced (model.owners[SECOND].pool);
+  model_advance (&model, model.now + 200 * SNIPE_MS);
+  model_restart (&model, 0);
+  for (uint32_t i = FIRST; i <= SECOND; i++)
+    snipe_pool_endpoint_set (model.owners[i].pool, &model.endpoints[0].entry,
+                             model.now);
+  model_advance (&model, model.now + 200 * SNIPE_MS);
+  model_submit (&model, FIRST, &sent);
+  model_advance (&model, model.now + 100 * SNIPE_MS);
+  CU_ASSERT_EQUAL (model.endpoints[0].run_count, 1);
+  again.resent = true;
+  again.endpoint_digest = model_digest (&model, FIRST);
+  model_submit (&model, SECOND, &again);
+  model_advance (&model, model.now + SNIPE_S);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  for (uint32_t i = 0; i < ENDPOINTS; i++)
+    model.endpoints[i].cut_owners = 0;
+  model_advance (&model, model.now + 2 * TASK_TIME);
+  result = model_find_result (&model, 1);
+  CU_ASSERT_TRUE (result != NULL && result->code == SNIPE_OK
+                  && result->done == 1);
+  CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+  model_clear (&model);
+}
+
 /* Guards against a takeover that waits for ever for a listed endpoint that
  * does not exist, such as that of a row by another writer. */
 static void
@@ -97,6 +155,7 @@
 {
   CU_TestInfo tests[] = {
     { "owner cut off from its successor", test_owner_cut_off },
+    { "endpoint restarts after the claim", test_endpoint_restarts },
     { "absent endpoint", test_absent_endpoint },
     CU_TEST_INFO_NULL,
   };
