Reopen a connection to a host that never hears of this one

A connection that delivers nothing any more, without closing, could leave a host lost for the other one for good: pools of the other one were taken over or claimed twice, and batches between the two went unanswered.

A heartbeat says for how long its sender has heard nothing; beyond 390 ms the connection is reset. A sender that counts the host as lost, after 600 ms, cannot say: its discovery heartbeats go to an address, not to a host, and said "unknown", which was ignored. Unless a heartbeat fell between the two times, nothing reset the connection any more. A host that has counted the sender as live for longer than the failure timeout, and still gets "unknown", now resets its connection: an unbroken one would have delivered several heartbeats in that time.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -128,6 +128,12 @@
 bool snipe_members_outbound_stalled (const struct snipe_members *members,
                                      uint64_t incarnation,
                                      snipe_time since_received);
+/** The host reported that it knows no live process at the address of this
+ * one.
+ * @return whether it has been live here for so long that it should have heard
+ *   of this host, so that the connection to it seems to be stalled. */
+bool snipe_members_outbound_unheard (const struct snipe_members *members,
+                                     uint64_t incarnation, snipe_time now);
 /** A connection of the host was reset: its process has ended, or only the
  * connection has. The host counts as lost unless a message arrives soon. */
 void snipe_members_suspect (struct snipe_members *members,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -196,6 +196,8 @@
       members->domain_live_count += is_in_own_domain (members, peer);
       suspect_address (members, peer->advertised.address, peer, now);
     }
+  if (!peer->live)
+    peer->live_since = now;
   peer->live = true;
   return effect;
 }
@@ -330,6 +332,16 @@
                 > STALLED_INTERVALS * (double)peer->announced_interval;
 }
 
+bool
+snipe_members_outbound_unheard (const struct snipe_members *members,
+                                uint64_t incarnation, snipe_time now)
+{
+  const struct peer *peer = find_peer (members, incarnation);
+
+  return peer != NULL && peer->live
+         && now - peer->live_since > members->failure_timeout;
+}
+
 void
 snipe_members_suspect (struct snipe_members *members, uint64_t incarnation,
                        snipe_time now)
--- a/src/member/private.h
+++ b/src/member/private.h
@@ -24,6 +24,7 @@
   snipe_time min_transit[2];
   snipe_time transit_window_start;
   bool live;
+  snipe_time live_since;
 };
 
 struct snipe_members
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -449,6 +449,21 @@
   snipe_link_send (node->link, heartbeat->address, &request);
 }
 
+/* Returns whether the messages of this host to the sender of a heartbeat seem
+ * not to arrive. A sender that counts this host as lost cannot say for how
+ * long. */
+static bool
+is_outbound_stalled (const struct snipe_node *node,
+                     const link_heartbeat *heartbeat, snipe_time now)
+{
+  if (heartbeat->since_last_received_ms == UINT32_MAX)
+    return snipe_members_outbound_unheard (node->members,
+                                           heartbeat->incarnation, now);
+  return snipe_members_outbound_stalled (node->members, heartbeat->incarnation,
+                                         heartbeat->since_last_received_ms
+                                             * SNIPE_MS);
+}
+
 static void
 on_heartbeat (struct snipe_node *node, const link_heartbeat *heartbeat,
               snipe_time now)
@@ -501,11 +516,8 @@
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_coordinator_set_owner (node->coordinator, &claims[i].pool,
                                  member.incarnation, claims[i].token, now);
-  if (heartbeat->since_last_received_ms != UINT32_MAX
-      && now - node->last_link_reset > SNIPE_S
-      && snipe_members_outbound_stalled (node->members, member.incarnation,
-                                         heartbeat->since_last_received_ms
-                                             * SNIPE_MS))
+  if (now - node->last_link_reset > SNIPE_S
+      && is_outbound_stalled (node, heartbeat, now))
     {
       node->last_link_reset = now;
       snipe_link_reset (node->link, member.address);
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -360,6 +360,25 @@
     }
 }
 
+/* Guards against a host that stays lost for another one for good: if the
+ * connection to that one delivers nothing, its discovery heartbeats are all
+ * that shows it (fleet search seed 102). */
+static void
+test_unheard (void)
+{
+  const struct host_case host = { .incarnation = 20, .domain = "b" };
+  struct snipe_members *members = new_members ("a");
+
+  CU_ASSERT_FALSE (snipe_members_outbound_unheard (members, 20, SETTLED));
+  receive_heartbeat (members, &host, SETTLED);
+  CU_ASSERT_FALSE (
+      snipe_members_outbound_unheard (members, 20, SETTLED + 300 * SNIPE_MS));
+  receive_heartbeat (members, &host, SETTLED + 500 * SNIPE_MS);
+  CU_ASSERT_TRUE (
+      snipe_members_outbound_unheard (members, 20, SETTLED + SNIPE_S));
+  snipe_members_free (members);
+}
+
 /* Guards against all hosts of a domain reading from the store what one could
  * read for them, and against none doing it because the one that should is
  * leaving or lost. */
@@ -700,6 +719,7 @@
     { "one successor", test_one_successor },
     { "suspect", test_suspect },
     { "interval", test_interval },
+    { "unheard by a live host", test_unheard },
     { "domain leader", test_domain_leader },
     { "unlisting", test_should_unlist },
     { "lost", test_lost },
