--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -54,6 +54,7 @@
   VIOLATION_RUN_LEFT,
   VIOLATION_NOT_RUN,
   VIOLATION_COMPLETE,
+  VIOLATION_HOST_LOST,
 };
 
 struct violation
@@ -754,6 +755,20 @@
       }
 }
 
+/* Checks that every host counts the others as live again. */
+static void
+fleet_check_hosts (void)
+{
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    for (uint32_t k = 0; k < fleet.plan->host_count; k++)
+      if (k != i
+          && snipe_members_find_by_address (fleet.hosts[i].node->members,
+                                            fleet.hosts[k].address)
+                 == NULL)
+        fleet_violate (VIOLATION_HOST_LOST, "", "h%u counts h%u as lost", i,
+                       k);
+}
+
 /* Checks what has to hold once everything is quiet. */
 static void
 fleet_check_end (void)
@@ -768,6 +783,7 @@
     }
   for (guint i = 0; i < fleet.submissions->len; i++)
     fleet_check_submission (fleet.submissions->pdata[i]);
+  fleet_check_hosts ();
 }
 
 static void
