--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -495,6 +495,25 @@
   snipe_link_send (node->link, heartbeat->address, &request);
 }
 
+/* Returns whether the messages of this host to the sender of a heartbeat seem
+ * not to arrive. A sender that counts this host as lost cannot say for how
+ * long. */
+static bool
+is_outbound_stalled (const struct snipe_node *node,
+                     const link_heartbeat *heartbeat, snipe_time now)
+{
+  snipe_time silence;
+
+  if (heartbeat->since_last_received_ms == UINT32_MAX)
+    return snipe_members_outbound_unheard (node->members,
+                                           heartbeat->incarnation, now);
+  /* A new connection is not to blame for what was lost before it. */
+  silence = MIN (heartbeat->since_last_received_ms * SNIPE_MS,
+                 snipe_link_age (node->link, heartbeat->address, now));
+  return snipe_members_outbound_stalled (node->members, heartbeat->incarnation,
+                                         silence);
+}
+
 static void
 on_heartbeat (struct snipe_node *node, const link_heartbeat *heartbeat,
               snipe_time now)
@@ -510,10 +529,6 @@
   enum snipe_heartbeat_effect effect;
   snipe_time since_received = snipe_members_time_since_received (
       node->members, heartbeat->incarnation, now);
-  /* A new connection is not to blame for what was lost before it. */
-  snipe_time silence
-      = MIN (heartbeat->since_last_received_ms * SNIPE_MS,
-             snipe_link_age (node->link, heartbeat->address, now));
 
   if (heartbeat->incarnation == node->incarnation)
     {
@@ -559,10 +574,8 @@
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_coordinator_set_owner (node->coordinator, &claims[i].pool,
                                  member.incarnation, claims[i].token, now);
-  if (heartbeat->since_last_received_ms != UINT32_MAX
-      && now - node->last_link_reset > SNIPE_S
-      && snipe_members_outbound_stalled (node->members, member.incarnation,
-                                         silence))
+  if (now - node->last_link_reset > SNIPE_S
+      && is_outbound_stalled (node, heartbeat, now))
     {
       node->last_link_reset = now;
       snipe_link_reset (node->link, member.address);
