--- a/tests/fleet/transport.h
+++ b/tests/fleet/transport.h
@@ -354,6 +354,16 @@
   return status;
 }
 
+snipe_time
+snipe_link_age (const struct snipe_link *link, const char *address,
+                snipe_time now)
+{
+  const struct transport_connection *connection
+      = link->outgoing[transport_host (address)];
+
+  return connection == NULL ? INT64_MAX : now - connection->opened_at;
+}
+
 void
 snipe_link_reset (struct snipe_link *link, const char *address)
 {
