Bound leases by the time at which a lost coordinator's caller is back

A caller whose connection breaks submits its job again 1,300 ms later, maybe to a pool that does not know of the earlier run. On some paths that run could go on for longer, so that a task had two runs at the same time. Calculated and reproduced in virtual time only; not seen at a site. The owner notices a silent coordinator after 600 ms, and where its stop does not reach the endpoint, the lease that its last poll extended lasts 1,020 ms more. A cancellation that is lost with a silent connection leads to the same sum. If an endpoint ignores a stop but answers polls for other runs, there was no limit at all.

No request now extends a lease beyond the time at which a caller of one of the endpoint's runs may be back, less the duration of a stop, counted from when the newest message of the run's coordinator was sent. The coordinator lived then. Only heartbeats and batches count, as they tell when they were sent; other messages may have stood in their connection. So hosts that share work send heartbeats beside loads, too. Messages within 250 ms of a new connection do not count, as a cancellation that was lost with the earlier one is still to come. Runs whose stop is not confirmed count as well, and start requests are bounded like polls. Polls wait for less time while leases are shorter.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -93,8 +93,21 @@
 snipe_time snipe_members_delay (const struct snipe_members *members,
                                 uint64_t incarnation, snipe_time sent,
                                 snipe_time now);
+/** The host has opened a new connection to this one. */
+void snipe_members_connection_opened (struct snipe_members *members,
+                                      uint64_t incarnation, snipe_time now);
+/** Records the time of sending of a message, by the sender's clock. */
+void snipe_members_record_sent (struct snipe_members *members,
+                                uint64_t incarnation, snipe_time sent,
+                                snipe_time now);
+/** @return when the newest message was sent before which all cancellations of
+ * the host have arrived, plus the shortest transit time; never later than
+ * @p now. 0: unknown. Messages that do not tell when they were sent do not
+ * count, as they may have stood in their connection. */
+snipe_time snipe_members_heard_at (const struct snipe_members *members,
+                                   uint64_t incarnation, snipe_time now);
 /** Notes that a message other than a heartbeat was sent to the host; it
- * replaces the heartbeat that is due next. */
+ * replaces the heartbeat that is due next, unless the hosts share work. */
 void snipe_members_message_sent (struct snipe_members *members,
                                  uint64_t incarnation, snipe_time now);
 /** This host and the other one have unanswered work for each other, so each
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -70,6 +70,7 @@
   uint64_t coordinator; /**< incarnation of the host that coordinates it */
   uint64_t number;      /**< unique per coordinator */
   uint32_t attempt;     /**< number of times it was sent, this one included */
+  snipe_time sent_at;   /**< 0: now */
   const char *job;
   uint32_t step;
   const char *route; /**< key under which task durations are learned */
@@ -185,6 +186,11 @@
   /** A run is taken as ended, and its task may start elsewhere. For the log;
    * may be NULL. */
   void (*assumed_end) (void *ctx, const struct snipe_pool_assumed_end *end);
+  /** @return the latest time at which the host @p coordinator certainly lived
+   * and had not sent a cancellation that is still to arrive; never later than
+   * @p now. May be NULL: then leases do not depend on it. */
+  snipe_time (*coordinator_heard) (void *ctx, uint64_t coordinator,
+                                   snipe_time now);
 };
 
 /** Answer of an endpoint to a request. */
@@ -247,13 +253,19 @@
    * has claimed them. After lease_max and this time, all such runs of a host
    * that was lost have ended. */
   snipe_time unclaimed_lease_max;
+  /** Callers of a host that was lost, or that has cancelled a batch, resend
+   * their jobs no sooner. No lease is extended beyond this time, less
+   * @c stop_max, after its run's coordinator was heard. */
+  snipe_time resend_after;
+  snipe_time stop_max; /**< longest duration of a stop */
   struct snipe_pool_callbacks callbacks;
 };
 #define SNIPE_POOL_OPTIONS_VERSION 1
 #define SNIPE_POOL_OPTIONS_INIT                                               \
   {                                                                           \
     .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
-    .unclaimed_lease_max = 150 * SNIPE_MS                                     \
+    .unclaimed_lease_max = 150 * SNIPE_MS, .resend_after = 1300 * SNIPE_MS,   \
+    .stop_max = 50 * SNIPE_MS                                                 \
   }
 
 int snipe_pool_new (struct snipe_pool **out,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -42,6 +42,11 @@
  * intervals. */
 #define STALLED_INTERVALS 2.6
 
+/* Time after a peer has opened a new connection in which it has sent again the
+ * cancellations that were lost with the earlier one: their interval of 200 ms,
+ * and that of its ticks. */
+#define LOST_CANCELLATIONS_TIME (250 * SNIPE_MS)
+
 /* Time after a pause of the process in which heartbeats of the other hosts are
  * received before a pool is claimed. */
 #define RESUME_SETTLE_DELAY (400 * SNIPE_MS)
@@ -244,6 +249,40 @@
   return now - sent - MIN (peer->min_transit[0], peer->min_transit[1]);
 }
 
+void
+snipe_members_connection_opened (struct snipe_members *members,
+                                 uint64_t incarnation, snipe_time now)
+{
+  struct peer *peer = find_peer (members, incarnation);
+
+  if (peer != NULL)
+    peer->cancellations_due = now + LOST_CANCELLATIONS_TIME;
+}
+
+void
+snipe_members_record_sent (struct snipe_members *members, uint64_t incarnation,
+                           snipe_time sent, snipe_time now)
+{
+  struct peer *peer = find_peer (members, incarnation);
+
+  if (peer != NULL && now >= peer->cancellations_due)
+    peer->last_sent_stamp = MAX (peer->last_sent_stamp, sent);
+}
+
+snipe_time
+snipe_members_heard_at (const struct snipe_members *members,
+                        uint64_t incarnation, snipe_time now)
+{
+  const struct peer *peer = find_peer (members, incarnation);
+
+  if (peer == NULL || peer->transit_window_start == 0
+      || peer->last_sent_stamp == 0)
+    return 0;
+  return MIN (peer->last_sent_stamp
+                  + MIN (peer->min_transit[0], peer->min_transit[1]),
+              now);
+}
+
 void
 snipe_members_message_sent (struct snipe_members *members,
                             uint64_t incarnation, snipe_time now)
@@ -303,6 +342,7 @@
   if (peer == NULL)
     return;
   peer->last_sent_at = now;
+  peer->last_heartbeat_at = now;
   peer->announced_interval = interval;
 }
 
@@ -311,11 +351,17 @@
                              uint64_t incarnation, snipe_time now)
 {
   const struct peer *peer = find_peer (members, incarnation);
+  snipe_time last;
 
-  return peer == NULL
-         || now - peer->last_sent_at >= MIN (
-                peer->announced_interval,
-                snipe_members_heartbeat_interval (members, incarnation, now));
+  if (peer == NULL)
+    return true;
+  /* The lease of a task that a peer runs for this host depends on when the
+   * last message was sent, and only heartbeats and batches tell it. */
+  last
+      = shares_work (peer, now) ? peer->last_heartbeat_at : peer->last_sent_at;
+  return now - last
+         >= MIN (peer->announced_interval,
+                 snipe_members_heartbeat_interval (members, incarnation, now));
 }
 
 bool
@@ -347,6 +393,7 @@
   /* Makes a heartbeat due at once, which shows whether the address still
    * accepts connections. */
   peer->last_sent_at = 0;
+  peer->last_heartbeat_at = 0;
 }
 
 void
--- a/src/member/private.h
+++ b/src/member/private.h
@@ -13,6 +13,7 @@
   struct snipe_member advertised; /**< its claims are owned by the peer */
   snipe_time last_received_at;
   snipe_time last_sent_at;
+  snipe_time last_heartbeat_at;  /**< sent to it */
   snipe_time announced_interval; /**< by the last heartbeat to it */
   snipe_time shared_work_since;
   snipe_time shared_work_at;   /**< last time that shared work was noted */
@@ -23,6 +24,11 @@
    * counts too while the present window is short. */
   snipe_time min_transit[2];
   snipe_time transit_window_start;
+  /** Newest time of sending, by the peer's clock, of its messages that tell
+   * it, 0: none has. */
+  snipe_time last_sent_stamp;
+  /** Cancellations that were lost with an earlier connection arrive before. */
+  snipe_time cancellations_due;
   bool live;
 };
 
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -164,6 +164,18 @@
                                        request);
 }
 
+snipe_time
+snipe_owned_pool_coordinator_heard (void *ctx, uint64_t coordinator,
+                                    snipe_time now)
+{
+  const struct owned_pool *owned = ctx;
+  const struct snipe_node *node = owned->node;
+
+  if (coordinator == node->incarnation)
+    return now;
+  return snipe_members_heard_at (node->members, coordinator, now);
+}
+
 void
 snipe_owned_pool_assumed_end (void *ctx,
                               const struct snipe_pool_assumed_end *end)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -75,6 +75,7 @@
   link.loop = options->loop;
   link.listen = options->listen;
   link.received = snipe_node_received;
+  link.identified = snipe_node_link_identified;
   link.closed = snipe_node_link_closed;
   link.opened = snipe_node_link_opened;
   link.refused = snipe_node_link_refused;
--- a/src/node/owners.c
+++ b/src/node/owners.c
@@ -77,14 +77,17 @@
   options.token = owned->token;
   options.lease_max = node->options.lease_max;
   options.unclaimed_lease_max = unclaimed_lease_max (&node->options);
-  options.callbacks
-      = (struct snipe_pool_callbacks){ .ctx = owned,
-                                       .start = snipe_owned_pool_start,
-                                       .stop = snipe_owned_pool_stop,
-                                       .poll = snipe_owned_pool_poll,
-                                       .result = snipe_owned_pool_result,
-                                       .assumed_end
-                                       = snipe_owned_pool_assumed_end };
+  options.resend_after = node->options.resend_after;
+  options.stop_max = node->options.stop_max;
+  options.callbacks = (struct snipe_pool_callbacks){
+    .ctx = owned,
+    .start = snipe_owned_pool_start,
+    .stop = snipe_owned_pool_stop,
+    .poll = snipe_owned_pool_poll,
+    .result = snipe_owned_pool_result,
+    .assumed_end = snipe_owned_pool_assumed_end,
+    .coordinator_heard = snipe_owned_pool_coordinator_heard
+  };
   if (snipe_pool_new (&owned->pool, &options, now) < 0)
     {
       g_warning ("pool: cannot claim: %s", snipe_status_last ());
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -201,6 +201,8 @@
                               const struct snipe_pool_result *result);
 void snipe_owned_pool_assumed_end (void *ctx,
                                    const struct snipe_pool_assumed_end *end);
+snipe_time snipe_owned_pool_coordinator_heard (void *ctx, uint64_t coordinator,
+                                               snipe_time now);
 /** Logs that a batch is sent to another owner, and whether the earlier one
  * counts as live. */
 void snipe_node_batch_moved (void *ctx,
@@ -247,6 +249,7 @@
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
+void snipe_node_link_identified (void *ctx, uint64_t incarnation);
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
 void snipe_node_link_opened (void *ctx, const char *address);
 void snipe_node_link_refused (void *ctx, const char *address);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -487,6 +487,8 @@
   effect = snipe_members_handle_heartbeat (node->members, &member, now);
   snipe_members_record_transit (node->members, member.incarnation,
                                 decode_sent (heartbeat->sent_us), now);
+  snipe_members_record_sent (node->members, member.incarnation,
+                             decode_sent (heartbeat->sent_us), now);
   if (effect != SNIPE_HEARTBEAT_UNCHANGED)
     node->ownership_due = 0;
   if (effect == SNIPE_HEARTBEAT_NEW_HOST)
@@ -572,8 +574,11 @@
       snipe_node_reject_batch (node, &batch, SNIPE_E_INVALID);
       return;
     }
+  snipe_members_record_sent (node->members, from->coordinator,
+                             decode_sent (from->sent_us), now);
   delay = snipe_members_delay (node->members, from->coordinator,
                                decode_sent (from->sent_us), now);
+  batch.sent_at = now - MAX (delay, 0);
   if (delay <= BATCH_DELAY_MAX)
     snipe_node_accept_batch (node, &id, &batch, now);
   else
@@ -731,6 +736,15 @@
   snipe_node_process_local_queue (node, now);
 }
 
+void
+snipe_node_link_identified (void *ctx, uint64_t incarnation)
+{
+  struct snipe_node *node = ctx;
+
+  snipe_members_connection_opened (node->members, incarnation,
+                                   snipe_clock_now ());
+}
+
 void
 snipe_node_link_closed (void *ctx, uint64_t incarnation)
 {
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -69,6 +69,7 @@
   batch->attempts = MAX (from->attempts, 1);
   batch->estimate = MAX (from->estimate, SNIPE_MS);
   batch->arrived = now;
+  batch->sent_at = from->sent_at == 0 ? now : from->sent_at;
   batch->soft_deadline = from->soft_deadline;
   batch->hard_deadline = from->hard_deadline;
   batch->caller_deadline = from->caller_deadline;
@@ -125,6 +126,8 @@
 void
 snipe_batch_drop (struct snipe_pool *pool, struct batch *batch, snipe_time now)
 {
+  snipe_time end_due = snipe_pool_batch_end_due (pool, batch, now);
+
   for (uint32_t i = 0; i < batch->count; i++)
     {
       struct run *run = batch->tasks[i].run;
@@ -133,6 +136,7 @@
         continue;
       run->batch = NULL;
       run->orphaned_since = now;
+      run->end_due = end_due;
       snipe_pool_run_stop (pool, run, now);
     }
   g_ptr_array_remove (pool->batches, batch);
@@ -394,7 +398,10 @@
       = snipe_batch_find (pool, from->coordinator, from->number);
 
   if (batch != NULL)
-    batch->attempt = MAX (batch->attempt, from->attempt);
+    {
+      batch->attempt = MAX (batch->attempt, from->attempt);
+      batch->sent_at = MAX (batch->sent_at, from->sent_at);
+    }
   if (from->count == 0 || batch != NULL)
     return;
   batch = batch_new (pool, from, now);
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -18,6 +18,10 @@
 #define SUSPEND_MAX (6 * SNIPE_S)
 /* An endpoint's clock may run 2 % slow. */
 #define CLOCK_DRIFT_DIVISOR 50
+/* A start request and the poll request that extends the lease next have to
+ * arrive within the validity of a start: not less than this share of the
+ * longest lease. */
+#define START_VALIDITY_DIVISOR 5
 
 bool
 snipe_endpoint_entry_equal (const struct snipe_endpoint_entry *a,
@@ -147,6 +151,71 @@
   return false;
 }
 
+snipe_time
+snipe_pool_batch_end_due (const struct snipe_pool *pool,
+                          const struct batch *batch, snipe_time now)
+{
+  const struct snipe_pool_callbacks *callbacks = &pool->callbacks;
+  snipe_time heard;
+
+  if (callbacks->coordinator_heard == NULL)
+    return INT64_MAX;
+  heard
+      = callbacks->coordinator_heard (callbacks->ctx, batch->coordinator, now);
+  return MAX (heard, batch->sent_at) + pool->resend_after - pool->stop_max;
+}
+
+/* @return until when a run may go on at most. A stop request may be lost, so
+ * that only the lease ends the run, and a request that arrives later would
+ * extend it again. */
+static snipe_time
+run_end_due (const struct snipe_pool *pool, const struct run *run,
+             snipe_time now)
+{
+  if (run->state == RUN_STOPPING && run->stop_confirmed)
+    return INT64_MAX;
+  if (run->batch != NULL)
+    return snipe_pool_batch_end_due (pool, run->batch, now);
+  return run->end_due == 0 ? INT64_MAX : run->end_due;
+}
+
+/* @return the lease, by the endpoint's clock, that has certainly expired at
+ * @p end_due. */
+static snipe_time
+lease_until (const struct snipe_pool *pool, snipe_time end_due, snipe_time now)
+{
+  snipe_time left = end_due - now;
+
+  return MIN (pool->lease_max, left - left / CLOCK_DRIFT_DIVISOR - SNIPE_MS);
+}
+
+snipe_time
+snipe_pool_lease_bound (const struct snipe_pool *pool,
+                        const struct snipe_pool_endpoint *endpoint,
+                        snipe_time now)
+{
+  snipe_time end_due = INT64_MAX;
+
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    end_due
+        = MIN (end_due,
+               run_end_due (pool, g_ptr_array_index (endpoint->runs, i), now));
+  return lease_until (pool, end_due, now);
+}
+
+snipe_time
+snipe_pool_start_validity (const struct snipe_pool *pool,
+                           const struct snipe_pool_endpoint *endpoint,
+                           const struct batch *batch, snipe_time now)
+{
+  snipe_time bound = MIN (
+      snipe_pool_lease_bound (pool, endpoint, now),
+      lease_until (pool, snipe_pool_batch_end_due (pool, batch, now), now));
+
+  bound = MIN (bound, pool->lease_max / 2);
+  return bound < pool->lease_max / START_VALIDITY_DIVISOR ? 0 : bound;
+}
+
 static double
 smooth (double old, double seen)
 {
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -45,6 +45,8 @@
   pool->token = options->token;
   pool->lease_max = options->lease_max;
   pool->unclaimed_lease_max = options->unclaimed_lease_max;
+  pool->resend_after = options->resend_after;
+  pool->stop_max = options->stop_max;
   pool->callbacks = options->callbacks;
   pool->created = now;
   pool->slowdown = 1.0;
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -44,6 +44,9 @@
   snipe_time orphaned_since; /**< when it became orphaned; if found at the
                                 endpoint: when that poll was sent */
   snipe_time stop_sent;
+  /** If its batch was dropped: the run has to have ended by then, as the
+   * batch's caller may be back; 0: unknown. */
+  snipe_time end_due;
 };
 
 struct task
@@ -61,7 +64,8 @@
 {
   uint64_t coordinator;
   uint64_t number;
-  uint32_t attempt; /**< highest attempt received */
+  uint32_t attempt;   /**< highest attempt received */
+  snipe_time sent_at; /**< when its newest copy was sent */
   char *job;
   char *route;
   struct snipe_calibration *calibration; /**< of its route */
@@ -134,6 +138,8 @@
   uint64_t token;
   snipe_time lease_max;
   snipe_time unclaimed_lease_max;
+  snipe_time resend_after;
+  snipe_time stop_max;
   struct snipe_pool_callbacks callbacks;
   snipe_time created;
   GHashTable *endpoints;    /**< id -> struct snipe_pool_endpoint */
@@ -174,6 +180,23 @@
  */
 bool snipe_pool_endpoint_has_claimed_run (
     const struct snipe_pool_endpoint *endpoint);
+/** @return when all runs of a batch have to have ended if its coordinator is
+ * lost or has cancelled it: its caller may be back then. */
+snipe_time snipe_pool_batch_end_due (const struct snipe_pool *pool,
+                                     const struct batch *batch,
+                                     snipe_time now);
+/** @return the longest time for which a request may extend the lease of the
+ * endpoint, by its clock, which all its runs share. 0 or less if one of them
+ * has to end first. */
+snipe_time snipe_pool_lease_bound (const struct snipe_pool *pool,
+                                   const struct snipe_pool_endpoint *endpoint,
+                                   snipe_time now);
+/** @return the longest time for which a start request of the batch may be
+ * valid at the endpoint, 0 if it is too short for starting a task. */
+snipe_time
+snipe_pool_start_validity (const struct snipe_pool *pool,
+                           const struct snipe_pool_endpoint *endpoint,
+                           const struct batch *batch, snipe_time now);
 /** Updates the learned durations and the failure count of an endpoint after a
  * run ended. */
 void snipe_pool_endpoint_record_end (struct snipe_pool *pool,
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -69,7 +69,7 @@
   snipe_time until = 0;
 
   if (snipe_pool_endpoint_has_claimed_run (endpoint))
-    return now + pool->lease_max;
+    return now + snipe_pool_lease_bound (pool, endpoint, now);
   for (guint i = 0; i < endpoint->runs->len; i++)
     {
       const struct run *run = g_ptr_array_index (endpoint->runs, i);
@@ -77,20 +77,22 @@
       if (run->state != RUN_STOPPING)
         until = MAX (until, run->orphaned_since + pool->unclaimed_lease_max);
     }
-  return until;
+  return MIN (until, now + snipe_pool_lease_bound (pool, endpoint, now));
 }
 
-/* @return for how long a poll request waits for the end of a run; with its
- * margin, that is the same time whatever the margin. */
+/* @return for how long a poll request that extends the lease by @p lease waits
+ * for the end of a run; with its margin, that is the same time whatever the
+ * margin. */
 static snipe_time
 poll_wait (const struct snipe_pool *pool,
-           const struct snipe_pool_endpoint *endpoint, snipe_time margin)
+           const struct snipe_pool_endpoint *endpoint, snipe_time lease,
+           snipe_time margin)
 {
   /* The next poll has to extend the lease soon after a batch has claimed a
    * run or a task has been started. */
   if (!snipe_pool_endpoint_has_claimed_run (endpoint))
     return pool->lease_max / 10;
-  return MAX (pool->lease_max * 6 / 10 - margin, pool->lease_max / 10);
+  return MAX (lease * 6 / 10 - margin, pool->lease_max / 10);
 }
 
 void
@@ -104,7 +106,7 @@
     .endpoint = &endpoint->entry,
     .token = pool->token,
     .last_seen_end = endpoint->last_seen_end,
-    .wait = wait ? poll_wait (pool, endpoint, margin) : 0,
+    .wait = wait ? poll_wait (pool, endpoint, lease_until - now, margin) : 0,
     .again = endpoint->unanswered_polls > 0,
   };
 
@@ -185,8 +187,9 @@
     .token = pool->token,
     .run = run->number,
     .spec = run->batch->spec,
-    .valid_until = snipe_pool_endpoint_clock (endpoint, now)
-                   + pool->lease_max / 2 / SNIPE_MS,
+    .valid_until
+    = snipe_pool_endpoint_clock (endpoint, now)
+      + snipe_pool_start_validity (pool, endpoint, run->batch, now) / SNIPE_MS,
     .again = run->start_requests > 0,
     .timeout = request_timeout (pool, endpoint, REQUEST_TIMEOUT_MIN),
     .coordinator = run->batch->coordinator,
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -692,6 +692,113 @@
     }
 }
 
+struct heard_message
+{
+  snipe_time sent; /**< after START, 0: the last one */
+  snipe_time took; /**< in addition to the clock difference */
+  bool new_connection;
+};
+
+struct heard_case
+{
+  const char *name;
+  struct heard_message messages[4];
+  snipe_time heard; /**< after START and the clock difference */
+};
+
+/* Guards against taking the arrival of a message that stood in its connection
+ * for a sign of life, and against one that overtook a cancellation that was
+ * lost with an earlier connection. */
+static void
+test_heard_at (void)
+{
+  const struct heard_case cases[] = {
+    { "steady",
+      { { SNIPE_MS, SNIPE_MS, false }, { SNIPE_S, SNIPE_MS, false } },
+      SNIPE_S + SNIPE_MS },
+    { "held back",
+      { { SNIPE_MS, SNIPE_MS, false }, { SNIPE_S, SNIPE_S, false } },
+      SNIPE_S + SNIPE_MS },
+    { "first one held back",
+      { { SNIPE_MS, SNIPE_S, false }, { 2 * SNIPE_S, SNIPE_MS, false } },
+      2 * SNIPE_S + SNIPE_MS },
+    { "in the wrong order",
+      { { SNIPE_MS, SNIPE_MS, false },
+        { SNIPE_S, SNIPE_MS, false },
+        { 500 * SNIPE_MS, 600 * SNIPE_MS, false } },
+      SNIPE_S + SNIPE_MS },
+    { "new connection",
+      { { SNIPE_MS, SNIPE_MS, false },
+        { SNIPE_S, SNIPE_MS, true },
+        { SNIPE_S + 200 * SNIPE_MS, SNIPE_MS, false } },
+      2 * SNIPE_MS },
+    { "some time after a new connection",
+      { { SNIPE_MS, SNIPE_MS, false },
+        { SNIPE_S, SNIPE_MS, true },
+        { SNIPE_S + 260 * SNIPE_MS, SNIPE_MS, false } },
+      SNIPE_S + 261 * SNIPE_MS },
+  };
+  const snipe_time difference = 1234567 * SNIPE_MS;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const struct heard_case *row = &cases[i];
+      struct snipe_members *members = new_members ("a");
+      const struct host_case host = { .incarnation = 1, .domain = "a" };
+      snipe_time now = START + difference;
+      snipe_time heard;
+
+      CU_ASSERT_EQUAL (snipe_members_heard_at (members, 1, now), 0);
+      for (size_t k = 0;
+           k < G_N_ELEMENTS (row->messages) && row->messages[k].sent > 0; k++)
+        {
+          snipe_time sent = START + row->messages[k].sent;
+
+          now = sent + difference + row->messages[k].took;
+          if (row->messages[k].new_connection)
+            snipe_members_connection_opened (members, 1, now);
+          receive_heartbeat (members, &host, now);
+          snipe_members_record_transit (members, 1, sent, now);
+          snipe_members_record_sent (members, 1, sent, now);
+        }
+      heard = snipe_members_heard_at (members, 1, now) - START - difference;
+      if (heard != row->heard)
+        printf ("%s: %ld\n", row->name, (long)heard);
+      CU_ASSERT_EQUAL (heard, row->heard);
+      /* Other messages do not tell when they were sent. */
+      snipe_members_message_received (members, 1, now + SNIPE_S);
+      CU_ASSERT_EQUAL (snipe_members_heard_at (members, 1, now + SNIPE_S)
+                           - START - difference,
+                       row->heard);
+      snipe_members_free (members);
+    }
+}
+
+/* Guards against loads that replace the heartbeats to a host that shares work:
+ * they do not tell when they were sent, and it would shorten leases. */
+static void
+test_heartbeat_beside_loads (void)
+{
+  const snipe_time load = SETTLED + 140 * SNIPE_MS;
+  const snipe_time due = SETTLED + 150 * SNIPE_MS;
+
+  for (int shared_work = 0; shared_work < 2; shared_work++)
+    {
+      struct snipe_members *members = new_members ("a");
+      const struct host_case host = { .incarnation = 1, .domain = "a" };
+
+      receive_heartbeat (members, &host, SETTLED);
+      if (shared_work != 0)
+        snipe_members_note_shared_work (members, 1, SETTLED);
+      snipe_members_heartbeat_sent (members, 1, 150 * SNIPE_MS, SETTLED);
+      snipe_members_message_sent (members, 1, load);
+      CU_ASSERT_FALSE (snipe_members_heartbeat_due (members, 1, load));
+      CU_ASSERT_EQUAL (snipe_members_heartbeat_due (members, 1, due),
+                       shared_work != 0);
+      snipe_members_free (members);
+    }
+}
+
 int
 main (void)
 {
@@ -708,6 +815,8 @@
     { "owner", test_owner },
     { "discovery interval", test_discovery_interval },
     { "delay", test_delay },
+    { "heard at", test_heard_at },
+    { "heartbeat beside loads", test_heartbeat_beside_loads },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -19,6 +19,7 @@
 #define MODEL_ENDPOINTS 24
 #define MODEL_OWNERS 8
 #define MODEL_RUNS 16
+#define MODEL_COORDINATORS 4
 #define MODEL_LEASE (1000 * SNIPE_MS)
 /* One-way network delay between hosts of one domain at the reference sites. */
 #define MODEL_DELAY (SNIPE_MS / 2)
@@ -129,6 +130,12 @@
   int64_t link_bytes_per_ms;
   snipe_time uplink_free; /**< when the link has sent all requests */
   snipe_time downlink_free;
+  /** Interval of the heartbeats that the owners receive from coordinators, 0:
+   * leases do not depend on when a coordinator was heard. */
+  snipe_time heartbeat_interval;
+  /** When a coordinator, by its number, sent its last message; 0: it is live.
+   */
+  snipe_time silent_since[MODEL_COORDINATORS];
   uint64_t last_request;
   GHashTable *answered; /**< numbers of the answered requests */
   /** Receives the results of batches; NULL: they are added to results. */
@@ -299,6 +306,18 @@
   model->assumed_ends[end->reason]++;
 }
 
+static snipe_time
+model_on_coordinator_heard (void *ctx, uint64_t coordinator, snipe_time now)
+{
+  const struct model *model = ((struct model_owner *)ctx)->model;
+  snipe_time heard = now - now % model->heartbeat_interval;
+
+  if (coordinator < MODEL_COORDINATORS
+      && model->silent_since[coordinator] != 0)
+    heard = MIN (heard, model->silent_since[coordinator]);
+  return heard;
+}
+
 /* @return the endpoint's clock in ms. */
 static int64_t
 model_clock (const struct model *model, const struct model_endpoint *endpoint)
@@ -672,6 +691,8 @@
                                        .poll = model_on_poll,
                                        .result = model_on_result,
                                        .assumed_end = model_on_assumed_end };
+  if (model->heartbeat_interval > 0)
+    options.callbacks.coordinator_heard = model_on_coordinator_heard;
   CU_ASSERT_EQUAL_FATAL (
       snipe_pool_new (&model->owners[owner].pool, &options, model->now), 0);
   for (uint32_t i = 0; i < known; i++)
