--- a/src/node/local.c
+++ b/src/node/local.c
@@ -170,6 +170,18 @@
                                        request);
 }
 
+snipe_time
+snipe_owned_pool_coordinator_heard (void *ctx, uint64_t coordinator,
+                                    snipe_time now)
+{
+  const struct owned_pool *owned = ctx;
+  const struct snipe_node *node = owned->node;
+
+  if (coordinator == node->incarnation)
+    return now;
+  return snipe_members_heard_at (node->members, coordinator, now);
+}
+
 void
 snipe_owned_pool_assumed_end (void *ctx,
                               const struct snipe_pool_assumed_end *end)
@@ -308,24 +320,23 @@
  * copy of it that arrives was sent before the cancellation. */
 static bool
 is_back (const struct retained_result *retained,
-         const struct snipe_pool_batch *batch, snipe_time sent)
+         const struct snipe_pool_batch *batch)
 {
   return retained->result.code == SNIPE_E_CANCELLED
          && retained->result.count == 0 && batch->resent
-         && sent > retained->retained_at + SENT_TIME_ERROR;
+         && batch->sent_at > retained->retained_at + SENT_TIME_ERROR;
 }
 
 void
 snipe_node_accept_batch (struct snipe_node *node,
                          const struct snipe_pool_id *id,
-                         const struct snipe_pool_batch *batch, snipe_time sent,
-                         snipe_time now)
+                         const struct snipe_pool_batch *batch, snipe_time now)
 {
   struct owned_pool *pool = snipe_node_find_pool (node, id);
   struct retained_result *retained
       = find_retained_result (node, batch->coordinator, batch->number);
 
-  if (retained != NULL && is_back (retained, batch, sent))
+  if (retained != NULL && is_back (retained, batch))
     {
       g_ptr_array_remove_fast (node->retained_results, retained);
       retained = NULL;
@@ -381,7 +392,7 @@
     {
     case LOCAL_BATCH:
       snipe_node_accept_batch (node, &message->u.batch.pool,
-                               &message->u.batch.batch, now, now);
+                               &message->u.batch.batch, now);
       break;
     case LOCAL_CANCEL:
       snipe_node_cancel_batch (node, message->u.cancel.coordinator,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -205,6 +205,8 @@
                               const struct snipe_pool_result *result);
 void snipe_owned_pool_assumed_end (void *ctx,
                                    const struct snipe_pool_assumed_end *end);
+snipe_time snipe_owned_pool_coordinator_heard (void *ctx, uint64_t coordinator,
+                                               snipe_time now);
 /** Logs that a batch is sent to another owner, and whether the earlier one
  * counts as live. */
 void snipe_node_batch_moved (void *ctx,
@@ -214,12 +216,11 @@
 void snipe_retained_result_free (gpointer result);
 /** Drops the results that no coordinator asks for any more. */
 void snipe_node_expire_results (struct snipe_node *node, snipe_time now);
-/** Submits a batch to the pool of this host that it is for, or rejects it.
- * @param sent when it was sent, by this host's clock */
+/** Submits a batch to the pool of this host that it is for, or rejects it. */
 void snipe_node_accept_batch (struct snipe_node *node,
                               const struct snipe_pool_id *id,
                               const struct snipe_pool_batch *batch,
-                              snipe_time sent, snipe_time now);
+                              snipe_time now);
 
 /** Cancels a batch in whichever pool of this host it is, and acknowledges that
  * to its coordinator if it is another host. */
@@ -252,6 +253,7 @@
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
+void snipe_node_link_identified (void *ctx, uint64_t incarnation);
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
 void snipe_node_link_opened (void *ctx, const char *address);
 void snipe_node_link_refused (void *ctx, const char *address);
