Count the lease of a late start from its answer after a restart

Callers saw two runs of a task at the same time: a start that was held up was carried out by a new incarnation of its endpoint, which confirmed it, but the lease was counted from when the start had been sent, and the run was taken as ended 3 ms later and its task started elsewhere.

The answer to a start that was sent before the restart was known now counts as the last request that extends the lease.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -621,6 +621,9 @@
           run->state = RUN_ACTIVE;
           run->active_since = now;
         }
+      /* A start that outlives a restart may have arrived just now. */
+      if (run->start_sent <= endpoint->restarted_at)
+        endpoint->lease_extended = now;
       if (report != NULL && is_from_earlier_incarnation (endpoint, report)
           && snipe_pool_run_start_under_way (run))
         snipe_pool_run_stop (pool, run, now);
--- a/tests/pool/test_pool_search.c
+++ b/tests/pool/test_pool_search.c
@@ -56,10 +56,31 @@
   g_free (scenario);
 }
 
+/* Seeds that failed once. */
+static void
+test_found_seeds (void)
+{
+  static const uint64_t seeds[] = {
+    /* The lease of a late start that a new incarnation has confirmed was
+     * taken as expired. */
+    109719,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
+    {
+      struct search_scenario *scenario = g_new (struct search_scenario, 1);
+
+      search_draw (scenario, seeds[i]);
+      CU_ASSERT_PTR_NULL (search_play (scenario, NULL).what);
+      g_free (scenario);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
+    { "found seeds", test_found_seeds },
     { "random scenarios", test_seeds },
     CU_TEST_INFO_NULL,
   };
