--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -12,7 +12,7 @@
 #include "fleet/fleet.h"
 #include "suite.h"
 
-/* Of each mode; they take some 4 s on an idle core. */
+/* Of each mode; both take some 7 s of CPU time. */
 #define SEEDS 300
 /* Lines of a trace, the last ones before the violation. */
 #define TRACE_LINES 90
