Let endpoints of the fleet search remember stops of unknown runs

The platform's endpoints reject a run that was stopped before it arrived; those of tests/pool/model.h do, and the fleet search accepted it.

--- a/tests/fleet/endpoints.h
+++ b/tests/fleet/endpoints.h
@@ -66,7 +66,8 @@
   uint64_t token;
   struct endpoint_run *runs[ENDPOINT_RUNS];
   uint32_t run_count;
-  GArray *ended; /**< struct snipe_endpoint_ended_run */
+  GArray *ended;   /**< struct snipe_endpoint_ended_run */
+  GArray *stopped; /**< struct snipe_endpoint_run, that it had not started */
   uint64_t last_end;
   snipe_time lease_until;
   double clock_rate;
@@ -272,6 +273,15 @@
           && ended->run >= request->run)
         return SNIPE_ANSWER_STALE_RUN;
     }
+  for (guint i = 0; i < endpoint->stopped->len; i++)
+    {
+      const struct snipe_endpoint_run *stopped
+          = &g_array_index (endpoint->stopped, struct snipe_endpoint_run, i);
+
+      if (strcmp (stopped->task, request->task) == 0
+          && stopped->run >= request->run)
+        return SNIPE_ANSWER_STALE_RUN;
+    }
   if (used + endpoints.size (request->task) > endpoint->entry.capacity.cpu
       || endpoint->run_count == ENDPOINT_RUNS)
     {
@@ -301,16 +311,25 @@
   return SNIPE_ANSWER_OK;
 }
 
+/* A run that has not been started is rejected later. */
 static enum snipe_endpoint_answer
 endpoint_stop (struct endpoint *endpoint,
                const struct endpoint_request *request)
 {
+  struct snipe_endpoint_run stopped = { .run = request->run };
+
   if (request->token < endpoint->token)
     return SNIPE_ANSWER_FENCED;
+  endpoint->token = request->token;
   for (uint32_t i = endpoint->run_count; i > 0; i--)
     if (strcmp (endpoint->runs[i - 1]->task, request->task) == 0
         && endpoint->runs[i - 1]->run == request->run)
-      endpoint_end_run (endpoint, i - 1, SNIPE_RUN_STOPPED);
+      {
+        endpoint_end_run (endpoint, i - 1, SNIPE_RUN_STOPPED);
+        return SNIPE_ANSWER_OK;
+      }
+  g_strlcpy (stopped.task, request->task, sizeof stopped.task);
+  g_array_append_val (endpoint->stopped, stopped);
   return SNIPE_ANSWER_OK;
 }
 
@@ -409,6 +428,7 @@
   endpoint->run_count = 0;
   endpoint->poll = NULL;
   g_array_set_size (endpoint->ended, 0);
+  g_array_set_size (endpoint->stopped, 0);
   endpoint->last_end = 0;
   endpoint->token = 0;
   endpoint->lease_until = 0;
@@ -431,6 +451,8 @@
   endpoint->clock_rate = clock_rate;
   endpoint->ended
       = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_ended_run));
+  endpoint->stopped
+      = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_run));
 }
 
 static void
@@ -443,7 +465,10 @@
 endpoints_end (void)
 {
   for (uint32_t i = 0; i < endpoints.count; i++)
-    g_array_free (endpoints.list[i].ended, TRUE);
+    {
+      g_array_free (endpoints.list[i].ended, TRUE);
+      g_array_free (endpoints.list[i].stopped, TRUE);
+    }
   g_ptr_array_free (endpoints.runs, TRUE);
 }
 
