Ignore unnamed answers that an earlier incarnation may have given

Callers could see two runs of a task at the same time: answers to start and stop requests have a clock but need not name the incarnation. A late one of an earlier incarnation set the clock of the present one, so that a start that was held up stayed valid after its run had been taken as ended.

Such an answer counts only if its request was sent after the present incarnation became known. test_restarted_endpoint 'clock of an earlier incarnation' failed before for an unnamed answer, and passes now.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -465,12 +465,16 @@
     endpoint->listed = false;
 }
 
+/* Whether an answer is, or may be, from an earlier incarnation than the one
+ * that is known. Answers to start and stop requests may not name theirs: then
+ * the present one answers only what was sent after its start became known. */
 static bool
 is_from_earlier_incarnation (const struct snipe_pool_endpoint *endpoint,
                              const struct snipe_endpoint_report *report)
 {
-  return report->started_ms != 0
-         && report->started_ms < endpoint->entry.started_ms;
+  if (report->started_ms == 0)
+    return report->sent_at > 0 && report->sent_at < endpoint->restarted_at;
+  return report->started_ms < endpoint->entry.started_ms;
 }
 
 static void
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -576,6 +576,8 @@
   struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
   struct model_event answer = *event;
 
+  answer.runs = NULL;
+  answer.ended = NULL;
   answer.kind = MODEL_POLL_ANSWER;
   answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
   answer.answer = SNIPE_ANSWER_FENCED;
@@ -677,7 +679,11 @@
     model_note_incarnation (model, event->owner, event->endpoint,
                             event->started_ms);
   if (event->kind == MODEL_START || event->kind == MODEL_STOP)
-    answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
+    {
+      answer.runs = NULL;
+      answer.ended = NULL;
+      answer.time = model_link (model, &model->downlink_free) + MODEL_DELAY;
+    }
   switch (event->kind)
     {
     case MODEL_START:
--- a/tests/pool/search.h
+++ b/tests/pool/search.h
@@ -846,6 +846,7 @@
                        SEARCH_TASK_HEALTHY, action->endpoint);
       break;
     case SEARCH_UNLISTED:
+      g_assert (action->endpoint < MODEL_ENDPOINTS);
       search->unlisted |= 1U << action->endpoint;
       search_end_earlier_owners (search);
       for (uint32_t i = 0; i < MODEL_OWNERS; i++)
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -79,6 +79,7 @@
 
 static snipe_time late_start_delay;
 static uint64_t late_answer_request;
+static bool late_answer_unnamed;
 
 /* The first start request gets no answer and is carried out late. */
 static bool
@@ -345,7 +346,11 @@
 {
   if (event->kind == MODEL_START_ANSWER
       && event->request == late_answer_request)
-    event->time = model->now + 500 * SNIPE_MS;
+    {
+      event->time = model->now + 500 * SNIPE_MS;
+      if (late_answer_unnamed)
+        event->started_ms = 0;
+    }
   if (event->kind != MODEL_START || event->task[0] != 'f')
     return true;
   event->answer_lost = true;
@@ -359,7 +364,7 @@
  * the earlier one had been up, so a late one was carried out after the run had
  * been taken as ended. The task ran twice at the same time. */
 static void
-test_clock_of_earlier_incarnation (void)
+play_clock_of_earlier_incarnation (bool unnamed)
 {
   struct model_job first = job ("0123456789abcdef", 1, 1);
   struct model_job second = job ("fedcba9876543210", 2, 1);
@@ -370,6 +375,7 @@
   start_model (&model, 2);
   pool = model.owners[OWNER].pool;
   late_start_delay = 2 * SNIPE_S;
+  late_answer_unnamed = unnamed;
   late_answer_request = model.last_request + 1;
   model.on_message = delay_answer_then_start;
   model_submit (&model, OWNER, &first);
@@ -389,6 +395,15 @@
   model_clear (&model);
 }
 
+/* The answer names the incarnation, or has only its clock, like the answers to
+ * start requests of the platform's endpoints. */
+static void
+test_clock_of_earlier_incarnation (void)
+{
+  play_clock_of_earlier_incarnation (false);
+  play_clock_of_earlier_incarnation (true);
+}
+
 int
 main (void)
 {
