--- a/tests/adapter/test_malformed.c
+++ b/tests/adapter/test_malformed.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "config.h"
 #include "formats.h"
 #include "snipe/status.h"
 #include "suite.h"
