Ask a peer for the configuration without waiting for a store that does not serve

Callers got 404 for a route that was there, from hosts that the store turned away: such a host waited 400 ms for a delivery by the store before it asked a peer that had announced the version, and asked only when that peer's next heartbeat arrived. Each configuration in a quick succession began the wait anew, and a host that had ended was asked again.

The decision moves into config_sync, which has no I/O: no wait while the store is unreachable, requests from the tick, the last four announcers in turn, and the wait goes on while a newer version is known. Its state does not grow with the fleet.

Evidence: with the former waits in place of the new ones, test_config_sync fails in 7 of 12 cases.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -90,6 +90,8 @@
   if (options->advertise_address != NULL)
     g_strlcpy (node->address, options->advertise_address,
                sizeof node->address);
+  node->config.last_source
+      = (uint32_t)(node->incarnation % SNIPE_CONFIG_SYNC_SOURCES);
   members.self.incarnation = node->incarnation;
   g_strlcpy (members.self.name, options->name, sizeof members.self.name);
   g_strlcpy (members.self.domain, options->domain, sizeof members.self.domain);
@@ -228,13 +230,19 @@
 }
 
 void
-snipe_node_config_changed (struct snipe_node *node, uint64_t version)
+snipe_node_config_changed (struct snipe_node *node, uint64_t version,
+                           snipe_time now)
 {
-  node->config_version = version;
-  node->config_outdated_since = 0;
+  snipe_config_sync_applied (&node->config, version, now);
   node->full_heartbeat_due = 0;
 }
 
+const struct snipe_config_sync *
+snipe_node_config (const struct snipe_node *node)
+{
+  return &node->config;
+}
+
 /* Answers a late copy of the request of a job that was cancelled. */
 static void
 answer_cancelled_job (struct snipe_node *node,
@@ -565,6 +573,7 @@
   snipe_coordinator_tick (node->coordinator, now);
   snipe_node_process_local_queue (node, now);
   snipe_node_send_loads (node, now);
+  snipe_node_request_config (node, now);
   snipe_node_expire_results (node, now);
   snipe_cancelled_jobs_expire (node->cancelled_jobs, now);
   return is_busy (node) ? TICK_INTERVAL_BUSY : TICK_INTERVAL_IDLE;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #define SNIPE_NODE_NODE_H
 
 #include "loop/loop.h"
+#include "node/config_sync.h"
 #include "snipe/coordinator.h"
 #include "snipe/member.h"
 #include "snipe/pool.h"
@@ -116,7 +117,12 @@
  * @return when it has to be read again. */
 snipe_time snipe_node_directory_read_due (const struct snipe_node *node,
                                           snipe_time requested_at);
-void snipe_node_config_changed (struct snipe_node *node, uint64_t version);
+/** A configuration has come into force, whether from the store or a peer. */
+void snipe_node_config_changed (struct snipe_node *node, uint64_t version,
+                                snipe_time now);
+/** @return the state of the configuration, for the log. */
+const struct snipe_config_sync *
+snipe_node_config (const struct snipe_node *node);
 
 void snipe_node_submit (struct snipe_node *node,
                         const struct snipe_coordinator_job *job,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -107,7 +107,7 @@
   uint32_t capacity; /**< thousandths of a core, see capacity.h */
   bool leaving;
   uint64_t store_version;
-  uint64_t config_version;
+  struct snipe_config_sync config;
   struct snipe_link *link;
   struct snipe_members *members;
   struct snipe_coordinator *coordinator;
@@ -141,9 +141,6 @@
   snipe_time probe_answered_since;
   snipe_time probe_answered_at; /**< last answer */
   snipe_time probe_due;
-  /** Since when a peer has a newer configuration, 0: none has. */
-  snipe_time config_outdated_since;
-  snipe_time next_config_request;
   /** When a stalled connection was last closed. */
   snipe_time last_link_reset;
 };
@@ -250,6 +247,8 @@
                                        uint64_t version,
                                        const struct snipe_str *rows,
                                        snipe_time now);
+/** Asks another host for a newer configuration if that is due. */
+void snipe_node_request_config (struct snipe_node *node, snipe_time now);
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -12,10 +12,6 @@
  * the time its tasks would run. */
 #define BATCH_DELAY_MAX (400 * SNIPE_MS)
 #define SENT_MAX ((snipe_time)1 << 60)
-/* All hosts normally get a new configuration from the store at the same time;
- * a peer is asked for it only if it has not arrived by then. */
-#define CONFIG_REQUEST_DELAY (400 * SNIPE_MS)
-#define CONFIG_REQUEST_INTERVAL (300 * SNIPE_MS)
 /* Minimum interval between two load reports of a pool, and the interval per
  * host of the fleet, which keeps the cost of the reports constant as the fleet
  * grows. */
@@ -266,7 +262,7 @@
         .domain = (char *)node->options.domain,
         .cpu_millicores = node->capacity,
         .leaving = node->leaving,
-        .config_version = node->config_version,
+        .config_version = node->config.version,
         .store_version = node->store_version,
         .since_last_received_ms
         = (u_int)MIN (since_received / SNIPE_MS, UINT32_MAX),
@@ -473,26 +469,32 @@
   return here;
 }
 
-/* Requests a newer configuration from a peer if the store has not delivered it
- * by now. A configuration may be large, so only one peer is asked at a time.
- */
-static void
-request_config (struct snipe_node *node, const link_heartbeat *heartbeat,
-                snipe_time now)
+void
+snipe_node_request_config (struct snipe_node *node, snipe_time now)
 {
+  struct snipe_config_sync *sync = &node->config;
   struct snipe_link_message request
       = { .procedure = LINK_SEND_CONFIG_REQUEST,
-          .args.config_request = { .have_version = node->config_version } };
+          .args.config_request = { .have_version = sync->version } };
+  bool reachable = node->store_reachable_since > 0;
+  uint64_t source;
 
-  if (heartbeat->config_version <= node->config_version)
-    return;
-  if (node->config_outdated_since == 0)
-    node->config_outdated_since = now;
-  if (now - node->config_outdated_since < CONFIG_REQUEST_DELAY
-      || now < node->next_config_request)
-    return;
-  node->next_config_request = now + CONFIG_REQUEST_INTERVAL;
-  snipe_link_send (node->link, heartbeat->address, &request);
+  while ((source = snipe_config_sync_source (sync, reachable, now)) != 0)
+    {
+      bool sent = send_to (node, source, &request) == SNIPE_OK;
+
+      snipe_node_log (node,
+                      "event=config_request version=%" G_GUINT64_FORMAT
+                      " announced=%" G_GUINT64_FORMAT
+                      " outdated_ms=%" G_GINT64_FORMAT
+                      " store=%d host=%016" G_GINT64_MODIFIER "x sent=%d",
+                      sync->version, sync->announced_version,
+                      (now - sync->outdated_since) / SNIPE_MS, (int)reachable,
+                      source, (int)sent);
+      if (sent)
+        break;
+      snipe_config_sync_drop_source (sync, source, now);
+    }
 }
 
 /* Returns whether the messages of this host to the sender of a heartbeat seem
@@ -514,6 +516,19 @@
                                          silence);
 }
 
+static void
+note_config_version (struct snipe_node *node, const link_heartbeat *heartbeat,
+                     snipe_time now)
+{
+  if (snipe_config_sync_announced (&node->config, heartbeat->incarnation,
+                                   heartbeat->config_version, now))
+    snipe_node_log (node,
+                    "event=config_announced version=%" G_GUINT64_FORMAT
+                    " announced=%" G_GUINT64_FORMAT " host=%s",
+                    node->config.version, heartbeat->config_version,
+                    heartbeat->name);
+}
+
 static void
 on_heartbeat (struct snipe_node *node, const link_heartbeat *heartbeat,
               snipe_time now)
@@ -591,7 +606,7 @@
       resend_cancelled_jobs (node, member.address, CANCELLED_JOB_RESEND_AGE,
                              now);
     }
-  request_config (node, heartbeat, now);
+  note_config_version (node, heartbeat, now);
   g_free (claims);
 }
 
