Close the idle connections to the store after a call that timed out

A host keeps up to four connections to the store: three tables are read, and the host is registered.

After a timeout the idle connections to the same address are shut down; libcurl then opens a new one. Only calls to the store ask for it: for an endpoint that answers slowly it would cost new connections.

--- a/src/loop/http_async.c
+++ b/src/loop/http_async.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "snipe/status.h"
@@ -29,6 +30,8 @@
   void (*overdue) (void *ctx); /**< NULL: none, or it has been called */
   snipe_time overdue_at;
   void *ctx;
+  char address[64];
+  bool close_idle_on_timeout;
   bool connected; /**< at least once; libcurl may have tried a second time */
 };
 
@@ -42,6 +45,7 @@
   uint32_t events; /**< that the loop watches for */
   bool watched;    /**< by the loop */
   bool idle;       /**< libcurl does not watch it */
+  char address[64];
 };
 
 struct snipe_http_async
@@ -108,6 +112,30 @@
   g_free (call);
 }
 
+/* Shuts down the idle connections to an address. libcurl closes each one when
+ * it is about to use it, and opens a new one instead. */
+static void
+shut_down_idle (struct snipe_http_async *client, const char *address)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, client->sockets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct socket *socket = value;
+
+      if (!socket->idle || strcmp (socket->address, address) != 0)
+        continue;
+      shutdown (socket->watch.fd, SHUT_RDWR);
+      count++;
+    }
+  if (count > 0)
+    g_message ("http: event=idle_closed address=%s connections=%u", address,
+               count);
+}
+
 static void
 finish_completed_calls (struct snipe_http_async *client)
 {
@@ -128,6 +156,9 @@
       else if (message->data.result == CURLE_COULDNT_CONNECT
                && !call->connected)
         http_status = SNIPE_HTTP_ASYNC_NOT_CONNECTED;
+      if (message->data.result == CURLE_OPERATION_TIMEDOUT && call->connected
+          && call->close_idle_on_timeout)
+        shut_down_idle (client, call->address);
       finish_call (call, (int)http_status);
     }
 }
@@ -184,7 +215,8 @@
 }
 
 static struct socket *
-add_socket (struct snipe_http_async *client, curl_socket_t fd)
+add_socket (struct snipe_http_async *client, curl_socket_t fd,
+            const char *address)
 {
   struct socket *socket = g_new0 (struct socket, 1);
 
@@ -192,6 +224,7 @@
   socket->watch = (struct snipe_loop_watch){ .fd = fd,
                                              .ready = on_ready,
                                              .ctx = socket };
+  g_strlcpy (socket->address, address, sizeof socket->address);
   g_hash_table_insert (client->sockets, GINT_TO_POINTER (fd), socket);
   return socket;
 }
@@ -218,9 +251,9 @@
   struct snipe_http_async *client = ctx;
   struct socket *socket
       = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
+  struct call *call = NULL;
   uint32_t events = 0;
 
-  (void)easy;
   (void)state;
   if (what == CURL_POLL_REMOVE)
     {
@@ -233,7 +266,10 @@
   if (what & CURL_POLL_OUT)
     events |= EPOLLOUT;
   if (socket == NULL)
-    socket = add_socket (client, fd);
+    {
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
+      socket = add_socket (client, fd, call->address);
+    }
   watch_socket (socket, events);
   socket->idle = false;
   return 0;
@@ -397,6 +433,8 @@
   call->client = client;
   call->done = request->done;
   call->ctx = request->ctx;
+  call->close_idle_on_timeout = request->close_idle_on_timeout;
+  g_strlcpy (call->address, request->address, sizeof call->address);
   if (request->overdue != NULL)
     {
       call->overdue = request->overdue;
--- a/src/loop/http_async.h
+++ b/src/loop/http_async.h
@@ -7,6 +7,7 @@
 #ifndef SNIPE_LOOP_HTTP_ASYNC_H
 #define SNIPE_LOOP_HTTP_ASYNC_H
 
+#include <stdbool.h>
 #include "loop/loop.h"
 #include "snipe/str.h"
 
@@ -32,6 +33,10 @@
   const char *headers[3]; /**< "Name: value", NULL-terminated if fewer */
   struct snipe_str body;  /**< the call takes ownership; empty: no body */
   snipe_time timeout;     /**< of the whole call */
+  /** If the call times out, the idle connections to its address are closed:
+   * they may have gone silent at the same time, and each would cost a later
+   * call its timeout. */
+  bool close_idle_on_timeout;
   snipe_http_async_done done;
   /** If set, called once if the call has not ended after @p overdue_after. The
    * call goes on and keeps its connection: closing it would cost a new one,
