--- a/tests/adapter/test_config.c
+++ b/tests/adapter/test_config.c
@@ -117,7 +117,8 @@
 };
 
 /* Guards against matching a route of another host, or a shorter prefix where a
- * longer one matches. */
+ * longer one matches, and against rejecting a request because its client
+ * writes the name of the host with capitals. */
 static void
 test_find (void)
 {
@@ -129,6 +130,7 @@
   const struct find_case cases[] = {
     { "h", "/a/1", "s1" }, { "h", "/a/b/1", "s2" }, { "g", "/a/b/1", "s3" },
     { "h", "/b/1", NULL }, { "x", "/a/1", NULL },   { "h", "/a", NULL },
+    { "H", "/a/1", "s1" }, { "h", "/A/1", NULL },
   };
   struct platform_config *config
       = platform_config_decode (body, strlen (body));
