--- a/tests/adapter/test_store.c
+++ b/tests/adapter/test_store.c
@@ -37,6 +37,7 @@
   char written[256]; /**< body of the last write */
   bool self_removed; /**< this host's row is deleted by a change */
   bool split_read;   /**< endpoints in two parts, changed in between */
+  const char *part;  /**< of the changed rows, NULL: none */
 };
 
 /** What the client reported. */
@@ -67,26 +68,35 @@
 };
 
 static char *
-row (const char *key, const char *value)
+row_of_part (const char *part, const char *key, const char *value)
 {
   char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
-  char *text = g_strdup_printf ("{\"table\":\"t\",\"part\":\"\",\"key\":"
+  char *text = g_strdup_printf ("{\"table\":\"t\",\"part\":\"%s\",\"key\":"
                                 "\"%s\",\"value\":\"%s\",\"ver\":11}",
-                                key, encoded);
+                                part, key, encoded);
 
   g_free (encoded);
   return text;
 }
 
+static char *
+row (const char *key, const char *value)
+{
+  return row_of_part ("", key, value);
+}
+
 static char *
 rows_of (const struct fake_store *store, const char *table, bool feed)
 {
+  const char *part = feed && store->part != NULL ? store->part : "";
+
   if (strcmp (table, PLATFORM_TABLE_OPERATOR) == 0 && store->config != NULL)
-    return row ("config", store->config);
+    return row_of_part (part, "config", store->config);
   if (strcmp (table, PLATFORM_TABLE_ENDPOINTS) == 0 && store->endpoint != NULL)
-    return row ("i-1", feed && store->changed_endpoint != NULL
-                           ? store->changed_endpoint
-                           : store->endpoint);
+    return row_of_part (part, "i-1",
+                        feed && store->changed_endpoint != NULL
+                            ? store->changed_endpoint
+                            : store->endpoint);
   if (strcmp (table, PLATFORM_TABLE_HOSTS) == 0 && store->peer_removed && feed)
     return g_strdup ("{\"table\":\"t\",\"part\":\"\",\"key\":\"h2\","
                      "\"ver\":11,\"deleted\":true}");
@@ -341,6 +351,7 @@
   int removed;
   int full_reads_min;       /**< complete reads of the endpoints; 0: one */
   const char *call;         /**< a request that has to be made, NULL: none */
+  int configs_max;          /**< 0: no limit */
   snipe_time clock_advance; /**< time that passes after the first read */
   int changes_rows;         /**< rows that have to be relayed to other hosts */
   bool (*done) (const struct observed *observed);
@@ -415,7 +426,8 @@
  * - a host that reads the list rarely has to decode all changes since (hosts
  *   of 0.1 cores were blocked for half a second);
  * - changes of an already read part are missed while the other parts are read;
- * - a host whose row was removed by others does not register again. */
+ * - a host whose row was removed by others does not register again;
+ * - a row of another part of the table counts as the configuration. */
 static void
 test_reads (void)
 {
@@ -466,6 +478,14 @@
       .endpoints_min = 2,
       .changes_rows = 1,
       .done = has_changes },
+    { "rows of another part",
+      { .endpoint = ENTRY_WITH ("ready", ""),
+        .changed_endpoint = ENTRY_WITH ("draining", ""),
+        .config = "{}",
+        .part = "p" },
+      .configs_min = 1,
+      .configs_max = 1,
+      .endpoints_min = 1 },
     { "this host declared lost",
       { .self_removed = true },
       .done = is_registered_again },
@@ -489,6 +509,8 @@
                 row->name, observed.configs, observed.endpoints,
                 observed.hosts, observed.removed);
       CU_ASSERT_TRUE (observed.configs >= row->configs_min);
+      CU_ASSERT_TRUE (row->configs_max == 0
+                      || observed.configs <= row->configs_max);
       CU_ASSERT_TRUE (observed.endpoints >= row->endpoints_min);
       CU_ASSERT_TRUE (observed.hosts >= row->hosts_min);
       CU_ASSERT_EQUAL (observed.removed, row->removed);
