--- a/tests/adapter/config_fleet.h
+++ b/tests/adapter/config_fleet.h
@@ -126,6 +126,9 @@
   char failure[200];
   uint64_t checks; /**< with a host that has to be up to date */
   uint64_t peer_checks;
+  /** Longest time for which such a host had not got a configuration. */
+  snipe_time latest;
+  snipe_time latest_from_peer;
 };
 
 static struct config_fleet config_fleet;
@@ -625,30 +628,46 @@
   return false;
 }
 
+/* Returns for how long a host has been without a configuration that was
+ * acknowledged, 0 if it has the newest one. */
+static snipe_time
+config_lateness (const struct config_host *host, uint64_t *missing)
+{
+  uint64_t has = host->config == NULL ? 0 : host->config->version;
+
+  for (uint32_t i = 0; i < config_fleet.plan->write_count; i++)
+    if (config_fleet.acknowledged[i] > 0
+        && config_fleet.plan->versions[i] > has)
+      {
+        *missing = config_fleet.plan->versions[i];
+        return sim.now - config_fleet.acknowledged[i];
+      }
+  return 0;
+}
+
 static void
 config_check (void *data)
 {
-  const struct config_plan *plan = config_fleet.plan;
-  uint64_t version = 0;
-
   (void)data;
-  for (uint32_t i = 0; i < plan->write_count; i++)
-    if (config_fleet.acknowledged[i] > 0
-        && sim.now - config_fleet.acknowledged[i] > APPLY_TIME)
-      version = plan->versions[i];
-  for (uint32_t i = 0; i < plan->host_count && version > 0; i++)
+  for (uint32_t i = 0; i < config_fleet.plan->host_count; i++)
     {
-      const struct platform_config *config = config_fleet.hosts[i].config;
-      uint64_t has = config == NULL ? 0 : config->version;
+      uint64_t missing = 0;
+      snipe_time late = config_lateness (&config_fleet.hosts[i], &missing);
       bool from_store = config_hears_store (i);
       bool from_peer = !from_store && config_hears_peer (i);
 
       config_fleet.checks += from_store;
       config_fleet.peer_checks += from_peer;
-      if ((from_store || from_peer) && has < version)
-        config_violate ("h%u has version %" G_GUINT64_FORMAT
-                        " in place of %" G_GUINT64_FORMAT ", it hears a %s",
-                        i, has, version, from_store ? "store" : "host");
+      if (from_store)
+        config_fleet.latest = MAX (config_fleet.latest, late);
+      if (from_peer)
+        config_fleet.latest_from_peer
+            = MAX (config_fleet.latest_from_peer, late);
+      if ((from_store || from_peer) && late > APPLY_TIME)
+        config_violate ("h%u has been without version %" G_GUINT64_FORMAT
+                        " for %" G_GINT64_FORMAT " ms, it hears a %s",
+                        i, missing, late / SNIPE_MS,
+                        from_store ? "store" : "host");
     }
   sim_at (sim.now + CHECK_INTERVAL, SIM_NO_HOST, config_check, NULL);
 }
--- a/tests/adapter/test_config_search.c
+++ b/tests/adapter/test_config_search.c
@@ -74,6 +74,8 @@
 {
   uint64_t checks;
   uint64_t peer_checks;
+  snipe_time latest;
+  snipe_time latest_from_peer;
 };
 
 static bool
@@ -87,6 +89,9 @@
   good = config_fleet_play (&plan, false);
   totals->checks += config_fleet.checks;
   totals->peer_checks += config_fleet.peer_checks;
+  totals->latest = MAX (totals->latest, config_fleet.latest);
+  totals->latest_from_peer
+      = MAX (totals->latest_from_peer, config_fleet.latest_from_peer);
   if (!good && fault == FAULT_NONE)
     printf ("\n  seed %" G_GUINT64_FORMAT ": %s\n", seed,
             config_fleet.failure);
@@ -115,8 +120,10 @@
   printf ("\n  %u of %" G_GUINT64_FORMAT
           " seeds failed; checked %" G_GUINT64_FORMAT
           " times against the store, %" G_GUINT64_FORMAT
-          " against another host\n",
-          failures, seeds, totals.checks, totals.peer_checks);
+          " against another host; latest %" G_GINT64_FORMAT
+          " and %" G_GINT64_FORMAT " ms\n",
+          failures, seeds, totals.checks, totals.peer_checks,
+          totals.latest / SNIPE_MS, totals.latest_from_peer / SNIPE_MS);
   CU_ASSERT_EQUAL (failures, 0);
 }
 
