--- a/tests/adapter/test_config_search.c
+++ b/tests/adapter/test_config_search.c
@@ -10,7 +10,7 @@
 #include "adapter/config_fleet.h"
 #include "suite.h"
 
-#define SEEDS 400
+#define SEEDS 150
 /* A planted fault has to be found within this many seeds. */
 #define FAULT_SEEDS 2000
 /* Lines of a trace, the last ones before the violation. */
