--- a/src/node/config_sync.c
+++ b/src/node/config_sync.c
@@ -30,10 +30,7 @@
   if (sync->outdated_since == 0)
     sync->outdated_since = now;
   if (newest)
-    {
-      sync->announced_version = version;
-      sync->announced_at = now;
-    }
+    sync->announced_version = version;
   /* Replaces its own earlier announcement, or the oldest version. Among equal
    * ones the incarnation decides, so that the hosts of a large fleet do not
    * all ask the same ones. */
--- a/src/node/config_sync.h
+++ b/src/node/config_sync.h
@@ -23,7 +23,6 @@
   uint64_t version; /**< in force; 0: none */
   snipe_time in_force_at;
   uint64_t announced_version; /**< newest one that another host has */
-  snipe_time announced_at;    /**< first announcement of that one */
   /** Since when another host has a newer version, 0: none has. */
   snipe_time outdated_since;
   snipe_time next_request;
