Stop watching connections that were not established

What callers saw: after a connection to an endpoint timed out, the next connection with its descriptor was not watched (event=watch_failed).

Cause: libcurl 7.88 closes a connection that was not established without the close callback. The table of sockets kept an entry that said "watched".

Change: a socket whose connection has not been established is removed when libcurl stops watching it. The open callback and the pre-request callback tell which these are.

--- a/src/loop/http_async.c
+++ b/src/loop/http_async.c
@@ -32,7 +32,8 @@
   void *ctx;
   char address[64];
   bool close_idle_on_timeout;
-  bool connected; /**< at least once; libcurl may have tried a second time */
+  bool connecting; /**< on a new connection */
+  bool connected;  /**< at least once; libcurl may have tried a second time */
 };
 
 /** A socket of libcurl that the loop watches. It is also watched while its
@@ -83,6 +84,7 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
+  call->connecting = false;
   call->connected = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -197,6 +199,27 @@
   run_socket_action (socket->client, socket->watch.fd, flags);
 }
 
+static void
+remove_socket (struct socket *socket)
+{
+  struct snipe_http_async *client = socket->client;
+
+  if (socket->watched)
+    snipe_loop_remove (client->loop, &socket->watch);
+  g_hash_table_remove (client->sockets, GINT_TO_POINTER (socket->watch.fd));
+}
+
+static curl_socket_t
+on_open (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  struct call *call = ctx;
+
+  (void)purpose;
+  call->connecting = true;
+  return socket (address->family, address->socktype | SOCK_CLOEXEC,
+                 address->protocol);
+}
+
 /* Stops watching a socket that libcurl closes. */
 static int
 on_close (void *ctx, curl_socket_t fd)
@@ -206,11 +229,7 @@
       = g_hash_table_lookup (client->sockets, GINT_TO_POINTER (fd));
 
   if (socket != NULL)
-    {
-      if (socket->watched)
-        snipe_loop_remove (client->loop, &socket->watch);
-      g_hash_table_remove (client->sockets, GINT_TO_POINTER (fd));
-    }
+    remove_socket (socket);
   return close (fd);
 }
 
@@ -255,9 +274,14 @@
   uint32_t events = 0;
 
   (void)state;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
   if (what == CURL_POLL_REMOVE)
     {
-      if (socket != NULL)
+      /* libcurl 7.88 closes a connection that was not established without the
+         close callback, and its descriptor may be used again at once. */
+      if (socket != NULL && call != NULL && call->connecting)
+        remove_socket (socket);
+      else if (socket != NULL)
         socket->idle = true;
       return 0;
     }
@@ -266,10 +290,7 @@
   if (what & CURL_POLL_OUT)
     events |= EPOLLOUT;
   if (socket == NULL)
-    {
-      curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
-      socket = add_socket (client, fd, call->address);
-    }
+    socket = add_socket (client, fd, call->address);
   watch_socket (socket, events);
   socket->idle = false;
   return 0;
@@ -457,6 +478,8 @@
   curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
+  curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
   curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETDATA, client);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
