Hold up requests after a restart as well in the search of pools

Change: half of them begin after the restart, there are four more restarts in each scenario, and a connection is kept only if the present incarnation has answered on it.

--- a/tests/pool/search.h
+++ b/tests/pool/search.h
@@ -50,6 +50,8 @@
         "loss",  "hold-up",  "late",  "restart",  "shrink",    "unhealthy",
         "slow",  "unlisted", "idle",  "overtake", "slow-clock" };
 
+/* Further restarts of endpoints on a network with connections. */
+#define SEARCH_NETWORK_RESTARTS 4
 #define SEARCH_REQUESTS 1U /* direction of a cut: owner to endpoint */
 #define SEARCH_ANSWERS 2U
 
@@ -332,27 +334,37 @@
                      enum model_network network)
 {
   GRand *rand = g_rand_new_with_seed ((guint32)scenario->seed + 3U);
-  uint32_t count = scenario->action_count;
+  uint32_t count;
 
   scenario->network = network;
+  for (uint32_t i = 0; i < SEARCH_NETWORK_RESTARTS; i++)
+    search_add (
+        scenario,
+        (struct search_action){
+            .kind = SEARCH_RESTART,
+            .at = search_draw_time (rand, 0, SEARCH_ACTIVE_TIME),
+            .delay = search_draw_time (rand, 50 * SNIPE_MS, 2000 * SNIPE_MS),
+            .endpoint = search_draw_endpoint (rand, scenario, 0) });
+  count = scenario->action_count;
   for (uint32_t i = 0; i < count; i++)
     {
       const struct search_action *restart = &scenario->actions[i];
+      snipe_time before = search_draw_time (rand, 0, 400 * SNIPE_MS);
+      snipe_time after = search_draw_time (rand, 0, 400 * SNIPE_MS);
       /* Mostly for longer than a lease. */
-      struct search_action action = {
-        .kind = SEARCH_HOLD_UP,
-        .at
-        = MAX (0, restart->at - search_draw_time (rand, 0, 400 * SNIPE_MS)),
-        .length = search_draw_time (rand, 600 * SNIPE_MS, 2600 * SNIPE_MS),
-        .endpoint = restart->endpoint,
-        .all_owners = true,
-        .directions = SEARCH_REQUESTS | SEARCH_ANSWERS
-      };
+      struct search_action action
+          = { .kind = SEARCH_HOLD_UP,
+              .length
+              = search_draw_time (rand, 600 * SNIPE_MS, 2600 * SNIPE_MS),
+              .endpoint = restart->endpoint,
+              .all_owners = true,
+              .directions = SEARCH_REQUESTS | SEARCH_ANSWERS };
 
       if (restart->kind != SEARCH_RESTART && restart->kind != SEARCH_SHRINK)
         continue;
-      if (search_draw_chance (rand, 0.3))
-        action.directions = SEARCH_REQUESTS;
+      action.at = search_draw_chance (rand, 0.5)
+                      ? MAX (0, restart->at - before)
+                      : restart->at + after;
       search_add (scenario, action);
     }
   g_rand_free (rand);
@@ -445,17 +457,28 @@
          && (action->all_owners || action->owner == event->owner);
 }
 
-/* A request that is held up has a connection from before, or waits for one. */
+/* A request that is held up has a connection from before, waits for a new one,
+ * or has been sent on a new one. */
 static inline void
 search_hold_up (struct search *search, const struct search_action *action,
                 struct model_event *event)
 {
+  const struct model_endpoint *endpoint
+      = &search->model.endpoints[event->endpoint];
+  snipe_time begin = search_begin (&search->scenario) + action->at;
+  bool kept = search->model.owners[event->owner].connected[event->endpoint]
+                  == endpoint->entry.started_ms
+              || endpoint->clock_started > begin;
+  double share;
+
   if (event->kind > MODEL_POLL
       || search->scenario.network == MODEL_ANY_INCARNATION)
     return;
-  event->new_connection |= search_draw_chance (search->network_rand, 0.5);
-  event->connected_at = MIN (event->connected_at,
-                             search_begin (&search->scenario) + action->at);
+  share = g_rand_double (search->network_rand);
+  event->connecting |= share < 0.4;
+  event->new_connection |= share < 0.6 || !kept;
+  if (!event->new_connection)
+    event->connected_at = MIN (event->connected_at, begin);
 }
 
 static inline bool
@@ -512,8 +535,9 @@
                                        "poll",        "start answer",
                                        "stop answer", "poll answer" };
   static const char *const answers[]
-      = { "ok",      "none",        "unreachable", "fenced",    "stale",
-          "expired", "no capacity", "unhealthy",   "restarted", "invalid" };
+      = { "ok",        "none",      "none, connected", "unreachable",
+          "fenced",    "stale",     "expired",         "no capacity",
+          "unhealthy", "restarted", "invalid" };
   struct search *search = (struct search *)model;
   char text[120] = "";
   size_t used = 0;
--- a/tests/pool/test_pool_search.c
+++ b/tests/pool/test_pool_search.c
@@ -8,7 +8,7 @@
 
 #define FIRST_SEED 1
 #define SEED_COUNT 5000
-#define PLANTED_COUNT 1000
+#define PLANTED_COUNT 1500
 /* Failing seeds that are reduced and printed. */
 #define PRINTED_MAX 3
 
