Recognize a restart whose start time goes back

What callers saw: an endpoint whose time of day was set back restarts under its id with an earlier start time.

Change: an answer that names another incarnation than the known one is from a later one if its request was sent after the known one became known, whatever the start times. Only what was sent before is compared by start time, also with those of the incarnations that were superseded, so that a late answer, a drain message or a list that is seconds old does not begin one of them again. A list that changes to an earlier start time is either old or tells of such a restart: the pool polls the endpoint, acknowledging nothing, and takes from then on only answers to later requests. That an endpoint drains is forgotten with its incarnation; before, it stayed marked if an answer told of the restart first.

src/node compares start times only for its log.

--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -50,6 +50,8 @@
 
   endpoint->entry = *entry;
   endpoint->listed = true;
+  endpoint->listed_ms = entry->started_ms;
+  endpoint->known_since = now;
   endpoint->runs = g_ptr_array_new_with_free_func (g_free);
   endpoint->forgotten_starts
       = g_array_new (FALSE, FALSE, sizeof (struct forgotten_start));
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -123,6 +123,11 @@
   /** The list does not have the present incarnation yet, whose capacity and
    * labels may differ from those of the entry. */
   bool entry_outdated;
+  int64_t listed_ms; /**< start time in the list */
+  /** Latest start time of the incarnations before the known one: the start
+   * time goes back if the endpoint's time of day was set back. */
+  int64_t superseded_ms;
+  snipe_time known_since; /**< when the known incarnation became known */
   struct snipe_capacity used;
   GPtrArray *runs; /**< struct run, owned */
   /** struct forgotten_start, by the end of their runs, for a restart */
@@ -142,7 +147,10 @@
   /** No run of a previous owner that has learned of the claim outlives it. */
   snipe_time claim_deadline;
   snipe_time restarted_at; /**< when a restart became known, 0: none did */
-  double duration_ratio;   /**< actual over predicted duration, smoothed */
+  /** It may have restarted: an answer that names the known incarnation may be
+   * from before if its request was sent before restarted_at. */
+  bool restart_suspected;
+  double duration_ratio; /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
   snipe_time suspended_until;    /**< because of failures */
   snipe_time unresponsive_until; /**< unless it answers before */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -402,15 +402,25 @@
   g_array_set_size (forgotten, 0);
 }
 
-/* The endpoint restarted under the same id. Runs of the previous incarnation
- * are gone, but a task requested since the restart may already run in the new
- * one: the next poll request reports which. */
+/* The endpoint restarted under the same id, or may have restarted if
+ * @p started_ms is the known start time. Runs of the previous incarnation are
+ * gone, but a task requested since the restart may already run in the new one:
+ * the next poll request, which acknowledges no ends, reports which. */
 static void
 begin_incarnation (struct snipe_pool *pool,
                    struct snipe_pool_endpoint *endpoint, int64_t started_ms,
                    snipe_time now)
 {
+  if (started_ms != endpoint->entry.started_ms)
+    {
+      endpoint->superseded_ms
+          = MAX (endpoint->superseded_ms, endpoint->entry.started_ms);
+      endpoint->known_since = now;
+    }
+  endpoint->restart_suspected = started_ms == endpoint->entry.started_ms;
   endpoint->entry.started_ms = started_ms;
+  endpoint->entry_outdated
+      = endpoint->listed_ms != 0 && endpoint->listed_ms != started_ms;
   endpoint->last_seen_end = 0;
   endpoint->acknowledged_end = 0;
   endpoint->claim = CLAIM_PENDING;
@@ -427,7 +437,9 @@
 {
   struct snipe_pool_endpoint *endpoint
       = g_hash_table_lookup (pool->endpoints, entry->id);
-  int64_t started_ms;
+  int64_t known_ms;
+  bool changed;
+  bool drains;
 
   if (endpoint == NULL)
     {
@@ -436,25 +448,30 @@
       snipe_pool_send_claim_polls (pool, now);
       return;
     }
-  /* The list may be older than what the endpoint itself has reported. */
-  started_ms = MAX (entry->started_ms, endpoint->entry.started_ms);
-  if (entry->started_ms == 0 || entry->started_ms == started_ms)
-    endpoint->entry_outdated = false;
-  if (started_ms == endpoint->entry.started_ms && endpoint->entry.draining)
+  known_ms = endpoint->entry.started_ms;
+  changed = entry->started_ms != endpoint->listed_ms;
+  drains = endpoint->entry.draining && !endpoint->entry_outdated;
+  endpoint->entry = *entry;
+  endpoint->entry.started_ms = known_ms;
+  endpoint->listed_ms = entry->started_ms;
+  endpoint->listed = true;
+  if (entry->started_ms == 0 || entry->started_ms == known_ms)
     {
-      endpoint->entry = *entry;
-      endpoint->entry.draining = true;
+      endpoint->entry_outdated = false;
+      endpoint->entry.draining |= drains;
     }
-  else if (started_ms == endpoint->entry.started_ms)
-    endpoint->entry = *entry;
-  else
+  else if (entry->started_ms > MAX (known_ms, endpoint->superseded_ms))
     {
-      endpoint->entry = *entry;
-      begin_incarnation (pool, endpoint, started_ms, now);
+      begin_incarnation (pool, endpoint, entry->started_ms, now);
+      snipe_pool_send_claim_polls (pool, now);
+    }
+  /* Either the list is older than what the endpoint itself has reported, or
+   * the endpoint has restarted with an earlier start time. */
+  else if (changed)
+    {
+      begin_incarnation (pool, endpoint, known_ms, now);
       snipe_pool_send_claim_polls (pool, now);
     }
-  endpoint->entry.started_ms = started_ms;
-  endpoint->listed = true;
 }
 
 void
@@ -464,7 +481,11 @@
   struct snipe_pool_endpoint *endpoint
       = g_hash_table_lookup (pool->endpoints, id);
 
-  if (endpoint != NULL && endpoint->entry.started_ms <= started_ms)
+  if (endpoint == NULL)
+    return;
+  if (started_ms == endpoint->entry.started_ms
+      || started_ms
+             > MAX (endpoint->entry.started_ms, endpoint->superseded_ms))
     endpoint->entry.draining = true;
 }
 
@@ -483,15 +504,24 @@
 }
 
 /* Whether an answer is, or may be, from an earlier incarnation than the one
- * that is known. Answers to start and stop requests may not name theirs: then
- * the present one answers only what was sent after its start became known. */
+ * that is known. Start times may go back, as an endpoint's time of day may be
+ * set back: a request that was sent after the known incarnation had started is
+ * answered by that one or a later one. Answers to start and stop requests may
+ * not name theirs: then the present one answers only what was sent after its
+ * start became known. */
 static bool
 is_from_earlier_incarnation (const struct snipe_pool_endpoint *endpoint,
                              const struct snipe_endpoint_report *report)
 {
+  int64_t known_ms = endpoint->entry.started_ms;
+
   if (report->started_ms == 0)
     return report->sent_at > 0 && report->sent_at < endpoint->restarted_at;
-  return report->started_ms < endpoint->entry.started_ms;
+  if (report->started_ms == known_ms)
+    return endpoint->restart_suspected
+           && report->sent_at < endpoint->restarted_at;
+  return report->sent_at < endpoint->known_since
+         && report->started_ms <= MAX (known_ms, endpoint->superseded_ms);
 }
 
 static void
@@ -512,11 +542,17 @@
                     struct snipe_pool_endpoint *endpoint,
                     const struct snipe_endpoint_report *report, snipe_time now)
 {
-  if (endpoint->entry.started_ms == 0
-      || report->started_ms <= endpoint->entry.started_ms)
+  if (endpoint->entry.started_ms == 0 || report->started_ms == 0)
     return;
+  if (report->started_ms == endpoint->entry.started_ms)
+    {
+      endpoint->restart_suspected = false;
+      return;
+    }
+  /* The entry in the list may be that of the earlier incarnation. */
+  if (report->started_ms != endpoint->listed_ms)
+    endpoint->entry.draining = false;
   begin_incarnation (pool, endpoint, report->started_ms, now);
-  endpoint->entry_outdated = true;
 }
 
 static struct snipe_pool_endpoint *
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -404,6 +404,75 @@
   play_clock_of_earlier_incarnation (true);
 }
 
+/* Guards against an endpoint whose start time goes back at a restart, because
+ * its time of day was set back: all its answers were taken as those of an
+ * earlier incarnation, so that its task ran twice at the same time. The list
+ * may show the superseded incarnation, with the later start time, for long. */
+static void
+test_start_time_goes_back (void)
+{
+  static const struct
+  {
+    const char *name;
+    snipe_time listed_after;
+    int64_t step_ms;
+    bool drained; /**< the superseded incarnation, as another host tells */
+  } cases[] = {
+    { "told by the list", 0, 500, false },
+    { "told by an answer, listed soon", 300 * SNIPE_MS, 500, false },
+    { "told by an answer, listed late", 1500 * SNIPE_MS, 500, false },
+    { "the superseded incarnation drained", 1500 * SNIPE_MS, 500, true },
+    { "set back by hours", 1500 * SNIPE_MS, 7200000, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job sent = job ("0123456789abcdef", 1, 1);
+      unsigned int before = CU_get_number_of_failures ();
+      struct snipe_endpoint_entry superseded;
+      const struct model_result *result;
+      struct model_endpoint *endpoint;
+      struct snipe_pool *pool;
+      struct model model;
+      snipe_time begin;
+
+      start_model (&model, 1);
+      endpoint = &model.endpoints[0];
+      pool = model.owners[OWNER].pool;
+      endpoint->entry.started_ms = 10000000;
+      snipe_pool_endpoint_set (pool, &endpoint->entry, model.now);
+      model_advance (&model, model.now + 20 * SNIPE_MS);
+      model_submit (&model, OWNER, &sent);
+      model_advance (&model, model.now + 100 * SNIPE_MS);
+      CU_ASSERT_EQUAL (model.starts, 1);
+      begin = model.now;
+      superseded = endpoint->entry;
+      endpoint->poll_pending = false;
+      model_restart (&model, 0);
+      endpoint->entry.started_ms = superseded.started_ms - cases[i].step_ms;
+      while (model.now < begin + 4 * TASK_TIME)
+        {
+          bool listed = model.now - begin >= cases[i].listed_after;
+
+          snipe_pool_endpoint_set (
+              pool, listed ? &endpoint->entry : &superseded, model.now);
+          if (cases[i].drained)
+            snipe_pool_endpoint_drain (pool, superseded.id,
+                                       superseded.started_ms);
+          model_advance (&model, model.now + 50 * SNIPE_MS);
+        }
+      result = model_find_result (&model, 1);
+      CU_ASSERT_TRUE (result != NULL && result->done == 1);
+      CU_ASSERT_EQUAL (model.starts, 2);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      CU_ASSERT_TRUE (snipe_pool_idle (pool));
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s: %u starts, %u duplicate runs\n", cases[i].name,
+                model.starts, model.duplicate_runs);
+      model_clear (&model);
+    }
+}
+
 int
 main (void)
 {
@@ -417,6 +486,7 @@
     { "silent after a restart", test_silent_after_restart },
     { "gone after a restart", test_gone_after_restart },
     { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
+    { "start time goes back", test_start_time_goes_back },
     CU_TEST_INFO_NULL,
   };
 
