Recognize a restart by the endpoint's clock

What callers may see: a task that is done is run again. An endpoint restarts under its id and accepts a start, with an answer that names no incarnation, as those of the platform's endpoints to starts and stops. The owner went on with the earlier incarnation: its next poll acknowledged ends by the earlier one's numbers, so that the new one forgot its own, and extended the lease by the earlier one's clock.

Change: an endpoint's clock is steady and at most 2 % slow. If the clock in such an answer is not the one that was read before (5 % and 20 ms beyond what the times of both requests and answers allow), the endpoint may have restarted: its claim is pending until a later poll, which acknowledges nothing, names the incarnation. An answer to a request that was sent before the last reading is checked as well, but its clock is not used, as it may be the earlier one's. Runs that were accepted go on: only a poll sent later tells that one is gone.

Measured: test_unnamed_restart, "clock tells of a restart", fails without the change in each of its three cases (three starts in place of two) and passes with it; "no restart" (slow clocks, late answers) passes with and without it.

--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -137,6 +137,7 @@
   uint64_t poll_last_seen_end; /**< last_seen_end of the poll in flight */
   int64_t clock_base_ms;       /**< endpoint clock at clock_read_at */
   snipe_time clock_read_at;    /**< 0: unknown */
+  snipe_time clock_request_sent; /**< request whose answer told the clock */
   bool poll_in_flight;
   snipe_time poll_sent;
   snipe_time poll_due; /**< an unanswered poll is not sent again before */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -16,6 +16,11 @@
 /* Endpoints of a claimed pool that are polled at the same time. A slow link
  * delays the answers to many requests beyond any reasonable timeout. */
 #define CLAIM_POLLS_MAX 8
+/* A clock that deviates further from an earlier reading is that of another
+ * incarnation: more than the 2 % that an endpoint's clock may run slow, and
+ * more than the rounding of its readings. */
+#define CLOCK_TOLERANCE_DIVISOR 20
+#define CLOCK_SLACK (20 * SNIPE_MS)
 /* Resends that the budget gains per endpoint and second, so that silent
  * endpoints of an idle pool are still polled. */
 #define RESENDS_PER_ENDPOINT_SECOND 2.0
@@ -555,6 +560,48 @@
   begin_incarnation (pool, endpoint, report->started_ms, now);
 }
 
+/* Whether the clock in an answer that does not name its incarnation is not the
+ * one that was read before. Each was read at some time between its request and
+ * its answer. */
+static bool
+clock_contradicts (const struct snipe_pool_endpoint *endpoint,
+                   const struct snipe_endpoint_report *report, snipe_time now)
+{
+  snipe_time least = report->sent_at - endpoint->clock_read_at;
+  snipe_time most = now - endpoint->clock_request_sent;
+  double elapsed = ((double)report->clock_ms - (double)endpoint->clock_base_ms)
+                   * (double)SNIPE_MS;
+
+  if (report->started_ms != 0 || report->clock_ms <= 0 || report->sent_at <= 0
+      || endpoint->clock_read_at == 0)
+    return false;
+  least -= ABS (least) / CLOCK_TOLERANCE_DIVISOR + CLOCK_SLACK;
+  most += most / CLOCK_TOLERANCE_DIVISOR + CLOCK_SLACK;
+  return elapsed < (double)least || elapsed > (double)most;
+}
+
+static void
+record_clock (struct snipe_pool *pool, struct snipe_pool_endpoint *endpoint,
+              const struct snipe_endpoint_report *report, snipe_time now)
+{
+  bool contradicts = clock_contradicts (endpoint, report, now);
+
+  if (report->clock_ms <= 0)
+    return;
+  if (contradicts)
+    {
+      /* The answer to an earlier request may be the earlier incarnation's. */
+      bool newer = report->sent_at >= endpoint->clock_read_at;
+
+      begin_incarnation (pool, endpoint, endpoint->entry.started_ms, now);
+      if (!newer)
+        return;
+    }
+  endpoint->clock_base_ms = report->clock_ms;
+  endpoint->clock_read_at = now;
+  endpoint->clock_request_sent = report->sent_at > 0 ? report->sent_at : now;
+}
+
 static struct snipe_pool_endpoint *
 record_answer (struct snipe_pool *pool, const char *id,
                const struct snipe_endpoint_report *report, snipe_time now)
@@ -579,11 +626,7 @@
         record_round_trip (pool, endpoint, now - report->sent_at);
       if (report->draining)
         endpoint->entry.draining = true;
-      if (report->clock_ms > 0)
-        {
-          endpoint->clock_base_ms = report->clock_ms;
-          endpoint->clock_read_at = now;
-        }
+      record_clock (pool, endpoint, report, now);
     }
   return endpoint;
 }
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -50,6 +50,7 @@
   GArray *ended;   /**< struct snipe_endpoint_ended_run */
   GArray *stopped; /**< struct snipe_endpoint_run, that it had not started */
   uint64_t last_end;
+  uint64_t forgotten_end;   /**< ends up to it are not reported again */
   snipe_time lease_until;   /**< expiry, model time */
   double slowdown;          /**< actual over nominal duration */
   double clock_rate;        /**< of its clock, which measures its leases */
@@ -191,6 +192,7 @@
                         const char *what, const struct model_run *other,
                         uint32_t other_endpoint);
   enum model_network network;
+  bool forgets_ends; /**< that are acknowledged */
   uint32_t starts;
   uint32_t start_requests;
   uint32_t stop_requests;
@@ -660,12 +662,17 @@
   endpoint->poll_waited = event->wait;
   endpoint->poll_owner = event->owner;
   endpoint->poll_token = event->token;
-  endpoint->poll_last_seen_end = event->last_seen_end;
+  if (model->forgets_ends)
+    endpoint->forgotten_end
+        = MAX (endpoint->forgotten_end,
+               MIN (event->last_seen_end, endpoint->last_end));
+  endpoint->poll_last_seen_end
+      = MAX (event->last_seen_end, endpoint->forgotten_end);
   endpoint->poll_until = model->now + event->wait;
   endpoint->poll_answer_lost = event->answer_lost;
   if (event->wait == 0
       || (endpoint->ended->len > 0
-          && endpoint->last_end > event->last_seen_end))
+          && endpoint->last_end > endpoint->poll_last_seen_end))
     model_answer_poll (model, event->endpoint);
 }
 
@@ -841,6 +848,7 @@
   g_array_set_size (endpoint->ended, 0);
   g_array_set_size (endpoint->stopped, 0);
   endpoint->last_end = 0;
+  endpoint->forgotten_end = 0;
   endpoint->token = 0;
   endpoint->lease_until = 0;
   endpoint->entry.started_ms++;
