Acknowledge no ends while an endpoint is silent

What callers may see: a task that is done is run again. A request to an endpoint is overdue because the endpoint has restarted. The next poll acknowledged ends by the numbers of the earlier incarnation if another answer had arrived since the poll before, and the new one forgot an end that nobody had seen.

Change: a poll acknowledges nothing while a request is unanswered since the endpoint's last answer; the polls after that answer do. A poll that was sent before a restart became known no longer counts as having acknowledged the ends of the new incarnation.

Measured: test_unnamed_restart, "silent endpoint", fails without the change in both cases, also if the clock does not tell of the restart (seven starts in place of six), and "acknowledged after a restart" fails as well (the end is not acknowledged after 3 s); both pass with it.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -107,10 +107,13 @@
 {
   snipe_time margin = request_timeout (pool, endpoint, POLL_TIMEOUT_MARGIN);
   snipe_time lease_until = lease_needed_until (pool, endpoint, now);
+  bool silent = endpoint->overdue || endpoint->unanswered_polls > 0;
   struct snipe_pool_poll_request request = {
     .endpoint = &endpoint->entry,
     .token = pool->token,
-    .last_seen_end = endpoint->last_seen_end,
+    /* An endpoint that does not answer may have restarted: then its ends are
+     * numbered anew. */
+    .last_seen_end = silent ? 0 : endpoint->last_seen_end,
     .wait = wait ? poll_wait (pool, endpoint, lease_until - now, margin) : 0,
     .again = endpoint->unanswered_polls > 0,
     .decided_at = now,
@@ -134,10 +137,8 @@
       request.valid_until = snipe_pool_endpoint_clock (endpoint, now)
                             + (lease_until - now) / SNIPE_MS;
     }
-  /* It may establish the connection to a slow endpoint, however long that
-   * takes, if it has no effect on a new incarnation. */
-  else if (request.again)
-    request.last_seen_end = 0;
+  /* Any other may establish the connection to a slow endpoint, however long
+   * that takes. */
   if (request.valid_until > 0 || request.last_seen_end > 0)
     request.send_within = margin;
   request.timeout = request.wait + margin;
@@ -428,6 +429,7 @@
       = endpoint->listed_ms != 0 && endpoint->listed_ms != started_ms;
   endpoint->last_seen_end = 0;
   endpoint->acknowledged_end = 0;
+  endpoint->poll_last_seen_end = 0;
   endpoint->claim = CLAIM_PENDING;
   endpoint->restarted_at = now;
   endpoint->clock_read_at = 0;
--- a/tests/pool/test_unnamed_restart.c
+++ b/tests/pool/test_unnamed_restart.c
@@ -16,6 +16,7 @@
   return task[0] == 'a' ? LONG_TIME : SHORT_TIME;
 }
 
+static bool answers_lost;
 static uint32_t late_start; /**< number of the start that is answered late */
 
 static bool
@@ -27,7 +28,7 @@
   /* Later than the end of the run, but in time. */
   if (event->kind == MODEL_START_ANSWER && model->start_requests == late_start)
     event->time += SHORT_TIME + 10 * SNIPE_MS;
-  return true;
+  return event->kind <= MODEL_POLL || !answers_lost;
 }
 
 static void
@@ -37,6 +38,7 @@
   model->network = MODEL_CONNECTIONS;
   model->forgets_ends = true;
   model->on_message = disturb_answers;
+  answers_lost = false;
   late_start = 0;
   model_claim (model, OWNER, 1 << 20, 1);
   snipe_pool_directory_synced (model->owners[OWNER].pool);
@@ -144,12 +146,107 @@
     }
 }
 
+/* Guards against acknowledging ends at an endpoint that does not answer: it
+ * may have restarted, and the ends of its new incarnation were lost. */
+static void
+test_silent_endpoint (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool clock_goes_on; /**< like that of the earlier incarnation */
+  } cases[] = {
+    { "clock starts anew", false },
+    { "clock goes on", true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      unsigned int before = CU_get_number_of_failures ();
+      const struct model_result *result;
+      struct model_endpoint *endpoint;
+      struct model model;
+      int64_t clock_ms;
+
+      start_model (&model);
+      endpoint = &model.endpoints[0];
+      submit (&model, 1, "b123456789abcdef");
+      model_advance (&model, model.now + 200 * SNIPE_MS);
+      submit (&model, 2, "a123456789abcdef");
+      model_advance (&model, model.now + 50 * SNIPE_MS);
+      /* Answered while the poll request for the task before waits. */
+      submit (&model, 3, "a23456789abcdef0");
+      model_advance (&model, model.now + 20 * SNIPE_MS);
+      CU_ASSERT_EQUAL (endpoint->run_count, 2);
+      clock_ms = model_clock (&model, endpoint);
+      restart (&model);
+      if (cases[i].clock_goes_on)
+        endpoint->clock_base_ms = clock_ms;
+      answers_lost = true;
+      endpoint->drops_stops = true;
+      submit (&model, 4, "c123456789abcdef");
+      /* Until that poll request is overdue. */
+      model_advance (&model, model.now + 500 * SNIPE_MS);
+      CU_ASSERT_EQUAL (endpoint->last_end, 1);
+      answers_lost = false;
+      model_advance (&model, model.now + 200 * SNIPE_MS);
+      endpoint->drops_stops = false;
+      model_advance (&model, model.now + 2 * SNIPE_S);
+      result = model_find_result (&model, 4);
+      CU_ASSERT_TRUE (result != NULL && result->done == 1);
+      /* The others start again. */
+      snipe_pool_endpoint_set (model.owners[OWNER].pool, &endpoint->entry,
+                               model.now);
+      model_advance (&model, model.now + 3 * LONG_TIME);
+      for (uint64_t number = 1; number <= 4; number++)
+        CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, number));
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      CU_ASSERT_EQUAL (model.starts, 6);
+      /* Acknowledged once the endpoint has answered. */
+      CU_ASSERT_EQUAL (endpoint->forgotten_end, endpoint->last_end);
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s: %u starts\n", cases[i].name, model.starts);
+      model_clear (&model);
+    }
+}
+
+/* Guards against ends of a new incarnation that are never acknowledged: the
+ * poll request that told of the restart was taken to have acknowledged as many
+ * as the earlier incarnation had reported. */
+static void
+test_acknowledged_after_restart (void)
+{
+  struct model_endpoint *endpoint;
+  struct model model;
+
+  start_model (&model);
+  endpoint = &model.endpoints[0];
+  submit (&model, 1, "b123456789abcdef");
+  model_advance (&model, model.now + 200 * SNIPE_MS);
+  submit (&model, 2, "b23456789abcdef0");
+  model_advance (&model, model.now + 200 * SNIPE_MS);
+  submit (&model, 3, "a123456789abcdef");
+  model_advance (&model, model.now + 50 * SNIPE_MS);
+  CU_ASSERT_TRUE (endpoint->poll_pending);
+  /* Answers that poll request. */
+  model_restart (&model, 0);
+  snipe_pool_endpoint_set (model.owners[OWNER].pool, &endpoint->entry,
+                           model.now);
+  model_advance (&model, model.now + LONG_TIME + 3 * SNIPE_S);
+  CU_ASSERT_PTR_NOT_NULL (model_find_result (&model, 3));
+  CU_ASSERT_EQUAL (endpoint->last_end, 1);
+  CU_ASSERT_EQUAL (endpoint->forgotten_end, 1);
+  model_clear (&model);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "clock tells of a restart", test_clock_tells_restart },
     { "no restart", test_no_restart },
+    { "silent endpoint", test_silent_endpoint },
+    { "acknowledged after a restart", test_acknowledged_after_restart },
     CU_TEST_INFO_NULL,
   };
 
