Let a poll tell which of two new incarnations is the newest

An answer of the first new incarnation arrived after the list had told of the second one. It named an incarnation that was not known, was taken to be of the newest and confirmed the claim, and the list never showed it.

Change: while it is not known which incarnation an endpoint is, answers to requests from before are not used, whatever they name. An answer to a request that was sent before the known incarnation became known tells nothing of a later one; if it names an unknown one with a later start time, a poll has to tell. docs/platform.md describes how restarts are recognized.

--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -148,8 +148,8 @@
   /** No run of a previous owner that has learned of the claim outlives it. */
   snipe_time claim_deadline;
   snipe_time restarted_at; /**< when a restart became known, 0: none did */
-  /** It may have restarted: an answer that names the known incarnation may be
-   * from before if its request was sent before restarted_at. */
+  /** It may have restarted at restarted_at: an answer to a request that was
+   * sent before may be from an earlier incarnation, whichever it names. */
   bool restart_suspected;
   double duration_ratio; /**< actual over predicted duration, smoothed */
   uint32_t consecutive_failures; /**< since the last completed run */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -524,11 +524,14 @@
 
   if (report->started_ms == 0)
     return report->sent_at > 0 && report->sent_at < endpoint->restarted_at;
+  if (endpoint->restart_suspected && report->sent_at > 0
+      && report->sent_at < endpoint->restarted_at)
+    return true;
   if (report->started_ms == known_ms)
-    return endpoint->restart_suspected
-           && report->sent_at < endpoint->restarted_at;
-  return report->sent_at < endpoint->known_since
-         && report->started_ms <= MAX (known_ms, endpoint->superseded_ms);
+    return false;
+  if (report->sent_at == 0)
+    return report->started_ms < known_ms;
+  return report->sent_at < endpoint->known_since;
 }
 
 static void
@@ -616,8 +619,16 @@
   if (report == NULL)
     endpoint->overdue = true;
   /* An answer of an earlier incarnation tells nothing of the present one,
-   * whose clock starts anew. */
-  else if (!is_from_earlier_incarnation (endpoint, report))
+   * whose clock starts anew. One that names an unknown incarnation with a
+   * later start time may be of a later one. */
+  else if (is_from_earlier_incarnation (endpoint, report))
+    {
+      if (!endpoint->restart_suspected
+          && report->started_ms
+                 > MAX (endpoint->entry.started_ms, endpoint->superseded_ms))
+        begin_incarnation (pool, endpoint, endpoint->entry.started_ms, now);
+    }
+  else
     {
       endpoint->last_received_at = now;
       endpoint->overdue = false;
--- a/tests/pool/test_restarted_endpoint.c
+++ b/tests/pool/test_restarted_endpoint.c
@@ -473,6 +473,75 @@
     }
 }
 
+static bool poll_answers_late;
+
+static bool
+delay_poll_answers (struct model *model, struct model_event *event)
+{
+  (void)model;
+  if (event->kind == MODEL_POLL_ANSWER && poll_answers_late)
+    event->time += 300 * SNIPE_MS;
+  return true;
+}
+
+/* Guards against an endpoint that is never used again after two restarts: an
+ * answer of the first new incarnation arrived after the list had told of the
+ * second one, and was taken to be of the newest. */
+static void
+test_two_restarts (void)
+{
+  static const struct
+  {
+    const char *name;
+    int64_t first_ms;
+    int64_t second_ms;
+  } cases[] = {
+    { "later, later", 2000, 3000 },   { "later, between", 2000, 1500 },
+    { "later, earlier", 2000, 500 },  { "earlier, earlier", 900, 800 },
+    { "earlier, between", 900, 950 }, { "earlier, later", 900, 2000 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct model_job sent = job ("0123456789abcdef", 1, 1);
+      unsigned int before = CU_get_number_of_failures ();
+      const struct model_result *result;
+      struct model_endpoint *endpoint;
+      struct snipe_pool *pool;
+      struct model model;
+
+      start_model (&model, 1);
+      endpoint = &model.endpoints[0];
+      pool = model.owners[OWNER].pool;
+      poll_answers_late = false;
+      model.on_message = delay_poll_answers;
+      endpoint->entry.started_ms = 1000;
+      snipe_pool_endpoint_set (pool, &endpoint->entry, model.now);
+      model_advance (&model, model.now + 20 * SNIPE_MS);
+      model_submit (&model, OWNER, &sent);
+      /* The second poll request for the run waits. */
+      model_advance (&model, model.now + 600 * SNIPE_MS);
+      CU_ASSERT_TRUE (endpoint->poll_pending);
+      poll_answers_late = true;
+      endpoint->entry.started_ms = cases[i].first_ms - 1;
+      /* Answers the poll request that waits. */
+      model_restart (&model, 0);
+      poll_answers_late = false;
+      model_advance (&model, model.now + 100 * SNIPE_MS);
+      model_restart (&model, 0);
+      endpoint->entry.started_ms = cases[i].second_ms;
+      snipe_pool_endpoint_set (pool, &endpoint->entry, model.now);
+      model_advance (&model, model.now + 2 * TASK_TIME);
+      result = model_find_result (&model, 1);
+      CU_ASSERT_TRUE (result != NULL && result->done == 1);
+      CU_ASSERT_EQUAL (model.starts, 2);
+      CU_ASSERT_EQUAL (model.duplicate_runs, 0);
+      if (CU_get_number_of_failures () > before)
+        printf ("  %s: %u starts\n", cases[i].name, model.starts);
+      model_clear (&model);
+    }
+}
+
 int
 main (void)
 {
@@ -487,6 +556,7 @@
     { "gone after a restart", test_gone_after_restart },
     { "clock of an earlier incarnation", test_clock_of_earlier_incarnation },
     { "start time goes back", test_start_time_goes_back },
+    { "two restarts", test_two_restarts },
     CU_TEST_INFO_NULL,
   };
 
