Search pools for restarts that no answer names

The search played restarts whose start time rises and whose clock starts at 1 to 51 ms, and every answer named its incarnation, unlike those of the platform's endpoints to starts and stops.

Change: each seed is played twice more, in both networks, with a further restart. Start times of half of the restarts go back, the clocks of half start at any value up to 90 s, answers to starts and stops name no incarnation in seven of ten seeds, and endpoints forget the ends that are acknowledged. What the other plays draw is unchanged.

--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -56,7 +56,10 @@
   double clock_rate;        /**< of its clock, which measures its leases */
   int64_t clock_base_ms;    /**< its clock when its incarnation began */
   snipe_time clock_started; /**< when its incarnation began */
-  bool unresponsive;        /**< drops all requests */
+  /** Its start time as it names it is that much before that of its entry,
+   * which rises with each incarnation. */
+  int64_t set_back_ms;
+  bool unresponsive;   /**< drops all requests */
   uint32_t cut_owners; /**< bit set of the owners whose requests it drops */
   bool fails;          /**< every task fails after a few ms */
   bool unhealthy;      /**< rejects start requests */
@@ -125,6 +128,7 @@
   bool answer_lost;         /**< carried out, but its answer is lost */
   int64_t known_started_ms; /**< incarnation that its sender knew */
   int64_t started_ms;       /**< incarnation that answered */
+  int64_t set_back_ms;      /**< how it names its start time */
   int64_t clock_ms;         /**< of the endpoint when it answered */
   struct snipe_endpoint_run *runs;
   uint32_t run_count;
@@ -448,6 +452,7 @@
 
   event->from_endpoint = true;
   event->started_ms = endpoint->entry.started_ms;
+  event->set_back_ms = endpoint->set_back_ms;
   event->clock_ms = model_clock (model, endpoint);
   if (event->answer_lost
       || (model->on_message != NULL && !model->on_message (model, event)))
@@ -733,7 +738,6 @@
   struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
   struct snipe_pool *pool = model->owners[event->owner].pool;
   struct snipe_endpoint_report report = { .clock_ms = event->clock_ms,
-                                          .started_ms = event->started_ms,
                                           .sent_at = event->sent_at,
                                           .waited = event->wait,
                                           .running = event->runs,
@@ -744,6 +748,8 @@
       = event->from_endpoint ? &report : NULL;
   struct model_event answer = *event;
 
+  if (event->started_ms != 0)
+    report.started_ms = event->started_ms - event->set_back_ms;
   answer.time = model->now + MODEL_DELAY;
   if (model_is_reset (model, event))
     return;
--- a/tests/pool/search.h
+++ b/tests/pool/search.h
@@ -18,6 +18,10 @@
 /* Longer than the caller's deadline of any batch and any delay. */
 #define SEARCH_QUIET_TIME (26 * SNIPE_S)
 #define SEARCH_TRACE_ROWS 40
+/* By which the start time of an endpoint rises at a restart. */
+#define SEARCH_RESTART_STEP_MS 1001
+/* Start time of the first incarnations if those of later ones may go back. */
+#define SEARCH_FIRST_START_MS 1000000
 /* Failure timeout of a host. */
 #define SEARCH_FREEZE_MAX (600 * SNIPE_MS)
 
@@ -66,7 +70,11 @@
   uint32_t directions; /**< of a cut */
   uint32_t requests;   /**< bit set of the kinds of requests that are late */
   uint32_t batch;      /**< index */
-  bool dropped;        /**< by the reduction of a failing scenario */
+  /** Of a restart: how much earlier the start time of the new incarnation is
+   * than it would be, and its clock at its start; 0: as usual. */
+  int64_t set_back_ms;
+  int64_t clock_ms;
+  bool dropped; /**< by the reduction of a failing scenario */
   /* State while the scenario is played. */
   bool used;
   uint32_t owner;
@@ -115,6 +123,9 @@
    * earlier owner goes on while the list lacks an endpoint. */
   bool strict;
   enum model_network network;
+  /** Also plays what search_draw_restarts () has drawn. */
+  bool restarts;
+  bool unnamed;    /**< answers to starts and stops name no incarnation */
   snipe_time idle; /**< before the scenario begins */
   uint32_t endpoints;
   int64_t capacity[MODEL_ENDPOINTS];
@@ -160,6 +171,7 @@
   uint64_t digest;      /**< of the endpoints of the owner before */
   uint64_t last_number;
   struct snipe_endpoint_entry listed[MODEL_ENDPOINTS];
+  int64_t listed_set_back_ms[MODEL_ENDPOINTS];
   uint32_t unlisted; /**< bit set of endpoints */
   struct search_violation violation;
   GArray *trace; /**< struct search_row; NULL: not recorded */
@@ -327,6 +339,35 @@
   g_rand_free (rand);
 }
 
+/** Adds what is searched for about restarts: start times that go back, clocks
+ * that start at any value, and answers that do not name their incarnation. */
+static inline void
+search_draw_restarts (struct search_scenario *scenario)
+{
+  GRand *rand = g_rand_new_with_seed ((guint32)scenario->seed + 4U);
+  struct search_action restart = { .kind = SEARCH_RESTART };
+
+  scenario->restarts = true;
+  scenario->unnamed = search_draw_chance (rand, 0.7);
+  restart.at = search_draw_time (rand, 0, SEARCH_ACTIVE_TIME);
+  restart.delay = search_draw_time (rand, 50 * SNIPE_MS, 2000 * SNIPE_MS);
+  restart.endpoint = search_draw_endpoint (rand, scenario, 0);
+  search_add (scenario, restart);
+  for (uint32_t i = 0; i < scenario->action_count; i++)
+    {
+      struct search_action *action = &scenario->actions[i];
+
+      if (action->kind != SEARCH_RESTART && action->kind != SEARCH_SHRINK)
+        continue;
+      if (search_draw_chance (rand, 0.5))
+        action->set_back_ms = SEARCH_RESTART_STEP_MS
+                              + (int64_t)g_rand_int_range (rand, 1, 5000);
+      if (search_draw_chance (rand, 0.5))
+        action->clock_ms = (int64_t)g_rand_int_range (rand, 1, 90000);
+    }
+  g_rand_free (rand);
+}
+
 /** Adds what a network with connections is searched for: requests to an
  * endpoint are held up while it restarts. */
 static inline void
@@ -488,6 +529,10 @@
   bool is_request = event->kind <= MODEL_POLL;
   uint32_t direction = is_request ? SEARCH_REQUESTS : SEARCH_ANSWERS;
 
+  if (search->scenario.unnamed
+      && (event->kind == MODEL_START_ANSWER
+          || event->kind == MODEL_STOP_ANSWER))
+    event->started_ms = 0;
   if (!search_is_off (search, SEARCH_OVERTAKE)
       && search_draw_chance (search->rand, 0.1))
     event->time += search_draw_time (search->rand, 0, 50 * SNIPE_MS);
@@ -629,10 +674,12 @@
 
   for (uint32_t i = 0; i < model->endpoint_count; i++)
     {
+      struct snipe_endpoint_entry entry = search->listed[i];
+
       if (search->unlisted >> i & 1)
         continue;
-      snipe_pool_endpoint_set (model->owners[owner].pool, &search->listed[i],
-                               model->now);
+      entry.started_ms -= search->listed_set_back_ms[i];
+      snipe_pool_endpoint_set (model->owners[owner].pool, &entry, model->now);
       model_note_incarnation (model, owner, i, search->listed[i].started_ms);
     }
 }
@@ -731,8 +778,11 @@
 
   endpoint->poll_pending = false;
   model_restart (&search->model, action->endpoint);
-  endpoint->entry.started_ms += 1000;
+  endpoint->entry.started_ms += SEARCH_RESTART_STEP_MS - 1;
+  endpoint->set_back_ms += action->set_back_ms;
   endpoint->clock_base_ms += g_rand_int_range (search->rand, 0, 50);
+  if (action->clock_ms > 0)
+    endpoint->clock_base_ms = action->clock_ms;
   if (action->kind == SEARCH_SHRINK)
     endpoint->entry.capacity.cpu /= 2;
   search_schedule (search, search->model.now + action->delay, SEARCH_TASK_LIST,
@@ -794,6 +844,7 @@
       break;
     case SEARCH_TASK_LIST:
       search->listed[index] = model->endpoints[index].entry;
+      search->listed_set_back_ms[index] = model->endpoints[index].set_back_ms;
       search_trace (search, index, false, "listed anew");
       search_update_lists (search);
       break;
@@ -1023,6 +1074,7 @@
   search->network_rand = g_rand_new_with_seed ((guint32)scenario->seed + 2U);
   g_queue_init (&search->timers);
   model->network = scenario->network;
+  model->forgets_ends = scenario->restarts;
   model->size = search_task_size;
   model->on_result = search_on_result;
   model->on_message = search_on_message;
@@ -1034,6 +1086,8 @@
       struct model_endpoint *endpoint = &model->endpoints[i];
 
       endpoint->entry.capacity.cpu = scenario->capacity[i];
+      if (scenario->restarts)
+        endpoint->entry.started_ms = SEARCH_FIRST_START_MS;
       if (!search_is_off (search, SEARCH_SLOW_CLOCK))
         endpoint->clock_rate = scenario->clock_rate[i];
       search->listed[i] = endpoint->entry;
--- a/tests/pool/test_pool_search.c
+++ b/tests/pool/test_pool_search.c
@@ -23,7 +23,7 @@
 /* @return the number of failed seeds. */
 static uint32_t
 play_seeds (uint64_t first, uint64_t count, enum model_network network,
-            bool planted)
+            bool restarts, bool planted)
 {
   struct search_scenario *scenario = g_new (struct search_scenario, 1);
   uint32_t unknown_restarts = 0;
@@ -34,6 +34,8 @@
       struct search_violation violation;
 
       search_draw (scenario, seed);
+      if (restarts)
+        search_draw_restarts (scenario);
       if (network != MODEL_ANY_INCARNATION)
         search_draw_network (scenario, network);
       scenario->strict = get_number ("SNIPE_SEARCH_STRICT", 0) != 0;
@@ -59,28 +61,41 @@
 
 /* Plays the seeds of the environment, or those of CI. */
 static void
-test_seeds (enum model_network network)
+test_seeds (enum model_network network, bool restarts)
 {
   uint64_t first = get_number ("SNIPE_SEARCH_SEED", FIRST_SEED);
   uint64_t count
       = get_number ("SNIPE_SEARCH_COUNT",
                     g_getenv ("SNIPE_SEARCH_SEED") != NULL ? 1 : SEED_COUNT);
 
-  CU_ASSERT_EQUAL (play_seeds (first, count, network, false), 0);
+  CU_ASSERT_EQUAL (play_seeds (first, count, network, restarts, false), 0);
 }
 
 /* A request reaches any incarnation of its endpoint, however late. */
 static void
 test_any_incarnation (void)
 {
-  test_seeds (MODEL_ANY_INCARNATION);
+  test_seeds (MODEL_ANY_INCARNATION, false);
 }
 
 /* A request is sent once and in time, on a connection to one incarnation. */
 static void
 test_connections (void)
 {
-  test_seeds (MODEL_CONNECTIONS);
+  test_seeds (MODEL_CONNECTIONS, false);
+}
+
+/* Restarts of which no answer or start time tells, in both networks. */
+static void
+test_restarts_any_incarnation (void)
+{
+  test_seeds (MODEL_ANY_INCARNATION, true);
+}
+
+static void
+test_restarts_connections (void)
+{
+  test_seeds (MODEL_CONNECTIONS, true);
 }
 
 /* Faults of the client that the search has to find. */
@@ -91,8 +106,8 @@
       = { MODEL_SENT_AGAIN, MODEL_SENT_LATE };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    CU_ASSERT_TRUE (play_seeds (FIRST_SEED, PLANTED_COUNT, cases[i], true)
-                    > 0);
+    CU_ASSERT_TRUE (
+        play_seeds (FIRST_SEED, PLANTED_COUNT, cases[i], false, true) > 0);
 }
 
 /* Seeds that failed once. */
@@ -122,6 +137,8 @@
     { "found seeds", test_found_seeds },
     { "any incarnation", test_any_incarnation },
     { "connections", test_connections },
+    { "restarts, any incarnation", test_restarts_any_incarnation },
+    { "restarts, connections", test_restarts_connections },
     { "planted faults", test_planted_faults },
     CU_TEST_INFO_NULL,
   };
