--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -128,6 +128,7 @@
   bool answer_lost;         /**< carried out, but its answer is lost */
   int64_t known_started_ms; /**< incarnation that its sender knew */
   int64_t started_ms;       /**< incarnation that answered */
+  int64_t incarnation_ms;   /**< the same, if the answer does not name it */
   int64_t set_back_ms;      /**< how it names its start time */
   int64_t clock_ms;         /**< of the endpoint when it answered */
   struct snipe_endpoint_run *runs;
@@ -451,6 +452,7 @@
   const struct model_endpoint *endpoint = &model->endpoints[event->endpoint];
 
   event->from_endpoint = true;
+  event->incarnation_ms = endpoint->entry.started_ms;
   event->started_ms = endpoint->entry.started_ms;
   event->set_back_ms = endpoint->set_back_ms;
   event->clock_ms = model_clock (model, endpoint);
@@ -775,8 +777,9 @@
     model->on_event (model, event);
   if (event->from_endpoint)
     {
-      model->owners[event->owner].connected[event->endpoint]
-          = event->started_ms;
+      if (event->incarnation_ms == endpoint->entry.started_ms)
+        model->owners[event->owner].connected[event->endpoint]
+            = event->incarnation_ms;
       model_note_incarnation (model, event->owner, event->endpoint,
                               event->started_ms);
     }
