Count a reported end for any open batch that waits for it

A task was started again although an endpoint had told its owner that it is done.

A run that is done now completes the task of an open batch whatever the claim state, and whether or not the run is known. Another run of the task is stopped and counted until it has ended. Outcomes that arrive before their batch are kept for a batch that is sent again, 8,192 at most and for 60 s.

The search checks that no owner starts a task after it has acknowledged that the task is done.

--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -11,6 +11,12 @@
 #define RUN_NUMBER_INCREMENT 8
 /* Delay before a failed task is started again, per failure. */
 #define RETRY_DELAY (20 * SNIPE_MS)
+/* Outcomes that are kept for batches that are sent again. An endpoint reports
+ * up to 500 ends to a new owner. */
+#define OUTCOMES_MAX 8192
+/* A coordinator sends its batches again as soon as it learns of a new owner,
+ * unless it cannot reach it. */
+#define OUTCOME_KEPT_MAX (60 * SNIPE_S)
 
 void
 snipe_batch_free (struct batch *batch)
@@ -123,22 +129,22 @@
   return NULL;
 }
 
+/* Stops a run that its task does not need any more. */
+static void
+release_run (struct snipe_pool *pool, struct run *run, snipe_time now)
+{
+  run->end_due = snipe_pool_batch_end_due (pool, run->batch, now);
+  run->batch = NULL;
+  run->orphaned_since = now;
+  snipe_pool_run_stop (pool, run, now);
+}
+
 void
 snipe_batch_drop (struct snipe_pool *pool, struct batch *batch, snipe_time now)
 {
-  snipe_time end_due = snipe_pool_batch_end_due (pool, batch, now);
-
   for (uint32_t i = 0; i < batch->count; i++)
-    {
-      struct run *run = batch->tasks[i].run;
-
-      if (run == NULL)
-        continue;
-      run->batch = NULL;
-      run->orphaned_since = now;
-      run->end_due = end_due;
-      snipe_pool_run_stop (pool, run, now);
-    }
+    if (batch->tasks[i].run != NULL)
+      release_run (pool, batch->tasks[i].run, now);
   g_ptr_array_remove (pool->batches, batch);
 }
 
@@ -247,65 +253,135 @@
     }
 }
 
-bool
-snipe_batch_adopt_run (struct batch *batch, struct run *run)
+/* @return the task with this name, or NULL. */
+static struct task *
+find_task (const struct batch *batch, const char *name)
 {
-  char name[SNIPE_TASK_NAME_BYTES];
+  size_t len = strlen (batch->job);
+  char task_name[SNIPE_TASK_NAME_BYTES];
 
+  if (strncmp (name, batch->job, len) != 0 || name[len] != '.')
+    return NULL;
   for (uint32_t i = 0; i < batch->count; i++)
     {
-      struct task *task = &batch->tasks[i];
-
-      if (task->run != NULL || task->outcome != SNIPE_TASK_PENDING)
-        continue;
-      snipe_batch_task_name (batch, i, name, sizeof name);
-      if (strcmp (name, run->task) != 0)
-        continue;
-      snipe_batch_attach_run (batch, i, run);
-      return true;
+      snipe_batch_task_name (batch, i, task_name, sizeof task_name);
+      if (strcmp (name, task_name) == 0)
+        return &batch->tasks[i];
     }
-  return false;
+  return NULL;
+}
+
+bool
+snipe_batch_adopt_run (struct batch *batch, struct run *run)
+{
+  struct task *task = find_task (batch, run->task);
+
+  if (task == NULL || task->run != NULL || task->outcome != SNIPE_TASK_PENDING)
+    return false;
+  snipe_batch_attach_run (batch, (uint32_t)(task - batch->tasks), run);
+  return true;
 }
 
-/* Completes the tasks of a batch that were reported as completed before the
- * batch was submitted.
+/* Completes a pending task.
  * @return whether the batch is finished and freed */
 static bool
-apply_completed (struct snipe_pool *pool, struct batch *batch, snipe_time now)
+complete_task (struct snipe_pool *pool, struct batch *batch, struct task *task,
+               snipe_time now)
+{
+  struct run *run = task->run;
+
+  task->outcome = SNIPE_TASK_DONE;
+  task->started = true;
+  task->run = NULL;
+  batch->started = true;
+  batch->pending--;
+  if (run == NULL)
+    batch->waiting--;
+  else
+    release_run (pool, run, now);
+  if (batch->pending > 0)
+    return false;
+  snipe_batch_finish (pool, batch, SNIPE_OK, 0, now);
+  return true;
+}
+
+static void
+remove_oldest_outcome (struct snipe_pool *pool)
+{
+  struct snipe_pool_outcome *outcome = g_queue_pop_head (&pool->outcome_order);
+
+  if (g_hash_table_lookup (pool->outcomes, outcome->task) == outcome)
+    g_hash_table_remove (pool->outcomes, outcome->task);
+  g_free (outcome);
+}
+
+static void
+remove_expired_outcomes (struct snipe_pool *pool, snipe_time now)
+{
+  const struct snipe_pool_outcome *oldest;
+
+  while ((oldest = g_queue_peek_head (&pool->outcome_order)) != NULL
+         && now - oldest->reported > OUTCOME_KEPT_MAX)
+    remove_oldest_outcome (pool);
+}
+
+static void
+keep_outcome (struct snipe_pool *pool, const char *name, snipe_time now)
+{
+  struct snipe_pool_outcome *outcome = g_new0 (struct snipe_pool_outcome, 1);
+
+  remove_expired_outcomes (pool, now);
+  if (pool->outcome_order.length == OUTCOMES_MAX)
+    remove_oldest_outcome (pool);
+  outcome->reported = now;
+  g_strlcpy (outcome->task, name, sizeof outcome->task);
+  g_queue_push_tail (&pool->outcome_order, outcome);
+  g_hash_table_replace (pool->outcomes, outcome->task, outcome);
+}
+
+/* Completes the tasks of a batch that were reported as done before the batch
+ * was submitted. */
+static void
+apply_outcomes (struct snipe_pool *pool, struct batch *batch, snipe_time now)
 {
   char name[SNIPE_TASK_NAME_BYTES];
 
+  remove_expired_outcomes (pool, now);
   for (uint32_t i = 0; i < batch->count; i++)
     {
       struct task *task = &batch->tasks[i];
 
-      if (task->run != NULL || task->outcome != SNIPE_TASK_PENDING)
-        continue;
       snipe_batch_task_name (batch, i, name, sizeof name);
-      if (!g_hash_table_remove (pool->completed_earlier, name))
-        continue;
-      task->outcome = SNIPE_TASK_DONE;
-      batch->waiting--;
-      batch->pending--;
+      if (task->outcome == SNIPE_TASK_PENDING
+          && g_hash_table_remove (pool->outcomes, name)
+          && complete_task (pool, batch, task, now))
+        return;
     }
-  if (batch->pending > 0)
-    return false;
-  snipe_batch_finish (pool, batch, SNIPE_OK, 0, now);
-  return true;
 }
 
-void
-snipe_batch_record_completed (struct snipe_pool *pool, const char *name,
-                              snipe_time now)
+/* The number of the run does not matter: a job that is submitted again numbers
+ * its runs anew, and a run of its earlier submission that goes on is attached
+ * to its task as well. An end that was reported before the job was submitted
+ * again does not count, as it may be that of a job whose caller wants it
+ * done once more; only a batch that is sent again has begun before. */
+bool
+snipe_batch_record_done (struct snipe_pool *pool, const char *name,
+                         snipe_time now)
 {
-  g_hash_table_add (pool->completed_earlier, g_strdup (name));
-  for (guint i = pool->batches->len; i > 0; i--)
+  for (guint i = 0; i < pool->batches->len; i++)
     {
-      struct batch *batch = g_ptr_array_index (pool->batches, i - 1);
+      struct batch *batch = g_ptr_array_index (pool->batches, i);
+      struct task *task = find_task (batch, name);
 
-      if (batch->resent)
-        apply_completed (pool, batch, now);
+      if (task == NULL)
+        continue;
+      if (task->outcome != SNIPE_TASK_PENDING)
+        return false;
+      complete_task (pool, batch, task, now);
+      return true;
     }
+  keep_outcome (pool, name, now);
+  return false;
 }
 
 void
@@ -415,7 +491,7 @@
   g_ptr_array_add (pool->batches, batch);
   adopt_runs (pool, batch);
   if (batch->resent)
-    apply_completed (pool, batch, now);
+    apply_outcomes (pool, batch, now);
   snipe_pool_tick (pool, now);
 }
 
--- a/src/pool/batch.h
+++ b/src/pool/batch.h
@@ -32,10 +32,12 @@
 /** Stops the runs of the batch and frees it without sending a result. */
 void snipe_batch_drop (struct snipe_pool *pool, struct batch *batch,
                        snipe_time now);
-/** Records a task that completed under a previous owner; its batch may be
- * submitted later. */
-void snipe_batch_record_completed (struct snipe_pool *pool, const char *task,
-                                   snipe_time now);
+/** Records that a run of a task, by its name, is done which no batch has. The
+ * task of an open batch is done then, and another run of it is stopped. Else
+ * the outcome is kept for a batch that is sent again.
+ * @return whether a task waited for it */
+bool snipe_batch_record_done (struct snipe_pool *pool, const char *task,
+                              snipe_time now);
 /** Requests the stop of a run unless that has been done. */
 void snipe_pool_run_stop (struct snipe_pool *pool, struct run *run,
                           snipe_time now);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -60,8 +60,8 @@
   pool->resends_refilled = now;
   pool->endpoints = g_hash_table_new_full (
       g_str_hash, g_str_equal, NULL, (GDestroyNotify)snipe_pool_endpoint_free);
-  pool->completed_earlier
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  pool->outcomes = g_hash_table_new (g_str_hash, g_str_equal);
+  g_queue_init (&pool->outcome_order);
   pool->batches
       = g_ptr_array_new_with_free_func ((GDestroyNotify)snipe_batch_free);
   *out = pool;
@@ -75,7 +75,8 @@
     return;
   g_ptr_array_free (pool->batches, TRUE);
   g_hash_table_destroy (pool->endpoints);
-  g_hash_table_destroy (pool->completed_earlier);
+  g_hash_table_destroy (pool->outcomes);
+  g_queue_clear_full (&pool->outcome_order, g_free);
   g_hash_table_destroy (pool->calibrations);
   g_free (pool);
 }
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -108,6 +108,13 @@
 /* Requests have been seen to arrive 12 s late. */
 #define START_UNDER_WAY_MAX (15 * SNIPE_S)
 
+/** A task that is done, for a batch that is sent again. */
+struct snipe_pool_outcome
+{
+  snipe_time reported;
+  char task[SNIPE_TASK_NAME_BYTES];
+};
+
 enum claim_state
 {
   CLAIM_PENDING,   /**< first poll request not answered yet */
@@ -181,8 +188,10 @@
   snipe_time resends_refilled;
   bool directory_synced;
   bool fenced;
-  /** Names of tasks that completed under a previous owner. */
-  GHashTable *completed_earlier;
+  /** Tasks that were reported as done while no batch had them: name -> struct
+   * snipe_pool_outcome, which @c outcome_order owns, the oldest first. */
+  GHashTable *outcomes;
+  GQueue outcome_order;
 };
 
 /* endpoint.c */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -301,6 +301,8 @@
   snipe_pool_run_remove (run);
   if (copy.batch != NULL)
     snipe_batch_record_end (pool, &copy, outcome, now);
+  else if (outcome == SNIPE_RUN_DONE)
+    snipe_batch_record_done (pool, copy.task, now);
 }
 
 static void
@@ -891,9 +893,8 @@
       run = snipe_pool_run_find (endpoint, ended->task, ended->run);
       if (run != NULL)
         end_run (pool, run, ended->outcome, now);
-      else if (ended->outcome == SNIPE_RUN_DONE
-               && endpoint->claim == CLAIM_PENDING)
-        snipe_batch_record_completed (pool, ended->task, now);
+      else if (ended->outcome == SNIPE_RUN_DONE)
+        snipe_batch_record_done (pool, ended->task, now);
     }
 }
 
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -50,8 +50,9 @@
   GArray *ended;   /**< struct snipe_endpoint_ended_run */
   GArray *stopped; /**< struct snipe_endpoint_run, that it had not started */
   uint64_t last_end;
-  uint64_t forgotten_end;   /**< ends up to it are not reported again */
-  snipe_time lease_until;   /**< expiry, model time */
+  uint64_t forgotten_end; /**< ends up to it are not reported again */
+  uint64_t acknowledged_ends[MODEL_OWNERS]; /**< by each owner */
+  snipe_time lease_until;                   /**< expiry, model time */
   double slowdown;          /**< actual over nominal duration */
   double clock_rate;        /**< of its clock, which measures its leases */
   int64_t clock_base_ms;    /**< its clock when its incarnation began */
@@ -103,6 +104,15 @@
   MODEL_POLL_ANSWER,
 };
 
+/** The last run of a task that was done. */
+struct model_done
+{
+  uint32_t endpoint;
+  uint64_t sequence; /**< of its end */
+  /** Request with which each owner acknowledged the end, 0: none. */
+  uint64_t acknowledged_by[MODEL_OWNERS];
+};
+
 struct model_event
 {
   snipe_time time;
@@ -181,6 +191,9 @@
   snipe_time silent_since[MODEL_COORDINATORS];
   uint64_t last_request;
   GHashTable *answered; /**< numbers of the answered requests */
+  /** struct model_done, by the name of a task. Tests remove the entries of a
+   * job that they submit again. */
+  GHashTable *done;
   /** Receives the results of batches; NULL: they are added to results. */
   void (*on_result) (struct model *model,
                      const struct snipe_pool_result *result);
@@ -205,6 +218,7 @@
   uint32_t polls;
   uint32_t over_capacity;
   uint32_t duplicate_runs;
+  uint32_t starts_after_done;                         /**< acknowledged */
   uint32_t assumed_ends[SNIPE_ASSUMED_RESTARTED + 1]; /**< by reason */
 };
 
@@ -534,11 +548,60 @@
 
   g_strlcpy (ended.task, endpoint->runs[run_index].task, sizeof ended.task);
   g_array_append_val (endpoint->ended, ended);
+  if (ended.outcome == SNIPE_RUN_DONE)
+    {
+      struct model_done done
+          = { .endpoint = index, .sequence = ended.sequence };
+
+      g_hash_table_replace (model->done, g_strdup (ended.task),
+                            g_memdup2 (&done, sizeof done));
+    }
   endpoint->runs[run_index] = endpoint->runs[--endpoint->run_count];
   if (endpoint->poll_pending)
     model_answer_poll (model, index);
 }
 
+/* Notes which ends the owner has acknowledged with a poll request. One that
+ * was sent to an earlier incarnation acknowledges ends that its sender does
+ * not know. */
+static void
+model_acknowledge_ends (struct model *model, const struct model_event *poll)
+{
+  struct model_endpoint *endpoint = &model->endpoints[poll->endpoint];
+  uint64_t *acknowledged = &endpoint->acknowledged_ends[poll->owner];
+
+  if (poll->known_started_ms < endpoint->entry.started_ms)
+    return;
+  for (guint i = endpoint->ended->len; i > 0; i--)
+    {
+      const struct snipe_endpoint_ended_run *ended = &g_array_index (
+          endpoint->ended, struct snipe_endpoint_ended_run, i - 1);
+      struct model_done *done;
+
+      if (ended->sequence <= *acknowledged)
+        break;
+      if (ended->sequence > poll->last_seen_end
+          || ended->outcome != SNIPE_RUN_DONE)
+        continue;
+      done = g_hash_table_lookup (model->done, ended->task);
+      if (done != NULL && done->endpoint == poll->endpoint
+          && done->sequence == ended->sequence)
+        done->acknowledged_by[poll->owner] = poll->request;
+    }
+  *acknowledged = MAX (*acknowledged, poll->last_seen_end);
+}
+
+/* Whether the owner knew that the task was done when it sent the start. */
+static bool
+model_is_done (const struct model *model, const struct model_event *start)
+{
+  const struct model_done *done
+      = g_hash_table_lookup (model->done, start->task);
+
+  return done != NULL && done->acknowledged_by[start->owner] > 0
+         && done->acknowledged_by[start->owner] < start->request;
+}
+
 static void
 model_check_start (struct model *model, struct model_endpoint *endpoint,
                    const struct model_event *event)
@@ -546,6 +609,13 @@
   int64_t used = 0;
 
   model->starts++;
+  if (model_is_done (model, event))
+    {
+      model->starts_after_done++;
+      if (model->on_violation != NULL)
+        model->on_violation (model, event, "started after it was done", NULL,
+                             0);
+    }
   for (uint32_t i = 0; i < endpoint->run_count; i++)
     used += endpoint->runs[i].cpu;
   if (used > endpoint->entry.capacity.cpu)
@@ -659,6 +729,7 @@
       return;
     }
   endpoint->token = event->token;
+  model_acknowledge_ends (model, event);
   if (event->valid_until > 0)
     model_extend_lease (model, endpoint, event->valid_until);
   if (endpoint->poll_pending)
@@ -858,6 +929,7 @@
   g_array_set_size (endpoint->stopped, 0);
   endpoint->last_end = 0;
   endpoint->forgotten_end = 0;
+  memset (endpoint->acknowledged_ends, 0, sizeof endpoint->acknowledged_ends);
   endpoint->token = 0;
   endpoint->lease_until = 0;
   endpoint->entry.started_ms++;
@@ -932,6 +1004,8 @@
                            .cpu = cpu };
   g_queue_init (&model->events);
   model->answered = g_hash_table_new (NULL, NULL);
+  model->done
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   model->results = g_array_new (FALSE, FALSE, sizeof (struct model_result));
   for (uint32_t i = 0; i < MODEL_OWNERS; i++)
     model->owners[i].model = model;
@@ -1003,6 +1077,7 @@
     }
   g_array_free (model->results, TRUE);
   g_hash_table_destroy (model->answered);
+  g_hash_table_destroy (model->done);
   for (uint32_t i = 0; i < model->endpoint_count; i++)
     {
       g_array_free (model->endpoints[i].ended, TRUE);
--- a/tests/pool/search.h
+++ b/tests/pool/search.h
@@ -869,6 +869,14 @@
     }
 }
 
+/* @return whether a task, by its name, belongs to a job. */
+static inline gboolean
+search_is_task_of (gpointer task, gpointer value, gpointer job)
+{
+  (void)value;
+  return g_str_has_prefix (task, job);
+}
+
 static inline void
 search_run_action (struct search *search, struct search_action *action)
 {
@@ -898,6 +906,8 @@
     case SEARCH_BATCH:
       if (action->kind == SEARCH_BATCH && batch->submitted != 0)
         break;
+      /* What was done for a cancelled submission does not count. */
+      g_hash_table_foreach_remove (model->done, search_is_task_of, batch->job);
       batch->submitted = model->now;
       batch->open = true;
       batch->number = ++search->last_number;
