Log found runs and ends that are reported late

The log did not tell what an owner concludes from a poll answer about runs that it does not know. event=run_found names a run that an endpoint lists, how old the answered request is, and whether a task of an open batch continues with it; event=late_end does so for a run that is done after it was taken as ended, or that no batch had. The ends that a new owner reads of its predecessor are not logged unless a batch takes them: there may be 500 for each endpoint.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -182,6 +182,26 @@
   bool stop_confirmed;       /**< by the endpoint */
 };
 
+/** A run that an endpoint reports and that the owner did not know. */
+struct snipe_pool_found_run
+{
+  const char *task;
+  uint32_t run;
+  const char *endpoint;
+  snipe_time answer_age; /**< since the answered request was sent */
+  bool claimed;          /**< by a task of an open batch */
+};
+
+/** A run that is done and that no batch had when its end was reported. */
+struct snipe_pool_late_end
+{
+  const char *task;
+  uint32_t run;
+  const char *endpoint;
+  snipe_time answer_age; /**< since the answered request was sent */
+  bool claimed;          /**< by a task of an open batch, which is done */
+};
+
 struct snipe_pool_callbacks
 {
   void *ctx;
@@ -195,6 +215,11 @@
   /** A run is taken as ended, and its task may start elsewhere. For the log;
    * may be NULL. */
   void (*assumed_end) (void *ctx, const struct snipe_pool_assumed_end *end);
+  /** For the log; may be NULL. */
+  void (*found_run) (void *ctx, const struct snipe_pool_found_run *found);
+  /** A run is done that had been taken as ended, or that a batch took although
+   * it did not know the run. For the log; may be NULL. */
+  void (*late_end) (void *ctx, const struct snipe_pool_late_end *end);
   /** @return the latest time at which the host @p coordinator certainly lived
    * and had not sent a cancellation that is still to arrive; never later than
    * @p now. May be NULL: then leases do not depend on it. */
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -202,6 +202,31 @@
       end->start_requests, (int)end->stop_confirmed);
 }
 
+void
+snipe_owned_pool_found_run (void *ctx,
+                            const struct snipe_pool_found_run *found)
+{
+  struct owned_pool *owned = ctx;
+
+  snipe_node_log (owned->node,
+                  "event=run_found task=%s run=%u endpoint=%s "
+                  "answer_ms=%" G_GINT64_FORMAT " claimed=%d",
+                  found->task, found->run, found->endpoint,
+                  found->answer_age / SNIPE_MS, (int)found->claimed);
+}
+
+void
+snipe_owned_pool_late_end (void *ctx, const struct snipe_pool_late_end *end)
+{
+  struct owned_pool *owned = ctx;
+
+  snipe_node_log (owned->node,
+                  "event=late_end task=%s run=%u endpoint=%s "
+                  "answer_ms=%" G_GINT64_FORMAT " claimed=%d",
+                  end->task, end->run, end->endpoint,
+                  end->answer_age / SNIPE_MS, (int)end->claimed);
+}
+
 void
 snipe_node_batch_moved (void *ctx, const struct snipe_coordinator_move *move)
 {
--- a/src/node/owners.c
+++ b/src/node/owners.c
@@ -86,6 +86,8 @@
     .poll = snipe_owned_pool_poll,
     .result = snipe_owned_pool_result,
     .assumed_end = snipe_owned_pool_assumed_end,
+    .found_run = snipe_owned_pool_found_run,
+    .late_end = snipe_owned_pool_late_end,
     .coordinator_heard = snipe_owned_pool_coordinator_heard
   };
   if (snipe_pool_new (&owned->pool, &options, now) < 0)
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -290,6 +290,27 @@
     pool->callbacks.assumed_end (pool->callbacks.ctx, &end);
 }
 
+/* Records that a run is done that no batch has.
+ * @param known whether the run was still counted as running */
+static void
+record_late_end (struct snipe_pool *pool,
+                 const struct snipe_pool_endpoint *endpoint,
+                 const struct snipe_endpoint_ended_run *ended, bool known,
+                 snipe_time sent, snipe_time now)
+{
+  struct snipe_pool_late_end end
+      = { .task = ended->task,
+          .run = ended->run,
+          .endpoint = endpoint->entry.id,
+          .answer_age = now - sent,
+          .claimed = snipe_batch_record_done (pool, ended->task, now) };
+
+  /* A new owner also gets the ends that the previous one has processed. */
+  if (pool->callbacks.late_end != NULL
+      && (end.claimed || (!known && endpoint->claim == CLAIM_CONFIRMED)))
+    pool->callbacks.late_end (pool->callbacks.ctx, &end);
+}
+
 /* Ends a run that is not at the endpoint and will not be started there. */
 static void
 end_run (struct snipe_pool *pool, struct run *run,
@@ -301,8 +322,6 @@
   snipe_pool_run_remove (run);
   if (copy.batch != NULL)
     snipe_batch_record_end (pool, &copy, outcome, now);
-  else if (outcome == SNIPE_RUN_DONE)
-    snipe_batch_record_done (pool, copy.task, now);
 }
 
 static void
@@ -853,6 +872,22 @@
   return false;
 }
 
+static void
+report_found_run (const struct snipe_pool *pool,
+                  const struct snipe_pool_endpoint *endpoint,
+                  const struct snipe_endpoint_run *run, bool claimed,
+                  snipe_time answer_age)
+{
+  struct snipe_pool_found_run found = { .task = run->task,
+                                        .run = run->run,
+                                        .endpoint = endpoint->entry.id,
+                                        .answer_age = answer_age,
+                                        .claimed = claimed };
+
+  if (pool->callbacks.found_run != NULL)
+    pool->callbacks.found_run (pool->callbacks.ctx, &found);
+}
+
 /* Adds a run of a previous owner, or one that was started although its start
  * request was abandoned. Its resources are unknown, so it is counted as using
  * the whole endpoint. */
@@ -863,13 +898,16 @@
 {
   struct run *run = snipe_pool_run_add (endpoint, found->task, found->run,
                                         &endpoint->entry.capacity);
+  bool claimed;
 
   run->state = RUN_ACTIVE;
   run->active_since = now;
   /* The run was alive after this time, so the previous owner extended its
    * lease less than lease_max before. */
   run->orphaned_since = sent;
-  if (adopt_run (pool, run))
+  claimed = adopt_run (pool, run);
+  report_found_run (pool, endpoint, found, claimed, now - sent);
+  if (claimed)
     return;
   /* All runs of previous owners are known here, so this one was started late,
    * after its task was given up. */
@@ -880,21 +918,25 @@
 static void
 process_ended_runs (struct snipe_pool *pool,
                     struct snipe_pool_endpoint *endpoint,
-                    const struct snipe_endpoint_report *report, snipe_time now)
+                    const struct snipe_endpoint_report *report,
+                    snipe_time sent, snipe_time now)
 {
   for (uint32_t i = 0; i < report->ended_count; i++)
     {
       const struct snipe_endpoint_ended_run *ended = &report->ended[i];
+      bool is_late;
       struct run *run;
 
       if (ended->sequence <= endpoint->last_seen_end)
         continue;
       endpoint->last_seen_end = ended->sequence;
       run = snipe_pool_run_find (endpoint, ended->task, ended->run);
+      is_late = ended->outcome == SNIPE_RUN_DONE
+                && (run == NULL || run->batch == NULL);
       if (run != NULL)
         end_run (pool, run, ended->outcome, now);
-      else if (ended->outcome == SNIPE_RUN_DONE)
-        snipe_batch_record_done (pool, ended->task, now);
+      if (is_late)
+        record_late_end (pool, endpoint, ended, run != NULL, sent, now);
     }
 }
 
@@ -959,7 +1001,7 @@
   if (!late)
     endpoint->acknowledged_end
         = MAX (endpoint->acknowledged_end, endpoint->poll_last_seen_end);
-  process_ended_runs (pool, endpoint, report, now);
+  process_ended_runs (pool, endpoint, report, sent, now);
   /* The answer to a later poll has told what runs since. */
   if (sent < endpoint->poll_processed)
     return;
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -220,6 +220,10 @@
   uint32_t duplicate_runs;
   uint32_t starts_after_done;                         /**< acknowledged */
   uint32_t assumed_ends[SNIPE_ASSUMED_RESTARTED + 1]; /**< by reason */
+  uint32_t found_runs;
+  uint32_t claimed_runs; /**< of them, by a task */
+  uint32_t late_ends;
+  uint32_t claimed_ends; /**< of them, by a task */
 };
 
 static gint
@@ -424,6 +428,24 @@
     model->on_assumed_end (ctx, end);
 }
 
+static void
+model_on_found_run (void *ctx, const struct snipe_pool_found_run *found)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+
+  model->found_runs++;
+  model->claimed_runs += found->claimed;
+}
+
+static void
+model_on_late_end (void *ctx, const struct snipe_pool_late_end *end)
+{
+  struct model *model = ((struct model_owner *)ctx)->model;
+
+  model->late_ends++;
+  model->claimed_ends += end->claimed;
+}
+
 static snipe_time
 model_on_coordinator_heard (void *ctx, uint64_t coordinator, snipe_time now)
 {
@@ -1045,7 +1067,9 @@
                                        .stop = model_on_stop,
                                        .poll = model_on_poll,
                                        .result = model_on_result,
-                                       .assumed_end = model_on_assumed_end };
+                                       .assumed_end = model_on_assumed_end,
+                                       .found_run = model_on_found_run,
+                                       .late_end = model_on_late_end };
   if (model->heartbeat_interval > 0)
     options.callbacks.coordinator_heard = model_on_coordinator_heard;
   CU_ASSERT_EQUAL_FATAL (
