Do not believe a poll answer that is older than a lease

A poll answer that was held up for longer than the longest lease lists runs that may have ended since. The owner added such a run as running, attached it to a task that waited, extended a lease for it and took the endpoint's claim as confirmed. Now an unknown run of such an answer is logged but not added, and the endpoint is polled again before anything is started there. Ends that the answer reports, and runs that it no longer lists, count as before.

Two cases of tests/pool/test_held_up_answer.c fail without the change.

--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -940,19 +940,30 @@
     }
 }
 
-static void
+/* A run that only a held-up answer lists may have ended since, as its lease
+ * may have expired: it is not added.
+ * @return whether there is none */
+static bool
 process_running_runs (struct snipe_pool *pool,
                       struct snipe_pool_endpoint *endpoint,
                       const struct snipe_endpoint_report *report,
                       snipe_time sent, snipe_time now)
 {
+  bool outdated = now - sent > pool->lease_max;
+  bool complete = true;
+
   for (uint32_t i = 0; i < report->running_count; i++)
     {
       const struct snipe_endpoint_run *found = &report->running[i];
       struct run *run
           = snipe_pool_run_find (endpoint, found->task, found->run);
 
-      if (run == NULL)
+      if (run == NULL && outdated)
+        {
+          report_found_run (pool, endpoint, found, false, now - sent);
+          complete = false;
+        }
+      else if (run == NULL)
         add_found_run (pool, endpoint, found, sent, now);
       else if (run->state == RUN_STARTING || run->state == RUN_UNCONFIRMED)
         {
@@ -960,6 +971,7 @@
           run->active_since = now;
         }
     }
+  return complete;
 }
 
 /* A run has ended if a poll request that was sent after the run's confirmation
@@ -1008,7 +1020,12 @@
   endpoint->poll_processed = sent;
   /* A task whose run is missing may have another one here. */
   end_missing_runs (pool, endpoint, report, sent, now);
-  process_running_runs (pool, endpoint, report, sent, now);
+  if (!process_running_runs (pool, endpoint, report, sent, now))
+    {
+      endpoint->claim = CLAIM_PENDING;
+      snipe_pool_send_poll (pool, endpoint, false, now);
+      return;
+    }
   endpoint->claim = CLAIM_CONFIRMED;
   if (endpoint->runs->len > 0)
     snipe_pool_send_poll (pool, endpoint, true, now);
