Search fleets on a network with connections

In the search of fleets a cut dropped each request to an endpoint, and an endpoint that restarted went on with its clock, so that nothing of before could be carried out by the new incarnation.

Change: a request travels on a connection to one incarnation. A cut loses it, or holds it up on a connection from before (reset if the endpoint restarts meanwhile) or while it waits for a new one (sent within the time that the pool allows, else answered as not sent). Answers are lost or held up as well. The clock of an endpoint starts anew with each incarnation. A late request whose endpoint restarts before it arrives is lost now; with a clock that starts anew it would be carried out on a connection that no client has.

--- a/tests/fleet/endpoints.h
+++ b/tests/fleet/endpoints.h
@@ -7,13 +7,14 @@
 #define TESTS_FLEET_ENDPOINTS_H
 
 #include "fleet/sim.h"
+#include "pool/network.h"
 
 #define ENDPOINTS_MAX 12
 #define ENDPOINT_RUNS 64
 #define ENDPOINT_LEASE (1000 * SNIPE_MS)
 #define ENDPOINT_DELAY (SNIPE_MS / 2)
-/* As in platform/workers.c: an answer that is later still is not read. */
-#define ENDPOINT_LATE_ANSWER_MAX (2 * SNIPE_S)
+/* Within this time after a cut has healed, what it held up arrives. */
+#define ENDPOINT_HEAL_TIME_MAX (20 * SNIPE_MS)
 
 enum endpoint_request_kind
 {
@@ -22,6 +23,14 @@
   ENDPOINT_POLL,
 };
 
+/** Where a request is. */
+enum endpoint_request_path
+{
+  ENDPOINT_ON_CONNECTION, /**< it has been sent */
+  ENDPOINT_CONNECTING,    /**< it waits for a new connection */
+  ENDPOINT_NOT_SENT,      /**< its connection was not established in time */
+};
+
 /** A request of a node. */
 struct endpoint_request
 {
@@ -36,9 +45,13 @@
   uint64_t last_seen_end;
   snipe_time sent_at;
   snipe_time wait;
+  snipe_time send_within; /**< 0: within the timeout of the call */
   snipe_time timeout;
   uint64_t coordinator;
-  bool late; /**< held back, and not answered */
+  enum endpoint_request_path path;
+  snipe_time connected_at; /**< its connection is not older */
+  bool held_up;            /**< by a cut, once at least */
+  bool late;               /**< held back, and not answered */
   bool answered;
   enum snipe_endpoint_answer answer;
   struct snipe_endpoint_report report;
@@ -71,9 +84,14 @@
   uint64_t last_end;
   snipe_time lease_until;
   double clock_rate;
-  uint32_t cuts[SIM_HOSTS];      /**< per host: drops its requests */
-  uint32_t late[SIM_HOSTS][3];   /**< per host and kind: held back */
-  struct endpoint_request *poll; /**< waits for the end of a run */
+  int64_t clock_base_ms;           /**< its clock when its incarnation began */
+  snipe_time clock_started;        /**< when its incarnation began */
+  uint32_t cuts[SIM_HOSTS];        /**< per host: number of cuts that last */
+  snipe_time cut_since[SIM_HOSTS]; /**< when the first of them began */
+  GPtrArray *held_requests;        /**< struct endpoint_request */
+  GPtrArray *held_answers;         /**< struct endpoint_request */
+  uint32_t late[SIM_HOSTS][3];     /**< per host and kind: held back */
+  struct endpoint_request *poll;   /**< waits for the end of a run */
   snipe_time poll_until;
 };
 
@@ -82,6 +100,7 @@
   struct endpoint list[ENDPOINTS_MAX];
   uint32_t count;
   GPtrArray *runs; /**< struct endpoint_run, all that were ever started */
+  enum model_network network;
   /** Provided by the fleet. */
   snipe_time (*duration) (const char *task);
   int64_t (*size) (const char *task);
@@ -109,7 +128,10 @@
 static int64_t
 endpoint_clock (const struct endpoint *endpoint)
 {
-  return 5000 + (int64_t)((double)sim.now * endpoint->clock_rate) / SNIPE_MS;
+  return endpoint->clock_base_ms
+         + (int64_t)((double)(sim.now - endpoint->clock_started)
+                     * endpoint->clock_rate)
+               / SNIPE_MS;
 }
 
 static void endpoint_wake (void *data);
@@ -136,16 +158,40 @@
 
   if (!request->answered
       || sim.now - request->sent_at
-             <= request->timeout + ENDPOINT_LATE_ANSWER_MAX)
+             <= request->timeout + MODEL_LATE_ANSWER_MAX)
     endpoints.answered (request, request->answer, &request->report);
   request->answered = true;
 }
 
+/* A request that has no connection by now is not sent. */
+static void
+endpoint_pass_unsent (void *data)
+{
+  struct endpoint_request *request = data;
+
+  if (request->answered || request->path != ENDPOINT_CONNECTING)
+    return;
+  request->path = ENDPOINT_NOT_SENT;
+  request->answered = true;
+  endpoints.answered (request, SNIPE_ANSWER_UNREACHABLE, NULL);
+}
+
+static bool
+endpoint_may_be_sent (const struct endpoint_request *request)
+{
+  return model_network_sends (endpoints.network, sim.now - request->sent_at,
+                              request->send_within, request->timeout);
+}
+
 static void
 endpoint_pass_timeout (void *data)
 {
   struct endpoint_request *request = data;
 
+  /* The last time to send it may be now. */
+  if (request->send_within > 0 && request->send_within <= request->timeout
+      && endpoints.network != MODEL_SENT_LATE)
+    endpoint_pass_unsent (request);
   if (request->answered)
     return;
   request->answered = true;
@@ -161,9 +207,13 @@
   request->report.started_ms = endpoint->entry.started_ms;
   request->report.sent_at = request->sent_at;
   request->report.waited = request->wait;
-  if (!request->late && endpoint->cuts[request->host] == 0)
+  if (request->late)
+    return;
+  if (endpoint->cuts[request->host] == 0)
     sim_at_process (sim.now + ENDPOINT_DELAY, request->host,
                     request->generation, endpoint_pass_answer, request);
+  else if (sim_chance (&sim.random, 50))
+    g_ptr_array_add (endpoint->held_answers, request);
 }
 
 static void
@@ -357,6 +407,42 @@
     sim_at (endpoint->poll_until, SIM_NO_HOST, endpoint_wake, endpoint);
 }
 
+/* A cut holds up a request. It is lost, or has a connection from before the
+ * cut, or waits for a new one. */
+static void
+endpoint_hold_up (struct endpoint *endpoint, struct endpoint_request *request)
+{
+  if (!request->held_up)
+    {
+      int64_t way = sim_draw (&sim.random, 0, 2);
+
+      if (way == 0)
+        return;
+      request->held_up = true;
+      request->connected_at
+          = MIN (request->connected_at, endpoint->cut_since[request->host]);
+      if (way == 1)
+        request->path = ENDPOINT_CONNECTING;
+      if (way == 1 && request->send_within > 0
+          && endpoints.network != MODEL_SENT_LATE)
+        sim_at_process (request->sent_at + request->send_within, request->host,
+                        request->generation, endpoint_pass_unsent, request);
+    }
+  g_ptr_array_add (endpoint->held_requests, request);
+}
+
+/* Whether the request arrives at an incarnation that its connection was not
+ * established to. */
+static bool
+endpoint_resets (const struct endpoint *endpoint,
+                 const struct endpoint_request *request)
+{
+  return request->connected_at < endpoint->clock_started
+         && model_network_resets (endpoints.network,
+                                  sim.now - request->sent_at,
+                                  request->timeout + MODEL_LATE_ANSWER_MAX);
+}
+
 static void
 endpoint_receive (void *data)
 {
@@ -365,6 +451,11 @@
   enum snipe_endpoint_answer answer;
 
   if (!request->late && endpoint->cuts[request->host] > 0)
+    {
+      endpoint_hold_up (endpoint, request);
+      return;
+    }
+  if (endpoint_resets (endpoint, request))
     return;
   endpoint_wake (endpoint);
   if (request->kind == ENDPOINT_POLL)
@@ -374,11 +465,13 @@
     }
   answer = request->kind == ENDPOINT_START ? endpoint_start (endpoint, request)
                                            : endpoint_stop (endpoint, request);
-  if (answer != SNIPE_ANSWER_OK || request->late)
+  if (answer != SNIPE_ANSWER_OK || request->late || request->held_up)
     sim_note (SIM_NO_HOST, false,
               "%s%s task=%s run=%u endpoint=%s owner=h%u "
               "answer=%s",
-              request->late ? "LATE " : "",
+              request->late      ? "LATE "
+              : request->held_up ? "HELD UP "
+                                 : "",
               request->kind == ENDPOINT_START ? "start" : "stop",
               request->task, request->run, endpoint->entry.id, request->host,
               endpoint_answer_name (answer));
@@ -394,6 +487,68 @@
   g_error ("unknown endpoint %s", id);
 }
 
+/* The new connection of a request is established. */
+static void
+endpoint_connect (void *data)
+{
+  struct endpoint_request *request = data;
+  struct endpoint *endpoint = &endpoints.list[request->endpoint];
+
+  if (request->path != ENDPOINT_CONNECTING)
+    return;
+  if (endpoint->cuts[request->host] > 0)
+    {
+      endpoint_hold_up (endpoint, request);
+      return;
+    }
+  if (!endpoint_may_be_sent (request))
+    return;
+  request->path = ENDPOINT_ON_CONNECTION;
+  request->connected_at = sim.now;
+  sim_at (sim.now + ENDPOINT_DELAY, SIM_NO_HOST, endpoint_receive, request);
+}
+
+static void
+endpoint_cut (struct endpoint *endpoint, uint32_t host)
+{
+  if (endpoint->cuts[host]++ == 0)
+    endpoint->cut_since[host] = sim.now;
+}
+
+static void
+endpoint_heal (struct endpoint *endpoint, uint32_t host)
+{
+  struct endpoint_request *request;
+
+  if (--endpoint->cuts[host] > 0)
+    return;
+  for (guint i = endpoint->held_requests->len; i > 0; i--)
+    {
+      snipe_time arrives
+          = sim.now + sim_draw (&sim.random, 0, ENDPOINT_HEAL_TIME_MAX);
+
+      request = endpoint->held_requests->pdata[i - 1];
+      if (request->host != host)
+        continue;
+      g_ptr_array_remove_index_fast (endpoint->held_requests, i - 1);
+      if (request->path == ENDPOINT_ON_CONNECTION)
+        sim_at (arrives, SIM_NO_HOST, endpoint_receive, request);
+      else
+        sim_at_process (arrives, host, request->generation, endpoint_connect,
+                        request);
+    }
+  for (guint i = endpoint->held_answers->len; i > 0; i--)
+    {
+      request = endpoint->held_answers->pdata[i - 1];
+      if (request->host != host)
+        continue;
+      g_ptr_array_remove_index_fast (endpoint->held_answers, i - 1);
+      sim_at_process (
+          sim.now + sim_draw (&sim.random, 0, ENDPOINT_HEAL_TIME_MAX), host,
+          request->generation, endpoint_pass_answer, request);
+    }
+}
+
 /* Sends a request of a host, and schedules its timeout. */
 static void
 endpoint_send (const struct endpoint_request *from)
@@ -405,6 +560,7 @@
   *request = *from;
   request->generation = sim.processes[from->host].generation;
   request->sent_at = sim.now;
+  request->connected_at = sim.now;
   request->late = endpoint->late[from->host][from->kind] > 0;
   if (request->late)
     delay = sim_draw (&sim.random, 2 * SNIPE_S, 12 * SNIPE_S);
@@ -434,6 +590,9 @@
   endpoint->token = 0;
   endpoint->lease_until = 0;
   endpoint->entry.started_ms++;
+  endpoint->clock_base_ms = 1;
+  endpoint->clock_started = sim.now;
+  sim_note (SIM_NO_HOST, true, "RESTARTED endpoint=%s", endpoint->entry.id);
 }
 
 static void
@@ -450,6 +609,10 @@
   endpoint->entry.capacity
       = (struct snipe_capacity){ .cpu = cpu, .mem_mb = 65536 };
   endpoint->clock_rate = clock_rate;
+  endpoint->clock_base_ms = 1000000;
+  endpoint->clock_started = sim.now;
+  endpoint->held_requests = g_ptr_array_new ();
+  endpoint->held_answers = g_ptr_array_new ();
   endpoint->ended
       = g_array_new (FALSE, FALSE, sizeof (struct snipe_endpoint_ended_run));
   endpoint->stopped
@@ -457,9 +620,10 @@
 }
 
 static void
-endpoints_begin (void)
+endpoints_begin (enum model_network network)
 {
-  endpoints = (struct endpoints){ .runs = g_ptr_array_new () };
+  endpoints
+      = (struct endpoints){ .runs = g_ptr_array_new (), .network = network };
 }
 
 static void
@@ -469,6 +633,8 @@
     {
       g_array_free (endpoints.list[i].ended, TRUE);
       g_array_free (endpoints.list[i].stopped, TRUE);
+      g_ptr_array_free (endpoints.list[i].held_requests, TRUE);
+      g_ptr_array_free (endpoints.list[i].held_answers, TRUE);
     }
   g_ptr_array_free (endpoints.runs, TRUE);
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -177,6 +177,7 @@
           .token = from->token,
           .run = from->run,
           .valid_until = from->valid_until,
+          .send_within = from->send_within,
           .timeout = from->timeout,
           .coordinator = from->coordinator };
 
@@ -193,6 +194,7 @@
           .endpoint = endpoint_index (from->endpoint->id),
           .token = from->token,
           .run = from->run,
+          .send_within = from->send_within,
           .timeout = from->timeout };
 
   g_strlcpy (request.task, from->task, sizeof request.task);
@@ -210,6 +212,7 @@
           .last_seen_end = from->last_seen_end,
           .valid_until = from->valid_until,
           .wait = from->wait,
+          .send_within = from->send_within,
           .timeout = from->timeout };
 
   endpoint_send (&request);
@@ -536,6 +539,15 @@
       }
 }
 
+static void
+fleet_cut_endpoint (uint32_t host, uint32_t endpoint, bool begins)
+{
+  if (begins)
+    endpoint_cut (&endpoints.list[endpoint], host);
+  else
+    endpoint_heal (&endpoints.list[endpoint], host);
+}
+
 /* Cuts the domain of a host off from the other domains, or heals that. */
 static void
 fleet_cut_domain (const struct disturbance *disturbance, bool begins)
@@ -553,7 +565,7 @@
           change (i, k, disturbance->hard);
       for (uint32_t k = 0; k < endpoints.count; k++)
         if (inside != (strcmp (endpoints.list[k].entry.domain, domain) == 0))
-          endpoints.list[k].cuts[i] += begins ? 1U : -1U;
+          fleet_cut_endpoint (i, k, begins);
     }
 }
 
@@ -573,10 +585,28 @@
           change (i, k, disturbance->hard);
       for (uint32_t k = 0; k < endpoints.count; k++)
         if ((sides >> i & 1) != (sides >> (SIM_HOSTS + k) & 1))
-          endpoints.list[k].cuts[i] += begins ? 1U : -1U;
+          fleet_cut_endpoint (i, k, begins);
     }
 }
 
+/* Cuts hosts off from an endpoint that restarts, or heals that. */
+static void
+fleet_cut_restarted (const struct disturbance *disturbance, bool begins)
+{
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    if (disturbance->detail >> i & 1)
+      fleet_cut_endpoint (i, disturbance->other, begins);
+}
+
+static void
+fleet_restart_endpoint (void *data)
+{
+  const struct disturbance *disturbance = data;
+
+  endpoint_restart (&endpoints.list[disturbance->other]);
+  fleet.store_version++;
+}
+
 static void
 fleet_note_disturbance (const struct disturbance *disturbance, bool begins)
 {
@@ -633,14 +663,15 @@
         sim.processes[host].frozen = true;
       break;
     case DISTURB_ENDPOINT_CUT:
-      endpoints.list[other].cuts[host]++;
+      fleet_cut_endpoint (host, other, true);
       break;
     case DISTURB_LATE:
       endpoints.list[other].late[host][disturbance->detail]++;
       break;
     case DISTURB_RESTART:
-      endpoint_restart (&endpoints.list[other]);
-      fleet.store_version++;
+      fleet_cut_restarted (disturbance, true);
+      sim_at (sim.now + disturbance->delay, SIM_NO_HOST,
+              fleet_restart_endpoint, disturbance);
       break;
     case DISTURB_SLOW_CLOCK:
       break;
@@ -697,7 +728,10 @@
       transport_pump_all ();
       break;
     case DISTURB_ENDPOINT_CUT:
-      endpoints.list[other].cuts[host]--;
+      fleet_cut_endpoint (host, other, false);
+      break;
+    case DISTURB_RESTART:
+      fleet_cut_restarted (disturbance, false);
       break;
     case DISTURB_LATE:
       endpoints.list[other].late[host][disturbance->detail]--;
@@ -791,7 +825,7 @@
 {
   sim_begin (plan->seed ^ UINT64_C (0x5bd1e995), tracing);
   transport_begin ();
-  endpoints_begin ();
+  endpoints_begin (plan->network);
   endpoints.duration = fleet_duration;
   endpoints.size = fleet_size;
   endpoints.answered = fleet_on_endpoint_answer;
--- a/tests/fleet/plan.h
+++ b/tests/fleet/plan.h
@@ -10,6 +10,7 @@
 
 #define PLAN_JOBS_MAX 48
 #define PLAN_DISTURBANCES_MAX 24
+#define PLAN_RESTARTS_MAX 12
 #define PLAN_DOMAINS 3
 #define PLAN_STORMS 3
 /* Jobs arrive and disturbances begin within this time, once the hosts have
@@ -37,7 +38,7 @@
   DISTURB_FREEZE,
   DISTURB_ENDPOINT_CUT, /**< between a host and an endpoint */
   DISTURB_LATE,         /**< requests of one kind are carried out late */
-  DISTURB_RESTART,      /**< of an endpoint */
+  DISTURB_RESTART,      /**< of an endpoint, behind a cut of some hosts */
   DISTURB_SLOW_CLOCK,   /**< of an endpoint, for the whole time */
   DISTURB_LEAVE,        /**< a caller */
   DISTURB_CALLER_RESET, /**< connection of a caller */
@@ -69,9 +70,10 @@
   snipe_time begin; /**< since the start */
   snipe_time length;
   uint32_t host;
-  uint32_t other;  /**< host, endpoint or job */
-  uint32_t detail; /**< kind of request, permille, or bit set of one side */
-  bool hard;       /**< a lossy cut; the machine is lost, not the process */
+  uint32_t other;   /**< host, endpoint or job */
+  uint32_t detail;  /**< kind of request, permille, or bit set of hosts */
+  snipe_time delay; /**< of a restart, from the beginning of its cut */
+  bool hard;        /**< a lossy cut; the machine is lost, not the process */
   bool off;
 };
 
@@ -92,6 +94,7 @@
 {
   uint64_t seed;
   enum plan_mode mode;
+  enum model_network network;
   uint32_t host_count;
   uint32_t domain_count;
   uint32_t host_domains[SIM_HOSTS];
@@ -100,7 +103,7 @@
   int64_t endpoint_cpu;
   struct plan_job jobs[PLAN_JOBS_MAX];
   uint32_t job_count;
-  struct disturbance disturbances[PLAN_DISTURBANCES_MAX];
+  struct disturbance disturbances[PLAN_DISTURBANCES_MAX + PLAN_RESTARTS_MAX];
   uint32_t disturbance_count;
 };
 
@@ -189,13 +192,57 @@
     }
 }
 
+/* Most restarts happen behind a cut, as a request of before has to be held up
+ * to reach the new incarnation. Half of the cuts last longer than a lease, and
+ * not longer than a call. */
+static void
+plan_draw_cut (struct disturbance *restart, struct sim_random *random)
+{
+  int64_t way = sim_draw (random, 0, 7);
+
+  restart->detail = way == 0 ? 0
+                    : way < 3
+                        ? (uint32_t)sim_draw (random, 1, (1 << SIM_HOSTS) - 1)
+                        : (1U << SIM_HOSTS) - 1;
+  restart->length = (sim_chance (random, 50) ? sim_draw (random, 1300, 2200)
+                                             : sim_draw (random, 100, 3000))
+                    * SNIPE_MS;
+  restart->delay = sim_draw (random, 0, restart->length);
+}
+
+/* Adds the cuts behind which endpoints restart, and restarts around the times
+ * at which tasks start. */
+static void
+plan_draw_restarts (struct plan *plan)
+{
+  struct sim_random random = { ~plan->seed };
+  uint32_t more = (uint32_t)sim_draw (&random, 0, PLAN_RESTARTS_MAX);
+
+  for (uint32_t i = 0; i < more; i++)
+    {
+      const struct plan_job *job
+          = &plan->jobs[sim_draw (&random, 0, plan->job_count - 1)];
+
+      plan->disturbances[plan->disturbance_count++] = (struct disturbance){
+        .kind = DISTURB_RESTART,
+        .begin = job->begin - sim_draw (&random, 0, 60) * SNIPE_MS,
+        .other = (uint32_t)sim_draw (&random, 0, plan->endpoint_count - 1),
+      };
+    }
+  for (uint32_t i = 0; i < plan->disturbance_count; i++)
+    if (plan->disturbances[i].kind == DISTURB_RESTART)
+      plan_draw_cut (&plan->disturbances[i], &random);
+}
+
 static void
 plan_draw (struct plan *plan, uint64_t seed, enum plan_mode mode)
 {
   struct sim_random random = { seed };
   struct storm storms[PLAN_STORMS];
 
-  *plan = (struct plan){ .seed = seed, .mode = mode };
+  *plan = (struct plan){ .seed = seed,
+                         .mode = mode,
+                         .network = MODEL_CONNECTIONS };
   plan->domain_count = (uint32_t)sim_draw (&random, 1, PLAN_DOMAINS);
   plan->host_count
       = (uint32_t)sim_draw (&random, MAX (plan->domain_count, 2), SIM_HOSTS);
@@ -234,6 +281,7 @@
     plan_draw_disturbance (&plan->disturbances[i], plan,
                            &storms[sim_draw (&random, 0, PLAN_STORMS - 1)],
                            &random);
+  plan_draw_restarts (plan);
 }
 
 #endif
--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -14,6 +14,8 @@
 
 /* Of each mode; both take some 7 s of CPU time. */
 #define SEEDS 300
+/* Of each planted fault; the search ends with the first one that finds it. */
+#define PLANTED_SEEDS 100
 /* Lines of a trace, the last ones before the violation. */
 #define TRACE_LINES 90
 
@@ -185,12 +187,39 @@
   search (PLAN_AGAIN);
 }
 
+/* Faults of the client to the endpoints that the search has to find. */
+static void
+test_planted_faults (void)
+{
+  static const enum model_network faults[]
+      = { MODEL_SENT_AGAIN, MODEL_SENT_LATE };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      enum violation_kind found = VIOLATION_NONE;
+      uint64_t seed = 0;
+
+      while (found != VIOLATION_TWO_RUNS && seed < PLANTED_SEEDS)
+        {
+          struct plan plan;
+
+          plan_draw (&plan, ++seed, PLAN_NEVER_AGAIN);
+          plan.network = faults[i];
+          found = fleet_play (&plan, false).kind;
+          fleet_end ();
+        }
+      printf ("found with seed %" G_GUINT64_FORMAT " ", seed);
+      CU_ASSERT_EQUAL (found, VIOLATION_TWO_RUNS);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "jobs are never submitted again", test_never_again },
     { "jobs are submitted again", test_again },
+    { "planted faults", test_planted_faults },
     CU_TEST_INFO_NULL,
   };
 
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "pool/network.h"
 #include "snipe/pool.h"
 #include "snipe/status.h"
 
@@ -21,8 +22,6 @@
 #define MODEL_RUNS 16
 #define MODEL_COORDINATORS 4
 #define MODEL_LEASE (1000 * SNIPE_MS)
-/* As in platform/workers.c: a call ends this long after its timeout. */
-#define MODEL_LATE_ANSWER_MAX (2 * SNIPE_S)
 /* One-way network delay between hosts of one domain at the reference sites. */
 #define MODEL_DELAY (SNIPE_MS / 2)
 /* Of a request or an answer, with the headers of HTTP and TCP. */
@@ -81,19 +80,6 @@
   bool poll_answer_lost;
 };
 
-/** How requests travel to endpoints that restart. */
-enum model_network
-{
-  /** A request reaches any incarnation, however late. */
-  MODEL_ANY_INCARNATION,
-  /** A request is sent once, on a connection to one incarnation, and not later
-   * than the pool allows. */
-  MODEL_CONNECTIONS,
-  /** Faults of the client, for showing that they are found: */
-  MODEL_SENT_AGAIN, /**< if its connection ends without an answer */
-  MODEL_SENT_LATE,  /**< if its connection is established late */
-};
-
 enum model_event_kind
 {
   MODEL_START,
@@ -291,11 +277,8 @@
 {
   snipe_time waited = event->time - event->sent_at - MODEL_DELAY;
 
-  if (!event->connecting || model->network == MODEL_ANY_INCARNATION)
-    return true;
-  if (send_within == 0 || model->network == MODEL_SENT_LATE)
-    return waited <= timeout + MODEL_LATE_ANSWER_MAX;
-  return waited <= send_within;
+  return !event->connecting
+         || model_network_sends (model->network, waited, send_within, timeout);
 }
 
 /* A request that is not disturbed goes on a new connection if none has been
@@ -812,19 +795,11 @@
 static bool
 model_is_reset (const struct model *model, const struct model_event *event)
 {
-  if (event->kind > MODEL_POLL
-      || event->connected_at
-             >= model->endpoints[event->endpoint].clock_started)
-    return false;
-  switch (model->network)
-    {
-    case MODEL_ANY_INCARNATION:
-      return false;
-    case MODEL_SENT_AGAIN:
-      return model->now - event->sent_at > MODEL_LATE_ANSWER_MAX;
-    default:
-      return true;
-    }
+  return event->kind <= MODEL_POLL
+         && event->connected_at
+                < model->endpoints[event->endpoint].clock_started
+         && model_network_resets (model->network, model->now - event->sent_at,
+                                  MODEL_LATE_ANSWER_MAX);
 }
 
 static void
