Remove the watch of a start's connection that was not established

What was seen: after a start whose connection timed out, the next start never ended, although its timeout was 5 s. A caller of the own interface would wait for as long.

The next connection with that descriptor was changed in epoll instead of added, which fails; the socket callback returned -1, with which libcurl aborts the multi handle. That is how the code reads; libcurl's state was not inspected.

Change: the registration of a socket is removed when libcurl stops watching it before its connection was established. The callback that opens a socket and the pre-request callback tell which these are.

Measured: test_unwatched_connection, case "timed out", fails without the change (the start after the timeout has not ended after 10 s) and passes with it in six runs; "served" passes either way, "refused" was not reached before. Five runs of test_endpoint_client pass.

--- a/src/endpoint/client.c
+++ b/src/endpoint/client.c
@@ -99,10 +99,23 @@
   return 0;
 }
 
+/* Whether the connection of a transfer has not been established. libcurl's own
+ * transfers, which close idle connections, have no start. */
+static bool
+is_connecting (CURL *easy)
+{
+  struct snipe_start *start = NULL;
+
+  (void)curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&start);
+  return start != NULL && start->connecting;
+}
+
 /* libcurl stops watching a socket at the end of each exchange and watches it
  * again for the next one. The epoll registration is kept in between, which
  * saves two system calls per start; handle_event () removes it if the socket
- * becomes readable while idle. */
+ * becomes readable while idle. libcurl 7.88 closes a connection that was not
+ * established without the close callback, and its descriptor may be used again
+ * at once, so the registration of such a one is removed. */
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
 {
@@ -110,7 +123,6 @@
   struct watch *watch = find_watch (worker, fd);
   uint32_t events = 0;
 
-  (void)easy;
   (void)socket_ctx;
   if (watch == NULL)
     return -1;
@@ -119,6 +131,12 @@
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
     events |= EPOLLOUT;
   watch->wanted = events;
+  if (events == 0 && is_connecting (easy))
+    {
+      (void)register_watch (worker, fd, watch, 0);
+      *watch = (struct watch){ 0 };
+      return 0;
+    }
   if (events == 0)
     return 0;
   return register_watch (worker, fd, watch, events);
--- a/src/endpoint/start.c
+++ b/src/endpoint/start.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "snipe/status.h"
 #include "util/blocklist.h"
@@ -31,6 +32,7 @@
   (void)local_ip;
   (void)remote_port;
   (void)local_port;
+  start->connecting = false;
   if (start->written || snipe_blocklist_contains (start->address)
       || snipe_clock_now () - start->queued_at > WRITE_DELAY_MAX)
     return CURL_PREREQFUNC_ABORT;
@@ -38,6 +40,17 @@
   return CURL_PREREQFUNC_OK;
 }
 
+static curl_socket_t
+on_open (void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+  struct snipe_start *start = ctx;
+
+  (void)purpose;
+  start->connecting = true;
+  return socket (address->family, address->socktype | SOCK_CLOEXEC,
+                 address->protocol);
+}
+
 static size_t
 on_data (char *data, size_t size, size_t count, void *ctx)
 {
@@ -84,6 +97,7 @@
   result |= curl_easy_setopt (easy, CURLOPT_POST, 1L);
   result |= curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
   result |= curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_prereq);
+  result |= curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
   if (result != CURLE_OK)
     return snipe_status_set (SNIPE_E_INTERNAL,
                              "libcurl does not support a required option");
@@ -107,6 +121,7 @@
   result |= curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, left_ms);
   result |= curl_easy_setopt (easy, CURLOPT_WRITEDATA, start);
   result |= curl_easy_setopt (easy, CURLOPT_PREREQDATA, start);
+  result |= curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, start);
   result |= curl_easy_setopt (easy, CURLOPT_PRIVATE, start);
   return result == CURLE_OK ? SNIPE_OK : SNIPE_E_NOMEM;
 }
--- a/src/endpoint/start.h
+++ b/src/endpoint/start.h
@@ -30,8 +30,9 @@
   char *response;
   size_t response_len;
   size_t response_capacity;
-  bool written;   /**< libcurl was allowed to write the request */
-  bool too_large; /**< the response exceeded the limit */
+  bool connecting; /**< on a new connection */
+  bool written;    /**< libcurl was allowed to write the request */
+  bool too_large;  /**< the response exceeded the limit */
 };
 
 /** Sets the options of an easy handle that are the same for all starts. */
