--- a/tests/pool/test_unsent_requests.c
+++ b/tests/pool/test_unsent_requests.c
@@ -108,14 +108,13 @@
       submit (&model, 1);
       model_advance (&model, begin + 5 * SNIPE_S);
       result = model_find_result (&model, 1);
-      CU_ASSERT_PTR_NOT_NULL_FATAL (result);
-      CU_ASSERT_EQUAL (result->done, 1);
+      CU_ASSERT_TRUE (result != NULL && result->done == 1);
       CU_ASSERT_EQUAL (model.starts, cases[i].starts);
-      CU_ASSERT_TRUE (result->time - begin <= cases[i].done_by);
+      CU_ASSERT_TRUE (result != NULL
+                      && result->time - begin <= cases[i].done_by);
       CU_ASSERT_TRUE (snipe_pool_idle (model.owners[OWNER].pool));
       if (CU_get_number_of_failures () > before)
-        printf ("  %s: %u starts, %d ms\n", cases[i].name, model.starts,
-                (int)((result->time - begin) / SNIPE_MS));
+        printf ("  %s: %u starts\n", cases[i].name, model.starts);
       model_clear (&model);
     }
 }
