--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -282,6 +282,15 @@
   return true;
 }
 
+bool
+snipe_pool_adopt_run (struct snipe_pool *pool, struct run *run)
+{
+  for (guint i = 0; i < pool->batches->len; i++)
+    if (snipe_batch_adopt_run (g_ptr_array_index (pool->batches, i), run))
+      return true;
+  return false;
+}
+
 /* Completes a pending task.
  * @return whether the batch is finished and freed */
 static bool
--- a/src/pool/batch.h
+++ b/src/pool/batch.h
@@ -19,6 +19,9 @@
 /** Attaches an orphaned run if it belongs to a waiting task of the batch.
  * @return whether it does. */
 bool snipe_batch_adopt_run (struct batch *batch, struct run *run);
+/** Attaches a run to the batch whose task waits for one.
+ * @return whether there is one */
+bool snipe_pool_adopt_run (struct snipe_pool *pool, struct run *run);
 /** Records the outcome of a run; the caller has removed the run from its
  * endpoint. May free the batch. */
 void snipe_batch_record_end (struct snipe_pool *pool, struct run *run,
--- a/src/pool/requests.h
+++ b/src/pool/requests.h
@@ -7,9 +7,21 @@
 
 #include "pool/private.h"
 
+/* Least timeout of a start or stop request. A healthy endpoint on a fast link
+ * answers within a few ms, and a duplicate start request for the same run is
+ * harmless, so the retry is sent early. */
+#define REQUEST_TIMEOUT_MIN (80 * SNIPE_MS)
 /* Least time that an answer to a poll request may take beyond its wait. */
 #define POLL_TIMEOUT_MARGIN (150 * SNIPE_MS)
 
+/** Longest timeout: an unanswered request must be noticed before the lease
+ * that the previous one extended expires. */
+static inline snipe_time
+snipe_pool_request_timeout_max (const struct snipe_pool *pool)
+{
+  return pool->lease_max / 2;
+}
+
 /** Adds the requests that the budget for resends gains as time passes. */
 void snipe_pool_refill_resends (struct snipe_pool *pool, snipe_time now);
 /** Requests the running and ended runs. With @p wait it is a long poll: the
