review: a job's limit for each worker is counted by batch

Cause: a pool counts the runs of one batch, and a wide job may have two there. Adds review/9: jobs with max_per_server that are wider than the free room of a pool.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../stand/run.sh" 9
