review: a pool is claimed with a list that lacks endpoints

Cause: a new owner takes the leases of the earlier one as expired 1.05 s after its claim, but at endpoints that it does not list the earlier one extends them until it hears of the claim.

--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -23,7 +23,9 @@
 #include "../../tests/soak/proxy.h"
 
 #define ZONES 4
-#define WORKERS_MAX 16
+#define WORKERS_MAX 128
+/* Overlap of two runs that no delay of the stand-ins explains. */
+#define OVERLAP_MS 20
 #define WORKER_CORES 64000
 /* The site's traffic starts this long after its machines. */
 #define LEAD_MS 10000
@@ -54,6 +56,7 @@
   struct host *to;
   struct host *from; /**< NULL: not known yet */
   int fds[2];
+  bool lost; /**< bytes were lost in a cut */
 };
 
 struct start
@@ -216,6 +219,49 @@
   return count;
 }
 
+static bool
+overlap (const struct start *one, const struct start *two, int64_t now)
+{
+  int64_t one_end = one->ended_ms == 0 ? now : one->ended_ms;
+  int64_t two_end = two->ended_ms == 0 ? now : two->ended_ms;
+
+  return MIN (one_end, two_end) - MAX (one->at_ms, two->at_ms) >= OVERLAP_MS;
+}
+
+int
+stand_count_twice (void)
+{
+  GHashTable *last_by_task = g_hash_table_new (g_str_hash, g_str_equal);
+  GString *text = g_string_new (NULL);
+  int64_t now = stand_ms ();
+  int count = 0;
+
+  g_mutex_lock (&lock);
+  for (guint i = 0; i < starts->len; i++)
+    {
+      struct start *start = g_ptr_array_index (starts, i);
+      const struct start *last
+          = g_hash_table_lookup (last_by_task, start->task);
+
+      if (last != NULL && overlap (last, start, now))
+        {
+          count++;
+          g_string_append_printf (
+              text,
+              " %s: on %s from %.3f to %.3f and on %s from %.3f to %.3f;",
+              start->task, last->worker, (double)last->at_ms / 1000,
+              (double)last->ended_ms / 1000, start->worker,
+              (double)start->at_ms / 1000, (double)start->ended_ms / 1000);
+        }
+      g_hash_table_replace (last_by_task, start->task, start);
+    }
+  g_mutex_unlock (&lock);
+  stand_record ("twice   %s", text->str);
+  g_string_free (text, TRUE);
+  g_hash_table_destroy (last_by_task);
+  return count;
+}
+
 /* Counts what ran on the worker of a start when that began. */
 static int
 count_beside (const struct start *start, const char *job)
@@ -371,6 +417,11 @@
     return false;
   if (side == 0 && relay->from == NULL)
     relay->from = find_sender (block, (size_t)len);
+  if (is_cut (relay) && options.cuts_lose)
+    {
+      relay->lost = true;
+      return true;
+    }
   while (is_cut (relay))
     g_usleep (5000);
   return send_all (relay->fds[1 - side], block, len);
@@ -388,11 +439,14 @@
       struct pollfd fds[2] = { { .fd = relay->fds[0], .events = POLLIN },
                                { .fd = relay->fds[1], .events = POLLIN } };
 
-      if (relay->from != NULL && is_cut (relay))
+      if (relay->from != NULL && is_cut (relay) && !options.cuts_lose)
         {
           g_usleep (5000);
           continue;
         }
+      /* The sender's bytes cannot arrive any more. */
+      if (relay->lost && !is_cut (relay))
+        break;
       if (poll (fds, 2, 20) <= 0)
         continue;
       for (int i = 0; i < 2 && open; i++)
@@ -525,6 +579,15 @@
   g_atomic_int_set (&hosts[host].cut, cut);
 }
 
+void
+stand_store_cut (int host, bool cut)
+{
+  stand_record ("trouble  %s %s the store", hosts[host].name,
+                cut ? "is cut off from" : "is connected again to");
+  proxy_set_mode (hosts[host].store_proxy,
+                  cut ? PROXY_DROP_FROM_CLIENT : PROXY_FORWARD, 0);
+}
+
 void
 stand_store_turn_away (bool away)
 {
@@ -585,6 +648,13 @@
   g_atomic_int_inc (&worker_count);
 }
 
+void
+stand_worker_add (const char *zone)
+{
+  stand_record ("trouble  giro-%s-%d joins", zone, worker_count + 1);
+  add_worker (zone, worker_count + 1);
+}
+
 static void
 add_workers (void)
 {
@@ -727,8 +797,9 @@
   if (record == NULL || access (options.program, X_OK) != 0)
     return false;
   store = fake_store_new ();
-  if (options.store_proxy)
-    hosts[STAND_ENNA_1].store_proxy = proxy_new (fake_store_port (store));
+  for (int i = 0; i < STAND_HOSTS; i++)
+    if (options.cuts_lose || (options.store_proxy && i == STAND_ENNA_1))
+      hosts[i].store_proxy = proxy_new (fake_store_port (store));
   write_config ();
   add_workers ();
   for (int i = 0; i < STAND_HOSTS; i++)
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -36,6 +36,9 @@
   int64_t slo_ms;       /**< of the only queue */
   bool cuts;            /**< hosts reach each other through proxies */
   bool store_proxy;     /**< edge-enna-1 reaches the store through a proxy */
+  /** What is sent to a host in a cut is lost, and so are its connections; all
+   *  hosts reach the store through proxies. */
+  bool cuts_lose;
 };
 
 /** What a client saw of a request. */
@@ -70,8 +73,12 @@
 /** Cuts one host off from all other hosts, silently, or ends the cut. */
 void stand_host_cut (int host, bool cut);
 
+/** Cuts one host off from the store, silently, or ends that. */
+void stand_store_cut (int host, bool cut);
 /** Resets all connections of edge-enna-1 to the store, or ends that. */
 void stand_store_turn_away (bool away);
+/** Adds a worker to a zone. */
+void stand_worker_add (const char *zone);
 /** Changes the capacity of a zone's first worker, which reports it. */
 void stand_worker_resize (const char *zone, double share);
 /** @return the number of starts that brought a worker over its capacity. One
@@ -91,6 +98,8 @@
 
 /** @return how many tasks of the job workers have started from a time on. */
 int stand_count_starts (const char *job, int64_t from_ms);
+/** @return how many times two runs of one task overlapped by 20 ms or more. */
+int stand_count_twice (void);
 /** @return the most tasks of the job that ran on one worker at a time. */
 int stand_most_on_one_worker (const char *job);
 
