Show that a task runs twice after its pool's owner was killed

The cause: beside a run that a batch claims, the lease of an unclaimed run of the killed host is extended without a bound, and its stops may be lost.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -23,6 +23,9 @@
 #define HEARTBEAT_MS 1500
 #define WAIT_MAX_MS 2000
 #define ENDED_MAX 500
+/* When an order without an answer is carried out. */
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
 
 extern char **environ;
 
@@ -589,6 +592,15 @@
       json_pack ("{s:o, s:o}", "running", running, "finished", finished));
 }
 
+/* Whether an order gets no answer and is carried out late. */
+static bool
+is_late (const struct rig_worker_state *state)
+{
+  int permille = g_atomic_int_get (&state->worker->late_permille);
+
+  return permille > 0 && g_random_int_range (0, 1000) < permille;
+}
+
 static void
 serve_worker (void *ctx, struct http_exchange *exchange)
 {
@@ -597,6 +609,18 @@
       = json_loadb (exchange->body->str, exchange->body->len, 0, NULL);
   int64_t token = json_integer_value (json_object_get (body, "fencing_token"));
 
+  bool late = strcmp (exchange->path, "/api/hold") != 0 && is_late (state);
+
+  if (late)
+    {
+      const json_t *task = json_object_get (body, "task");
+      int delay = g_random_int_range (LATE_MIN_MS, LATE_MAX_MS);
+
+      rig_note ("worker %s: %s %s gets no answer, carried out %d ms later",
+                state->worker->id, exchange->path,
+                task == NULL ? "" : json_string_value (task), delay);
+      rig_sleep (delay);
+    }
   g_mutex_lock (&state->lock);
   update_runs (state);
   if (token < state->token)
@@ -613,6 +637,8 @@
       else
         exchange->status = 404;
     }
+  if (late)
+    exchange->status = 0;
   g_mutex_unlock (&state->lock);
   json_decref (body);
 }
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -64,6 +64,8 @@
   const char *kind;
   const char *rack;
   int64_t cpu;
+  int late_permille; /**< atomic: so many orders get no answer and are carried
+                        out late */
   struct rig_worker_state *state;
 };
 /** A worker that runs a task for as long as "d=MS" in its spec says. */
