--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -17,7 +17,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "soak/http_server.h"
+#include "../../tests/soak/http_server.h"
 
 #define LEASE_MAX_MS 1000
 #define HEARTBEAT_MS 1500
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -14,7 +14,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#include "soak/proxy.h"
+#include "../../tests/soak/proxy.h"
 
 #define RIG_HOSTS_MAX 8
 
