Log how far the lease of an endpoint is extended, and which run bounds it

Change: event=lease for each request at an endpoint that has an unclaimed run, or whose lease may be extended by less than the longest one: the run that it is extended for, by how much, the run that bounds it and when that has to end.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -299,6 +299,23 @@
   uint32_t by_priority;
 };
 
+/** A request extends the lease of an endpoint at which an earlier owner's run
+ * is unclaimed, or for less than the longest lease. */
+struct snipe_pool_lease
+{
+  const char *endpoint;
+  /** A run that the lease is extended for, NULL: a start, or unclaimed runs.
+   */
+  const char *task;
+  snipe_time length;      /**< 0 or less: it is not extended */
+  const char *bounded_by; /**< run that has to end first, NULL: none */
+  uint32_t bounding_run;  /**< its number */
+  bool claimed;           /**< it belongs to a batch */
+  /** Until that run has to have ended, INT64_MAX: without end. */
+  snipe_time until_due;
+  uint32_t unclaimed; /**< number of runs of no batch */
+};
+
 struct snipe_pool_callbacks
 {
   void *ctx;
@@ -316,6 +333,8 @@
    * may be NULL. */
   void (*assumed_end) (void *ctx, const struct snipe_pool_assumed_end *end);
   /** For the log; may be NULL. */
+  void (*lease) (void *ctx, const struct snipe_pool_lease *lease);
+  /** For the log; may be NULL. */
   void (*found_run) (void *ctx, const struct snipe_pool_found_run *found);
   /** A run is done that had been taken as ended, or that a batch took although
    * it did not know the run. For the log; may be NULL. */
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -206,6 +206,23 @@
       end->start_requests, (int)end->stop_confirmed);
 }
 
+void
+snipe_owned_pool_lease (void *ctx, const struct snipe_pool_lease *lease)
+{
+  struct owned_pool *owned = ctx;
+
+  snipe_node_log (owned->node,
+                  "event=lease endpoint=%s task=%s lease_ms=%" G_GINT64_FORMAT
+                  " bounded_by=%s run=%u claimed=%d due_ms=%" G_GINT64_FORMAT
+                  " unclaimed=%u",
+                  lease->endpoint, lease->task == NULL ? "-" : lease->task,
+                  MAX (lease->length, 0) / SNIPE_MS,
+                  lease->bounded_by == NULL ? "-" : lease->bounded_by,
+                  lease->bounding_run, (int)lease->claimed,
+                  lease->bounded_by == NULL ? -1 : lease->until_due / SNIPE_MS,
+                  lease->unclaimed);
+}
+
 void
 snipe_owned_pool_found_run (void *ctx,
                             const struct snipe_pool_found_run *found)
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -258,6 +258,7 @@
                               const struct snipe_pool_result *result);
 void snipe_owned_pool_assumed_end (void *ctx,
                                    const struct snipe_pool_assumed_end *end);
+void snipe_owned_pool_lease (void *ctx, const struct snipe_pool_lease *lease);
 void snipe_owned_pool_found_run (void *ctx,
                                  const struct snipe_pool_found_run *found);
 void snipe_owned_pool_late_end (void *ctx,
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -284,12 +284,9 @@
   return MAX (heard, batch->sent_at) + pool->resend_after - pool->stop_max;
 }
 
-/* @return until when a run may go on at most. A stop request may be lost, so
- * that only the lease ends the run, and a request that arrives later would
- * extend it again. */
-static snipe_time
-run_end_due (const struct snipe_pool *pool, const struct run *run,
-             snipe_time now)
+snipe_time
+snipe_pool_run_end_due (const struct snipe_pool *pool, const struct run *run,
+                        snipe_time now)
 {
   if (run->state == RUN_STOPPING && run->stop_confirmed)
     return INT64_MAX;
@@ -317,8 +314,8 @@
 
   for (guint i = 0; i < endpoint->runs->len; i++)
     end_due
-        = MIN (end_due,
-               run_end_due (pool, g_ptr_array_index (endpoint->runs, i), now));
+        = MIN (end_due, snipe_pool_run_end_due (
+                            pool, g_ptr_array_index (endpoint->runs, i), now));
   return lease_until (pool, end_due, now);
 }
 
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -326,6 +326,11 @@
 snipe_time snipe_pool_batch_end_due (const struct snipe_pool *pool,
                                      const struct batch *batch,
                                      snipe_time now);
+/** @return until when a run may go on at most. A stop request may be lost, so
+ * that only the lease ends the run, and a request that arrives later would
+ * extend it again. INT64_MAX: without end. */
+snipe_time snipe_pool_run_end_due (const struct snipe_pool *pool,
+                                   const struct run *run, snipe_time now);
 /** @return the longest time for which a request may extend the lease of the
  * endpoint, by its clock, which all its runs share. 0 or less if one of them
  * has to end first. */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -71,6 +71,38 @@
   return MIN (until, now + snipe_pool_lease_bound (pool, endpoint, now));
 }
 
+/* Reports a decision on a lease that depends on more than claimed runs of live
+ * coordinators. */
+static void
+report_lease (const struct snipe_pool *pool,
+              const struct snipe_pool_endpoint *endpoint, snipe_time length,
+              snipe_time now)
+{
+  struct snipe_pool_lease lease = { .endpoint = endpoint->entry.id,
+                                    .length = length,
+                                    .until_due = INT64_MAX };
+
+  if (pool->callbacks.lease == NULL)
+    return;
+  for (guint i = 0; i < endpoint->runs->len; i++)
+    {
+      const struct run *run = g_ptr_array_index (endpoint->runs, i);
+      snipe_time end_due = snipe_pool_run_end_due (pool, run, now);
+
+      lease.unclaimed += run->batch == NULL;
+      if (run->batch != NULL && run->state != RUN_STOPPING)
+        lease.task = run->task;
+      if (end_due == INT64_MAX || end_due - now >= lease.until_due)
+        continue;
+      lease.bounded_by = run->task;
+      lease.bounding_run = run->number;
+      lease.claimed = run->batch != NULL;
+      lease.until_due = end_due - now;
+    }
+  if (lease.unclaimed > 0 || lease.until_due < pool->lease_max)
+    pool->callbacks.lease (pool->callbacks.ctx, &lease);
+}
+
 /* @return for how long a poll request that extends the lease by @p lease waits
  * for the end of a run; with its margin, that is the same time whatever the
  * margin. */
@@ -118,11 +150,14 @@
   if (endpoint->clock_read_at > 0 && lease_until > now
       && (wait || endpoint->last_received_at >= endpoint->poll_sent))
     {
+      report_lease (pool, endpoint, lease_until - now, now);
       snipe_pool_endpoint_extend_lease (endpoint, lease_until - now, margin,
                                         now);
       request.valid_until = snipe_pool_endpoint_clock (endpoint, now)
                             + (lease_until - now) / SNIPE_MS;
     }
+  else if (endpoint->runs->len > 0)
+    report_lease (pool, endpoint, 0, now);
   /* Any other may establish the connection to a slow endpoint, however long
    * that takes. */
   if (request.valid_until > 0 || request.last_seen_end > 0)
@@ -206,6 +241,7 @@
     snipe_retry_budget_refill (&pool->resends);
   run->start_requests++;
   run->start_overdue = false;
+  report_lease (pool, endpoint, lease, now);
   snipe_pool_endpoint_extend_lease (endpoint, lease, request.send_within, now);
   pool->callbacks.start (pool->callbacks.ctx, &request);
 }
