Refuse a job of which a field cannot be kept as it is

Cause: the decoder gave each field that it did not understand a value that works: a larger count was 4,096, a limit or a label of another type was none, steps that last ended, a repeated job ran once. Change: each field is decoded once with its type and its range, or the job is refused before anything of it runs. At most 4,096 tasks are accepted, the size of a message between hosts. Tests: "no count" expected a job of one task.

--- a/include/snipe/coordinator.h
+++ b/include/snipe/coordinator.h
@@ -15,6 +15,10 @@
 
 #include "snipe/pool.h"
 
+/** Most tasks of a job. A message between hosts holds a batch of a whole job.
+ */
+#define SNIPE_JOB_TASKS_MAX 4096
+
 struct snipe_coordinator;
 
 /** Whether any listed endpoint could run the tasks of a job at all. */
--- a/include/snipe/counter.h
+++ b/include/snipe/counter.h
@@ -15,6 +15,8 @@
   X (JOBS_ACCEPTED, "jobs_accepted_total", "counter", "Jobs accepted")        \
   X (JOBS_COMPLETE, "jobs_complete_total", "counter", "Jobs complete")        \
   X (JOBS_NOT_RUN, "jobs_not_run_total", "counter", "Jobs not run")           \
+  X (JOBS_REFUSED, "jobs_refused_total", "counter",                           \
+     "Jobs refused because a field cannot be kept")                           \
   X (JOBS_UNKNOWN, "jobs_unknown_total", "counter",                           \
      "Jobs failed that may have run")                                         \
   X (JOBS_RESUBMITTED, "jobs_resubmitted_total", "counter",                   \
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -6,6 +6,9 @@
 #include "snipe/counter.h"
 #include "snipe/status.h"
 
+/* A batch may hold all tasks of a job. */
+G_STATIC_ASSERT (SNIPE_JOB_TASKS_MAX <= LINK_TASKS_MAX);
+
 #define FREE_CPU_ENTRIES_MAX 512
 /* A batch that was in transit for longer, because its connection or this
  * process was stalled, is not started: its caller may have resent the job by
--- a/tests/adapter/test_formats.c
+++ b/tests/adapter/test_formats.c
@@ -270,7 +270,7 @@
       SNIPE_OK, 3 },
     { "no count",
       "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"cpu\":500}]}",
-      SNIPE_OK, 1 },
+      SNIPE_E_INVALID, 0 },
     { "same rack",
       "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"count\":3,"
       "\"same_rack\":true}]}",
@@ -280,7 +280,9 @@
     { "to be stored", "{\"spec\":\"s\",\"steps\":[{\"count\":3}]}",
       SNIPE_E_UNFIT, 0 },
     { "gang",
-      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"gang\":true}]}",
+      "{\"spec\":\"s\",\"best_effort\":true,\"steps\":[{\"count\":2,\"gang\":"
+      "true}]"
+      "}",
       SNIPE_E_UNFIT, 0 },
     { "no steps", "{\"spec\":\"s\"}", SNIPE_E_INVALID, 0 },
     { "no spec", "{\"steps\":[{}]}", SNIPE_E_INVALID, 0 },
@@ -305,6 +307,101 @@
     }
 }
 
+/* Fields of a job, of its only step and outside of it. */
+struct field_case
+{
+  const char *step;
+  const char *job;
+  int status;
+  const char
+      *reason; /**< part of the error: the field, its value, the limit */
+};
+
+/* Guards against a field that is not kept being changed in silence: the job
+ * was answered as completed although other tasks had run, or had run
+ * otherwise. */
+static void
+test_job_fields (void)
+{
+  static const struct field_case cases[] = {
+    { "'count':4096", "", SNIPE_OK, "" },
+    { "'count':4097", "", SNIPE_E_UNFIT,
+      "count is 4097: has to be at most 4096" },
+    { "'count':1e30", "", SNIPE_E_INVALID, "count is 1e30: " },
+    { "'count':0", "", SNIPE_E_INVALID, "count is 0: has to be 1 to " },
+    { "", "", SNIPE_E_INVALID, "count is missing" },
+    { "'count':null", "", SNIPE_E_INVALID, "count is null" },
+    { "'count':-3", "", SNIPE_E_INVALID, "count is -3" },
+    { "'count':'5'", "", SNIPE_E_INVALID, "count is \"5\"" },
+    { "'count':2.5", "", SNIPE_E_INVALID, "count is 2.5" },
+    { "'count':2.0", "", SNIPE_OK, "" },
+    { "'count':2,'count':3", "", SNIPE_E_INVALID, "duplicate" },
+    { "'count':2,'max_per_server':-1", "", SNIPE_E_INVALID,
+      "max_per_server is -1" },
+    { "'count':2,'max_per_server':'1'", "", SNIPE_E_INVALID,
+      "max_per_server is" },
+    { "'count':2,'max_per_server':4294967296", "", SNIPE_E_INVALID,
+      "0 to 4294967295" },
+    { "'count':2,'max_per_server':0", "", SNIPE_OK, "" },
+    { "'count':2,'requires':7", "", SNIPE_E_INVALID, "requires is 7" },
+    { "'count':2,'requires':['zz']", "", SNIPE_E_INVALID, "requires is" },
+    { "'count':2,'requires':''", "", SNIPE_OK, "" },
+    { "'count':2,'affinity':3", "", SNIPE_E_INVALID, "affinity is 3" },
+    { "'count':2,'same_rack':1", "", SNIPE_E_INVALID, "same_rack is 1" },
+    { "'count':2,'gang':'true'", "", SNIPE_E_INVALID, "gang is" },
+    { "'count':2,'gang':1", "", SNIPE_E_INVALID, "gang is 1" },
+    { "'count':2,'gang':false", "", SNIPE_OK, "" },
+    { "'count':2,'long_running':true", "", SNIPE_E_UNFIT,
+      "long_running is true" },
+    { "'count':2,'may_miss':1", "", SNIPE_E_UNFIT, "may_miss is 1" },
+    { "'count':2,'target_ms':20", "", SNIPE_E_UNFIT, "target_ms is 20" },
+    { "'count':2,'fills':true", "", SNIPE_E_UNFIT, "fills is true" },
+    { "'count':2,'after':[0]", "", SNIPE_E_INVALID, "after is [0]" },
+    { "'count':2,'after':[]", "", SNIPE_OK, "" },
+    { "'count':2,'speculative':true,'checkpointing':true,'image':'i'", "",
+      SNIPE_OK, "" },
+    { "'count':2,'cpu':'900000'", "", SNIPE_E_INVALID, "cpu is" },
+    { "'count':2,'cpu':-500", "", SNIPE_E_INVALID, "cpu is -500" },
+    { "'count':2,'gpu':1099511627776", "", SNIPE_E_INVALID, "gpu is" },
+    { "'count':2,'cpu':0,'mem_mb':null", "", SNIPE_OK, "" },
+    { "'count':2,'estimate_ms':-5", "", SNIPE_E_INVALID, "estimate_ms is -5" },
+    { "'count':2,'estimate_ms':1e15", "", SNIPE_E_UNFIT, "at most 86400000" },
+    { "'count':2,'estimate_ms':62.5", "", SNIPE_OK, "" },
+    { "'count':2", ",'repeat_count':'3'", SNIPE_E_INVALID, "repeat_count is" },
+    { "'count':2", ",'repeat_count':3", SNIPE_E_UNFIT, "repeat_count is 3" },
+    { "'count':2", ",'repeat_count':0,'first_run_ms':0", SNIPE_OK, "" },
+    { "'count':2", ",'first_run_ms':5", SNIPE_E_UNFIT, "first_run_ms is 5" },
+    { "'count':2", ",'best_effort':true", SNIPE_E_INVALID, "duplicate" },
+    { "'count':2", ",'spec':7", SNIPE_E_INVALID, "spec is 7" },
+    { "'count':2", ",'spec':''", SNIPE_OK, "" },
+    { "'count':2", "", SNIPE_OK, "" },
+    { "'count':2,'later':1", ",'newer':[1]", SNIPE_OK, "" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *body = g_strdup_printf ("{'best_effort':true,'steps':[{%s}]%s}",
+                                    cases[i].step, cases[i].job);
+      struct platform_job job;
+      int status;
+
+      g_strdelimit (body, "'", '"');
+      status = platform_job_decode (&job, body, strlen (body));
+      if (status != cases[i].status
+          || (status < 0
+              && strstr (snipe_status_last (), cases[i].reason) == NULL))
+        printf ("%s: %d %s\n", body, status,
+                status < 0 ? snipe_status_last () : "");
+      CU_ASSERT_EQUAL (status, cases[i].status);
+      if (status < 0)
+        CU_ASSERT_PTR_NOT_NULL (
+            strstr (snipe_status_last (), cases[i].reason));
+      if (status == SNIPE_OK)
+        json_decref (job.root);
+      g_free (body);
+    }
+}
+
 /* Guards against keeping a spec over the pages' limit for as long as its job
  * runs, and against decoding a body of many small values, which takes eighty
  * times its size. */
@@ -333,7 +430,8 @@
       for (int k = 0; k < cases[i].empty_steps; k++)
         g_string_append (body, "{},");
       g_string_append_printf (
-          body, "{\"cpu\":1,\"mem_mb\":1}],\"spec\":\"%s\"}", spec);
+          body, "{\"count\":1,\"cpu\":1,\"mem_mb\":1}],\"spec\":\"%s\"}",
+          spec);
       status = platform_job_decode (&job, body->str, body->len);
       if (status != cases[i].status)
         printf ("%s: %d\n", cases[i].name, status);
@@ -388,10 +486,15 @@
 main (void)
 {
   CU_TestInfo tests[] = {
-    { "leaves", test_leaves }, { "endpoint", test_endpoint },
-    { "digest", test_digest }, { "report", test_report },
-    { "job", test_job },       { "large jobs", test_large_jobs },
-    { "rows", test_rows },     CU_TEST_INFO_NULL,
+    { "leaves", test_leaves },
+    { "endpoint", test_endpoint },
+    { "digest", test_digest },
+    { "report", test_report },
+    { "job", test_job },
+    { "fields of a job", test_job_fields },
+    { "large jobs", test_large_jobs },
+    { "rows", test_rows },
+    CU_TEST_INFO_NULL,
   };
 
   return suite_run ("formats", tests);
