--- a/tests/adapter/test_malformed.c
+++ b/tests/adapter/test_malformed.c
@@ -143,13 +143,26 @@
   g_ptr_array_free (findings, TRUE);
 }
 
+/* Guards against a job that runs as another one than was written: a field that
+ * was not understood had the value of one that is missing. */
 static void
 decode_job (const GString *text)
 {
   struct platform_job job;
+  const json_t *step;
 
   if (platform_job_decode (&job, text->str, text->len) < 0)
     return;
+  step = json_array_get (json_object_get (job.root, "steps"), 0);
+  CU_ASSERT_EQUAL (json_number_value (json_object_get (step, "count")),
+                   job.count);
+  CU_ASSERT_EQUAL (
+      json_number_value (json_object_get (step, "max_per_server")),
+      job.max_per_endpoint);
+  CU_ASSERT_EQUAL (json_number_value (json_object_get (step, "cpu")),
+                   (double)job.task_resources.cpu);
+  CU_ASSERT_EQUAL (json_string_length (json_object_get (step, "requires")),
+                   strlen (job.label));
   CU_ASSERT_TRUE (is_valid_capacity (&job.task_resources));
   CU_ASSERT_TRUE (job.count >= 1 && job.count <= 4096);
   CU_ASSERT_TRUE (job.estimate > 0 && job.estimate < RESOURCE_LIMIT);
