--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -311,6 +311,8 @@
   const char *bounded_by; /**< run that has to end first, NULL: none */
   uint32_t bounding_run;  /**< its number */
   bool claimed;           /**< it belongs to a batch */
+  uint64_t coordinator;   /**< of that batch, whose last stamp is the bound */
+  int64_t valid_until;    /**< endpoint clock, ms; 0: it is not extended */
   /** Until that run has to have ended, INT64_MAX: without end. */
   snipe_time until_due;
   uint32_t unclaimed; /**< number of runs of no batch */
@@ -517,6 +519,9 @@
                                                snipe_time now);
 /** @return whether no batch is open and no run is known. */
 bool snipe_pool_idle (const struct snipe_pool *pool);
+/** @return whether the batch is open. */
+bool snipe_pool_has_batch (struct snipe_pool *pool, uint64_t coordinator,
+                           uint64_t number);
 /** @return whether a batch of @p coordinator is open. */
 bool snipe_pool_has_batch_of (const struct snipe_pool *pool,
                               uint64_t coordinator);
--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -12,6 +12,9 @@
 #include "util/mpsc.h"
 
 #define EVENTS_MAX 64
+/* A longer time than planned in which the loop has not looked at its
+ * descriptors is logged: at most ten lines a second. */
+#define STALL_LOGGED (100 * SNIPE_MS)
 
 struct posted_call
 {
@@ -30,6 +33,12 @@
    * the removed watch, so that its callback is not called. */
   struct epoll_event events[EVENTS_MAX];
   int event_count;
+  uint32_t watch_count;
+  snipe_time handled_until;
+  /* If the last call did not return all ready descriptors: since which call,
+   * and how many were returned since. */
+  snipe_time truncated_since;
+  uint32_t returned_count;
   struct snipe_loop_watch wake;
   snipe_time (*prepare) (void *ctx, snipe_time now);
   void *prepare_ctx;
@@ -117,7 +126,11 @@
 snipe_loop_add (struct snipe_loop *loop, struct snipe_loop_watch *watch,
                 uint32_t events)
 {
-  return update_epoll (loop, EPOLL_CTL_ADD, watch, events);
+  int status = update_epoll (loop, EPOLL_CTL_ADD, watch, events);
+
+  if (status == SNIPE_OK)
+    loop->watch_count++;
+  return status;
 }
 
 int
@@ -130,7 +143,8 @@
 void
 snipe_loop_remove (struct snipe_loop *loop, struct snipe_loop_watch *watch)
 {
-  epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watch->fd, NULL);
+  if (epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, watch->fd, NULL) == 0)
+    loop->watch_count--;
   for (int i = 0; i < loop->event_count; i++)
     if (loop->events[i].data.ptr == watch)
       loop->events[i].data.ptr = NULL;
@@ -180,12 +194,49 @@
   loop->event_count = 0;
 }
 
+/* Notes that the events of an epoll_wait () that was called at @p called_at
+ * are handled. A call that returns EVENTS_MAX may have left out others;
+ * further calls go round all ready descriptors (epoll_wait (2)). */
+static void
+note_handled (struct snipe_loop *loop, int count, snipe_time called_at)
+{
+  if (loop->truncated_since == 0)
+    {
+      loop->truncated_since = called_at;
+      loop->returned_count = 0;
+    }
+  loop->returned_count += (uint32_t)MAX (count, 0);
+  if (count < 0
+      || (count == EVENTS_MAX && loop->returned_count < loop->watch_count))
+    return;
+  loop->handled_until = loop->truncated_since;
+  loop->truncated_since = 0;
+}
+
+/* @param where the time was spent: in a wait, by which the process has stood
+ * still, or in callbacks */
+static void
+log_stall (const char *where, snipe_time gap)
+{
+  if (gap >= STALL_LOGGED)
+    g_message ("loop: event=stalled where=%s gap_ms=%" G_GINT64_FORMAT, where,
+               gap / SNIPE_MS);
+}
+
+snipe_time
+snipe_loop_handled_until (const struct snipe_loop *loop)
+{
+  return loop->handled_until;
+}
+
 void
 snipe_loop_run (struct snipe_loop *loop,
                 snipe_time (*tick) (void *ctx, snipe_time now), void *ctx)
 {
   snipe_time next_tick = snipe_clock_now ();
+  snipe_time returned_at = next_tick;
 
+  loop->handled_until = next_tick;
   while (!__atomic_load_n (&loop->stopped, __ATOMIC_ACQUIRE))
     {
       snipe_time now = snipe_clock_now ();
@@ -196,11 +247,16 @@
             - now;
       int timeout_ms
           = remaining <= 0 ? 0 : (int)((remaining + SNIPE_MS - 1) / SNIPE_MS);
-      int count
-          = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, timeout_ms);
+      int count;
 
+      log_stall ("callbacks", now - returned_at);
+      count
+          = epoll_wait (loop->epoll_fd, loop->events, EVENTS_MAX, timeout_ms);
+      returned_at = snipe_clock_now ();
+      log_stall ("wait", returned_at - now - timeout_ms * SNIPE_MS);
       loop->event_count = count < 0 ? 0 : count;
       dispatch_events (loop);
+      note_handled (loop, count, now);
       now = snipe_clock_now ();
       if (now >= next_tick)
         next_tick = now + tick (ctx, now);
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -44,6 +44,10 @@
                       void *ctx);
 /** Makes snipe_loop_run () return. Thread-safe and async-signal-safe. */
 void snipe_loop_stop (struct snipe_loop *loop);
+/** @return the latest time up to which everything that was ready at the
+ * watched descriptors has been handled: a connection that was closed before
+ * then has been noticed. 0 before the loop runs. */
+snipe_time snipe_loop_handled_until (const struct snipe_loop *loop);
 /** Runs until the loop is stopped. @p tick is called periodically and returns
  * the delay until its next call. */
 void snipe_loop_run (struct snipe_loop *loop,
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -223,13 +223,14 @@
   snipe_node_log (owned->node,
                   "event=lease endpoint=%s task=%s lease_ms=%" G_GINT64_FORMAT
                   " bounded_by=%s run=%u claimed=%d due_ms=%" G_GINT64_FORMAT
-                  " unclaimed=%u",
+                  " unclaimed=%u coordinator=%016" G_GINT64_MODIFIER
+                  "x valid_until=%" G_GINT64_FORMAT,
                   lease->endpoint, lease->task == NULL ? "-" : lease->task,
                   MAX (lease->length, 0) / SNIPE_MS,
                   lease->bounded_by == NULL ? "-" : lease->bounded_by,
                   lease->bounding_run, (int)lease->claimed,
                   lease->bounded_by == NULL ? -1 : lease->until_due / SNIPE_MS,
-                  lease->unclaimed);
+                  lease->unclaimed, lease->coordinator, lease->valid_until);
 }
 
 void
@@ -381,6 +382,25 @@
   return count;
 }
 
+void
+snipe_node_handle_result (struct snipe_node *node, uint64_t from,
+                          const struct snipe_pool_result *result,
+                          snipe_time now)
+{
+  uint32_t not_run = count_not_run (result);
+
+  if (not_run > 0)
+    snipe_node_log (
+        node,
+        "event=not_run batch=%" G_GUINT64_FORMAT
+        " attempt=%u from=%016" G_GINT64_MODIFIER
+        "x code=%s tasks=%u not_run=%u",
+        result->number, result->attempt, from,
+        result->code == SNIPE_OK ? "OK" : snipe_status_name (result->code),
+        result->count, not_run);
+  snipe_coordinator_handle_result (node->coordinator, from, result, now);
+}
+
 /* Counts and logs a batch that the pool has refused. */
 static void
 note_refused (struct owned_pool *owned, const struct snipe_pool_result *result)
@@ -571,16 +591,22 @@
                                       .job = "",
                                       .code = SNIPE_E_CANCELLED,
                                       .caller_deadline = now };
+  bool found = false;
 
   for (guint i = 0; i < node->owned_pools->len; i++)
     {
       struct owned_pool *owned = g_ptr_array_index (node->owned_pools, i);
-      struct snipe_pool_unstarted unstarted
-          = snipe_pool_cancel (owned->pool, coordinator, number, now);
+      struct snipe_pool_unstarted unstarted;
 
+      found |= snipe_pool_has_batch (owned->pool, coordinator, number);
+      unstarted = snipe_pool_cancel (owned->pool, coordinator, number, now);
       if (unstarted.count > 0)
         report_unstarted (node, coordinator, number, &unstarted);
     }
+  snipe_node_log (node,
+                  "event=batch_cancelled batch=%" G_GUINT64_FORMAT
+                  " coordinator=%016" G_GINT64_MODIFIER "x found=%d",
+                  number, coordinator, (int)found);
   if (coordinator == node->incarnation)
     return;
   /* A copy of the batch on an earlier connection may arrive after this
@@ -613,8 +639,8 @@
                                message->u.id.number, now);
       break;
     case LOCAL_RESULT:
-      snipe_coordinator_handle_result (node->coordinator, node->incarnation,
-                                       &message->u.result, now);
+      snipe_node_handle_result (node, node->incarnation, &message->u.result,
+                                now);
       break;
     case LOCAL_ANSWER:
       node->options.callbacks.answer (node->options.callbacks.ctx,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -286,14 +286,16 @@
     }
   checked.feasibility = snipe_node_job_feasibility (node, job, now);
   snipe_counter_add (SNIPE_C_JOBS_ACCEPTED, 1);
-  snipe_node_log (node,
-                  "event=job job=%s route=%s config=%" G_GUINT64_FORMAT
-                  " service=%s tasks=%u cpu=%" G_GINT64_FORMAT
-                  " estimate_ms=%" G_GINT64_FORMAT " priority=%u fit=%d",
-                  job->id, job->route, job->rules_version, job->service,
-                  job->count, job->task_resources.cpu,
-                  job->estimate / SNIPE_MS, job->priority,
-                  (int)checked.feasibility);
+  snipe_node_log (
+      node,
+      "event=job job=%s route=%s config=%" G_GUINT64_FORMAT
+      " service=%s tasks=%u cpu=%" G_GINT64_FORMAT
+      " estimate_ms=%" G_GINT64_FORMAT
+      " priority=%u fit=%d due_ms=%" G_GINT64_FORMAT " known=%d",
+      job->id, job->route, job->rules_version, job->service, job->count,
+      job->task_resources.cpu, job->estimate / SNIPE_MS, job->priority,
+      (int)checked.feasibility, (job->caller_deadline - now) / SNIPE_MS,
+      (int)snipe_coordinator_has_job (node->coordinator, job->id));
   if (checked.feasibility == SNIPE_FEASIBILITY_STALE)
     node->options.callbacks.refresh_directory (node->options.callbacks.ctx);
   snipe_coordinator_submit (node->coordinator, &checked, now);
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -270,6 +270,11 @@
  * counts as live. */
 void snipe_node_batch_moved (void *ctx,
                              const struct snipe_coordinator_move *move);
+/** Logs a result with tasks that were not run, which may go to another pool
+ * now, and passes it to this host's coordinator. */
+void snipe_node_handle_result (struct snipe_node *node, uint64_t from,
+                               const struct snipe_pool_result *result,
+                               snipe_time now);
 void snipe_node_batch_routed (void *ctx,
                               const struct snipe_coordinator_choice *route);
 void
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -179,10 +179,11 @@
   struct local_message *local;
   bool sent;
 
-  if (cancellation->moved && !cancellation->again)
+  if (!cancellation->again)
     snipe_node_log (node,
-                    "event=cancel_moved batch=%" G_GUINT64_FORMAT
+                    "event=%s batch=%" G_GUINT64_FORMAT
                     " owner=%016" G_GINT64_MODIFIER "x",
+                    cancellation->moved ? "cancel_moved" : "cancel",
                     cancellation->number, cancellation->owner);
   if (cancellation->owner != node->incarnation)
     {
@@ -883,7 +884,7 @@
           .retry_after = from->retry_after_ms * SNIPE_MS };
 
   if (from->coordinator == node->incarnation)
-    snipe_coordinator_handle_result (node->coordinator, sender, &result, now);
+    snipe_node_handle_result (node, sender, &result, now);
 }
 
 static void
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -607,6 +607,13 @@
   return unstarted;
 }
 
+bool
+snipe_pool_has_batch (struct snipe_pool *pool, uint64_t coordinator,
+                      uint64_t number)
+{
+  return snipe_batch_find (pool, coordinator, number) != NULL;
+}
+
 bool
 snipe_pool_has_batch_of (const struct snipe_pool *pool, uint64_t coordinator)
 {
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -82,6 +82,10 @@
                                     .length = length,
                                     .until_due = INT64_MAX };
 
+  if (length > 0)
+    lease.valid_until
+        = snipe_pool_endpoint_clock (endpoint, now) + length / SNIPE_MS;
+
   if (pool->callbacks.lease == NULL)
     return;
   for (guint i = 0; i < endpoint->runs->len; i++)
@@ -97,6 +101,7 @@
       lease.bounded_by = run->task;
       lease.bounding_run = run->number;
       lease.claimed = run->batch != NULL;
+      lease.coordinator = run->batch == NULL ? 0 : run->batch->coordinator;
       lease.until_due = end_due - now;
     }
   if (lease.unclaimed > 0 || lease.until_due < pool->lease_max)
