Bound leases by what a host has looked at, not by when it sent a message

Callers whose connection broke while its host stood still for less than its failure timeout were back while the first run went on: two runs of one task. Cause: the owner of a pool extends a run's lease by the last heartbeat of its coordinator, and a host that was stopped sends one before it reads that a connection is closed; as owner of the pool it counted its own present time. What the message proves is not when it was sent but up to when its sender had looked. Change: the event loop tells the time up to which everything that was ready at its descriptors is handled; heartbeats and batches carry it, and leases are bounded by it.

--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -91,6 +91,9 @@
   uint64_t number;      /**< unique per coordinator */
   uint32_t attempt;     /**< number of times it was sent, this one included */
   snipe_time sent_at;   /**< 0: now */
+  /** Up to when its coordinator had handled what its callers sent: the caller
+   * of the batch had not left before. 0: now */
+  snipe_time handled_at;
   const char *job;
   uint32_t step;
   const char *route; /**< key under which task durations are learned */
@@ -349,9 +352,10 @@
   void (*displaced) (void *ctx, const struct snipe_pool_displaced *event);
   /** For the log; may be NULL. */
   void (*whole) (void *ctx, const struct snipe_pool_whole_event *event);
-  /** @return the latest time at which the host @p coordinator certainly lived
-   * and had not sent a cancellation that is still to arrive; never later than
-   * @p now. May be NULL: then leases do not depend on it. */
+  /** @return the latest time up to which the host @p coordinator had certainly
+   * handled what its callers sent, without a cancellation that is still to
+   * arrive; never later than @p now. May be NULL: then leases do not depend on
+   * it. */
   snipe_time (*coordinator_heard) (void *ctx, uint64_t coordinator,
                                    snipe_time now);
   /** @return a time at which every host certainly lived that may coordinate a
--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _SNIPE_LINK_H_RPCGEN
-#define _SNIPE_LINK_H_RPCGEN
+#ifndef _T_H_RPCGEN
+#define _T_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -41,6 +41,7 @@
 struct link_heartbeat {
 	u_quad_t incarnation;
 	quad_t sent_us;
+	u_int unhandled_us;
 	link_name name;
 	link_name address;
 	link_name domain;
@@ -89,6 +90,7 @@
 	u_quad_t coordinator;
 	u_quad_t number;
 	quad_t sent_us;
+	u_int unhandled_us;
 	link_pool pool;
 	link_name job;
 	u_int step;
@@ -430,4 +432,4 @@
 }
 #endif
 
-#endif /* !_SNIPE_LINK_H_RPCGEN */
+#endif /* !_T_H_RPCGEN */
--- a/src/link/snipe_link.x
+++ b/src/link/snipe_link.x
@@ -37,6 +37,9 @@
   unsigned hyper incarnation;
   /* Monotonic clock of the sender. */
   hyper sent_us;
+  /* Time before the moment of sending up to which the sender has handled all
+   * that its callers sent, and has sent what follows from it. */
+  unsigned int unhandled_us;
   link_name name;
   link_name address;
   link_name domain;
@@ -92,6 +95,8 @@
   unsigned hyper coordinator;
   unsigned hyper number;
   hyper sent_us;
+  /* As in a heartbeat. */
+  unsigned int unhandled_us;
   link_pool pool;
   link_name job;
   unsigned int step;
--- a/src/link/snipe_link_xdr.c
+++ b/src/link/snipe_link_xdr.c
@@ -54,6 +54,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->sent_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->name))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->address))
@@ -94,6 +96,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->sent_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->name))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->address))
@@ -135,6 +139,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->sent_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->name))
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->address))
@@ -218,6 +224,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->sent_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+			 return FALSE;
 		 if (!xdr_link_pool (xdrs, &objp->pool))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->job))
@@ -293,6 +301,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->sent_us))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+			 return FALSE;
 		 if (!xdr_link_pool (xdrs, &objp->pool))
 			 return FALSE;
 		 if (!xdr_link_name (xdrs, &objp->job))
@@ -369,6 +379,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->sent_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unhandled_us))
+		 return FALSE;
 	 if (!xdr_link_pool (xdrs, &objp->pool))
 		 return FALSE;
 	 if (!xdr_link_name (xdrs, &objp->job))
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -274,20 +274,21 @@
 }
 
 void
-snipe_members_record_sent (struct snipe_members *members, uint64_t incarnation,
-                           snipe_time sent, snipe_time now)
+snipe_members_record_handled (struct snipe_members *members,
+                              uint64_t incarnation, snipe_time handled,
+                              snipe_time now)
 {
   struct peer *peer = find_peer (members, incarnation);
 
   if (peer == NULL)
     return;
-  peer->last_alive_stamp = MAX (peer->last_alive_stamp, sent);
+  peer->last_alive_stamp = MAX (peer->last_alive_stamp, handled);
   if (now >= peer->cancellations_due)
-    peer->last_sent_stamp = MAX (peer->last_sent_stamp, sent);
+    peer->handled_stamp = MAX (peer->handled_stamp, handled);
 }
 
-/* @return the time of this host's clock at which a message was sent, if its
- * transit took as long as that of the fastest one; 0: unknown */
+/* @return the time of this host's clock at which that of the peer showed
+ * @p stamp, if the fastest message had no transit time; 0: unknown */
 static snipe_time
 local_time_of (const struct peer *peer, snipe_time stamp, snipe_time now)
 {
@@ -296,13 +297,23 @@
   return MIN (stamp + MIN (peer->min_transit[0], peer->min_transit[1]), now);
 }
 
+snipe_time
+snipe_members_local_time (const struct snipe_members *members,
+                          uint64_t incarnation, snipe_time stamp,
+                          snipe_time now)
+{
+  const struct peer *peer = find_peer (members, incarnation);
+
+  return peer == NULL ? 0 : local_time_of (peer, stamp, now);
+}
+
 snipe_time
 snipe_members_heard_at (const struct snipe_members *members,
                         uint64_t incarnation, snipe_time now)
 {
   const struct peer *peer = find_peer (members, incarnation);
 
-  return peer == NULL ? 0 : local_time_of (peer, peer->last_sent_stamp, now);
+  return peer == NULL ? 0 : local_time_of (peer, peer->handled_stamp, now);
 }
 
 snipe_time
--- a/src/member/private.h
+++ b/src/member/private.h
@@ -25,9 +25,9 @@
    * counts too while the present window is short. */
   snipe_time min_transit[2];
   snipe_time transit_window_start;
-  /** Newest time of sending, by the peer's clock, of its messages that tell
-   * it, 0: none has. */
-  snipe_time last_sent_stamp;
+  /** Latest time, by the peer's clock, up to which it had handled all that its
+   * callers sent, 0: unknown. */
+  snipe_time handled_stamp;
   /** The same, of messages before which cancellations may be missing too. */
   snipe_time last_alive_stamp;
   /** Cancellations that were lost with an earlier connection arrive before. */
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -182,7 +182,7 @@
   const struct snipe_node *node = owned->node;
 
   if (coordinator == node->incarnation)
-    return now;
+    return snipe_node_callers_handled (node, now);
   return snipe_members_heard_at (node->members, coordinator, now);
 }
 
@@ -191,8 +191,9 @@
 {
   const struct snipe_node *node = ((const struct owned_pool *)ctx)->node;
 
-  return snipe_members_all_heard_at (node->members, node->options.resend_after,
-                                     now);
+  return MIN (snipe_members_all_heard_at (node->members,
+                                          node->options.resend_after, now),
+              snipe_node_callers_handled (node, now));
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -177,6 +177,16 @@
   snipe_log_decision (node->options.name, line);
 }
 
+snipe_time
+snipe_node_callers_handled (const struct snipe_node *node, snipe_time now)
+{
+  const struct snipe_node_callbacks *callbacks = &node->options.callbacks;
+
+  return callbacks->callers_handled == NULL
+             ? now
+             : MIN (callbacks->callers_handled (callbacks->ctx), now);
+}
+
 void
 snipe_node_tick_after_pause (struct snipe_node *node, snipe_time now)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -47,6 +47,10 @@
   /** A peer has a newer configuration. */
   void (*apply_peer_config) (void *ctx, uint64_t version,
                              const struct snipe_str *text);
+  /** @return the latest time at which no caller can have left without that
+   * having been passed to snipe_node_abandon (). The runs of a caller that
+   * left later end in time before it is back. NULL: the present time. */
+  snipe_time (*callers_handled) (void *ctx);
 };
 
 struct snipe_node_options
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -166,6 +166,11 @@
 void snipe_node_log (const struct snipe_node *node, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/** @return the latest time up to which this host has handled all that its
+ * callers sent. */
+snipe_time snipe_node_callers_handled (const struct snipe_node *node,
+                                       snipe_time now);
+
 /** Every function through which something reaches the node calls this first:
  * after a pause of the process, the tick has to find out whether other hosts
  * have taken over before anything is decided. */
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -77,9 +77,25 @@
   return false;
 }
 
+/* @return the time before @p now up to which this host has handled what its
+ * callers sent. */
+static u_int
+encode_unhandled (const struct snipe_node *node, snipe_time now)
+{
+  return (u_int)MIN (now - snipe_node_callers_handled (node, now), UINT32_MAX);
+}
+
+/* @return the time, by the sender's clock, up to which it had handled what its
+ * callers sent. */
+static snipe_time
+decode_handled (int64_t sent_us, u_int unhandled_us)
+{
+  return MAX (snipe_node_decode_sent (sent_us) - (snipe_time)unhandled_us, 0);
+}
+
 static int
 queue_batch (struct snipe_node *node, const struct snipe_pool_id *pool,
-             const struct snipe_pool_batch *batch)
+             const struct snipe_pool_batch *batch, snipe_time now)
 {
   struct local_message *message;
   struct snipe_pool_batch *copy;
@@ -92,6 +108,7 @@
   message->kind = LOCAL_BATCH;
   message->u.batch.pool = *pool;
   *copy = *batch;
+  copy->handled_at = snipe_node_callers_handled (node, now);
   copy->spec = spec;
   copy->job = g_strdup (batch->job);
   copy->route = g_strdup (batch->route);
@@ -119,6 +136,7 @@
       .number = batch->number,
       .attempt = batch->attempt,
       .sent_us = now,
+      .unhandled_us = encode_unhandled (node, now),
       .pool = snipe_node_encode_pool (pool),
       .job = (char *)batch->job,
       .step = batch->step,
@@ -154,7 +172,7 @@
                   message.args.batch.hard_deadline_ms, (int)batch->resent,
                   (int)batch->held);
   if (owner == node->incarnation)
-    return queue_batch (node, pool, batch);
+    return queue_batch (node, pool, batch, now);
   member = snipe_members_find (node->members, owner);
   if (member != NULL)
     snipe_node_send_losses_of_job (node, member->address, batch->job, now);
@@ -272,6 +290,7 @@
     .args.heartbeat
     = { .incarnation = node->incarnation,
         .sent_us = now,
+        .unhandled_us = encode_unhandled (node, now),
         .name = (char *)node->options.name,
         .address = node->address,
         .domain = (char *)node->options.domain,
@@ -697,8 +716,9 @@
   snipe_members_record_transit (node->members, member.incarnation,
                                 snipe_node_decode_sent (heartbeat->sent_us),
                                 now);
-  snipe_members_record_sent (node->members, member.incarnation,
-                             snipe_node_decode_sent (heartbeat->sent_us), now);
+  snipe_members_record_handled (
+      node->members, member.incarnation,
+      decode_handled (heartbeat->sent_us, heartbeat->unhandled_us), now);
   if (effect != SNIPE_HEARTBEAT_UNCHANGED)
     node->ownership_due = 0;
   if (effect == SNIPE_HEARTBEAT_NEW_HOST)
@@ -815,6 +835,7 @@
 {
   struct snipe_pool_id id;
   snipe_time delay;
+  snipe_time handled;
   struct snipe_pool_batch batch
       = { .coordinator = from->coordinator,
           .number = from->number,
@@ -852,11 +873,14 @@
       reject_cancelled_batch (node, from, now);
       return;
     }
-  snipe_members_record_sent (node->members, from->coordinator,
-                             snipe_node_decode_sent (from->sent_us), now);
+  handled = decode_handled (from->sent_us, from->unhandled_us);
+  snipe_members_record_handled (node->members, from->coordinator, handled,
+                                now);
   delay = snipe_members_delay (node->members, from->coordinator,
                                snipe_node_decode_sent (from->sent_us), now);
   batch.sent_at = now - MAX (delay, 0);
+  batch.handled_at = snipe_members_local_time (
+      node->members, from->coordinator, handled, now);
   if (delay <= BATCH_DELAY_MAX)
     snipe_node_accept_batch (node, &id, &batch, now);
   else
--- a/src/pool/batch.c
+++ b/src/pool/batch.c
@@ -79,7 +79,7 @@
   batch->attempts = MAX (from->attempts, 1);
   batch->estimate = MAX (from->estimate, SNIPE_MS);
   batch->arrived = now;
-  batch->sent_at = from->sent_at == 0 ? now : from->sent_at;
+  batch->handled_at = from->handled_at == 0 ? now : from->handled_at;
   batch->soft_deadline = from->soft_deadline;
   batch->hard_deadline = from->hard_deadline;
   batch->caller_deadline = from->caller_deadline;
@@ -534,7 +534,7 @@
   if (batch != NULL)
     {
       batch->attempt = MAX (batch->attempt, from->attempt);
-      batch->sent_at = MAX (batch->sent_at, from->sent_at);
+      batch->handled_at = MAX (batch->handled_at, from->handled_at);
       if (from->held)
         snipe_hold_repeat_grant (pool, batch);
       else
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -281,7 +281,7 @@
     return INT64_MAX;
   heard
       = callbacks->coordinator_heard (callbacks->ctx, batch->coordinator, now);
-  return MAX (heard, batch->sent_at) + pool->resend_after - pool->stop_max;
+  return MAX (heard, batch->handled_at) + pool->resend_after - pool->stop_max;
 }
 
 snipe_time
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -94,8 +94,9 @@
 {
   uint64_t coordinator;
   uint64_t number;
-  uint32_t attempt;   /**< highest attempt received */
-  snipe_time sent_at; /**< when its newest copy was sent */
+  uint32_t attempt; /**< highest attempt received */
+  /** Up to when its caller had not left, by its newest copy. */
+  snipe_time handled_at;
   char *job;
   char *route;
   struct snipe_calibration *calibration; /**< of its route */
--- a/tests/adapter/config_fleet.h
+++ b/tests/adapter/config_fleet.h
@@ -605,7 +605,7 @@
       break;
     case TROUBLE_FREEZE:
       if (begins)
-        sim.processes[host].frozen = sim.processes[host].running;
+        sim_freeze (host);
       else if (sim.processes[host].frozen)
         {
           sim_thaw (host, disturbance->hard);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -399,6 +399,15 @@
   (void)text;
 }
 
+static snipe_time
+fleet_callers_handled (void *ctx)
+{
+  snipe_time behind_since
+      = sim.processes[((struct fleet_host *)ctx)->index].behind_since;
+
+  return behind_since == 0 ? sim.now : behind_since;
+}
+
 /* The host reads the operator's requests, again and again until the store
  * answers. */
 static void
@@ -504,6 +513,7 @@
     .apply_endpoint_changes = fleet_on_endpoint_changes,
     .get_config = fleet_on_get_config,
     .apply_peer_config = fleet_on_peer_config,
+    .callers_handled = fleet_callers_handled,
   };
   if (snipe_node_new (&host->node, &options, sim.now) < 0)
     g_error ("%s", snipe_status_last ());
@@ -814,8 +824,7 @@
         fleet_host_end (&fleet.hosts[i], disturbance->hard);
       break;
     case DISTURB_FREEZE:
-      if (sim.processes[host].running)
-        sim.processes[host].frozen = true;
+      sim_freeze (host);
       break;
     case DISTURB_ENDPOINT_CUT:
       fleet_cut_endpoint (host, other, true);
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -58,6 +58,8 @@
     uint32_t generation;
     bool running;
     bool frozen;
+    /** Since when it has not handled what reached it, 0: it has. */
+    snipe_time behind_since;
     GQueue deferred; /**< struct sim_event */
   } processes[SIM_HOSTS];
 };
@@ -266,6 +268,22 @@
   g_free (event);
 }
 
+/* The process stands still, if there is one. */
+static void
+sim_freeze (uint32_t host)
+{
+  if (!sim.processes[host].running || sim.processes[host].frozen)
+    return;
+  sim.processes[host].behind_since = sim.now;
+  sim.processes[host].frozen = true;
+}
+
+static void
+sim_caught_up (void *data)
+{
+  *(snipe_time *)data = 0;
+}
+
 /* The process continues. Its waiting events are handled in the order of their
  * arrival, or the last ones first. */
 static void
@@ -281,6 +299,7 @@
       event->time = sim.now;
       sim_push (event);
     }
+  sim_at (sim.now, host, sim_caught_up, &sim.processes[host].behind_since);
 }
 
 static void
@@ -289,6 +308,7 @@
   sim.processes[host].generation++;
   sim.processes[host].running = true;
   sim.processes[host].frozen = false;
+  sim.processes[host].behind_since = 0;
 }
 
 static void
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -778,7 +778,7 @@
             snipe_members_connection_opened (members, 1, now);
           receive_heartbeat (members, &host, now);
           snipe_members_record_transit (members, 1, sent, now);
-          snipe_members_record_sent (members, 1, sent, now);
+          snipe_members_record_handled (members, 1, sent, now);
         }
       heard = snipe_members_heard_at (members, 1, now) - START - difference;
       if (heard != row->heard)
@@ -840,7 +840,7 @@
                 continue;
               receive_heartbeat (members, &host, now);
               snipe_members_record_transit (members, k + 1, now, now);
-              snipe_members_record_sent (members, k + 1, now, now);
+              snipe_members_record_handled (members, k + 1, now, now);
             }
           if (now == START + row->resumed * SNIPE_MS && row->resumed > 0)
             snipe_members_resume (members, now);
