Extend no lease beside a run that no batch claims

Callers who left shortly before the owner of their task's pool was killed were back while the first run went on: two runs of one task in two failure domains. Cause: their host had cancelled the batch, the owner had acknowledged that and was killed before an endpoint took its stop. The next owner found the run and gave it time from the last message of the host that it had not heard for longest, which vouches for what a host has told the earlier owner only. Change: such a run gets no time at all from a new owner. What the earlier owner allowed holds, which knew of the cancellation; so no cancellation, lost host, host unheard by one owner or number of takeovers can make it longer. It is stopped after 20 ms beside claimed runs (150 before), as their lease may end: the case of a takeover 950 ms after the loss in test_unclaimed_runs needs that.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -115,16 +115,6 @@
  * in their connection. */
 snipe_time snipe_members_heard_at (const struct snipe_members *members,
                                    uint64_t incarnation, snipe_time now);
-/**
- * Tells how long ago the host that was not heard for longest may have been
- * lost, for work whose host is unknown.
- * @param work_max longest time for which work of a lost host goes on
- * @return a time at which every host certainly lived that may have work left,
- * those included that were lost since; never later than @p now. 0: unknown,
- * because this host has not been in contact with the others for that long.
- */
-snipe_time snipe_members_all_heard_at (const struct snipe_members *members,
-                                       snipe_time work_max, snipe_time now);
 /** Notes that a message other than a heartbeat was sent to the host; it
  * replaces the heartbeat that is due next, unless the hosts share work. */
 void snipe_members_message_sent (struct snipe_members *members,
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -358,10 +358,6 @@
    * it. */
   snipe_time (*coordinator_heard) (void *ctx, uint64_t coordinator,
                                    snipe_time now);
-  /** @return a time at which every host certainly lived that may coordinate a
-   * run of an earlier owner; never later than @p now. 0: unknown. NULL if and
-   * only if @c coordinator_heard is. */
-  snipe_time (*coordinators_heard) (void *ctx, snipe_time now);
 };
 
 /** Answer of an endpoint to a request. */
@@ -425,10 +421,6 @@
   unsigned int version;
   uint64_t token;       /**< sent to every endpoint of the pool */
   snipe_time lease_max; /**< longest lease that an endpoint grants */
-  /** Longest extension of the lease of a previous owner's runs while no batch
-   * has claimed them. After lease_max and this time, all such runs of a host
-   * that was lost have ended. */
-  snipe_time unclaimed_lease_max;
   /** Callers of a host that was lost, or that has cancelled a batch, resend
    * their jobs no sooner. No lease is extended beyond this time, less
    * @c stop_max, after its run's coordinator was heard. */
@@ -463,8 +455,8 @@
 #define SNIPE_POOL_OPTIONS_INIT                                               \
   {                                                                           \
     .version = SNIPE_POOL_OPTIONS_VERSION, .lease_max = 1000 * SNIPE_MS,      \
-    .unclaimed_lease_max = 150 * SNIPE_MS, .resend_after = 1300 * SNIPE_MS,   \
-    .stop_max = 50 * SNIPE_MS, .remote_factor = 1                             \
+    .resend_after = 1300 * SNIPE_MS, .stop_max = 50 * SNIPE_MS,               \
+    .remote_factor = 1                                                        \
   }
 
 int snipe_pool_new (struct snipe_pool **out,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -80,7 +80,6 @@
   members->self = options->self;
   members->failure_timeout = options->failure_timeout;
   members->settle_until = now + options->settle_delay;
-  members->in_contact_since = now;
   members->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                           (GDestroyNotify)peer_free);
   *out = members;
@@ -282,7 +281,6 @@
 
   if (peer == NULL)
     return;
-  peer->last_alive_stamp = MAX (peer->last_alive_stamp, handled);
   if (now >= peer->cancellations_due)
     peer->handled_stamp = MAX (peer->handled_stamp, handled);
 }
@@ -316,29 +314,6 @@
   return peer == NULL ? 0 : local_time_of (peer, peer->handled_stamp, now);
 }
 
-snipe_time
-snipe_members_all_heard_at (const struct snipe_members *members,
-                            snipe_time work_max, snipe_time now)
-{
-  snipe_time heard = now;
-  GHashTableIter iter;
-  gpointer value;
-
-  /* A host that was lost before is not known here. */
-  if (now - members->in_contact_since < members->failure_timeout + work_max)
-    return 0;
-  g_hash_table_iter_init (&iter, members->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct peer *peer = value;
-      snipe_time at = local_time_of (peer, peer->last_alive_stamp, now);
-
-      if (peer->live || now - at < loss_delay_max (members, peer) + work_max)
-        heard = MIN (heard, at);
-    }
-  return heard;
-}
-
 void
 snipe_members_message_sent (struct snipe_members *members,
                             uint64_t incarnation, snipe_time now)
@@ -580,7 +555,6 @@
 snipe_members_resume (struct snipe_members *members, snipe_time now)
 {
   members->settle_until = now + RESUME_SETTLE_DELAY;
-  members->in_contact_since = now;
 }
 
 void
--- a/src/member/private.h
+++ b/src/member/private.h
@@ -28,8 +28,6 @@
   /** Latest time, by the peer's clock, up to which it had handled all that its
    * callers sent, 0: unknown. */
   snipe_time handled_stamp;
-  /** The same, of messages before which cancellations may be missing too. */
-  snipe_time last_alive_stamp;
   /** Cancellations that were lost with an earlier connection arrive before. */
   snipe_time cancellations_due;
   bool live;
@@ -41,9 +39,6 @@
   struct snipe_member self;
   snipe_time failure_timeout;
   snipe_time settle_until;
-  /** Since when this process has run and has not been cut off from all others.
-   */
-  snipe_time in_contact_since;
   GHashTable *peers; /**< &incarnation -> struct peer */
   uint32_t live_count;
   uint32_t domain_live_count; /**< live peers of this domain */
--- a/src/node/local.c
+++ b/src/node/local.c
@@ -186,16 +186,6 @@
   return snipe_members_heard_at (node->members, coordinator, now);
 }
 
-snipe_time
-snipe_owned_pool_coordinators_heard (void *ctx, snipe_time now)
-{
-  const struct snipe_node *node = ((const struct owned_pool *)ctx)->node;
-
-  return MIN (snipe_members_all_heard_at (node->members,
-                                          node->options.resend_after, now),
-              snipe_node_callers_handled (node, now));
-}
-
 void
 snipe_owned_pool_assumed_end (void *ctx,
                               const struct snipe_pool_assumed_end *end)
--- a/src/node/owners.c
+++ b/src/node/owners.c
@@ -52,17 +52,6 @@
   return epoch << SNIPE_NODE_TOKEN_HOST_BITS | node->token_host_id;
 }
 
-/* The callers of a lost host resend their jobs after resend_after: by then its
- * runs have reached the end of the lease that it granted last, extended by the
- * next owner, or have been stopped, with a request before. */
-static snipe_time
-unclaimed_lease_max (const struct snipe_node_options *options)
-{
-  return MAX (options->resend_after - options->lease_max
-                  - options->lease_max / 20 - 2 * options->stop_max,
-              0);
-}
-
 static void
 on_locality (void *ctx, const struct snipe_pool_locality *locality)
 {
@@ -104,7 +93,6 @@
   owned->claimed_at = now;
   options.token = owned->token;
   options.lease_max = node->options.lease_max;
-  options.unclaimed_lease_max = unclaimed_lease_max (&node->options);
   options.resend_after = node->options.resend_after;
   options.stop_max = node->options.stop_max;
   options.spread_load = node->options.spread_load;
@@ -131,7 +119,6 @@
     .whole = snipe_owned_pool_whole,
     .displaced = snipe_owned_pool_displaced,
     .coordinator_heard = snipe_owned_pool_coordinator_heard,
-    .coordinators_heard = snipe_owned_pool_coordinators_heard
   };
   if (snipe_pool_new (&owned->pool, &options, now) < 0)
     {
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -268,7 +268,6 @@
                                  const struct snipe_pool_found_run *found);
 void snipe_owned_pool_late_end (void *ctx,
                                 const struct snipe_pool_late_end *end);
-snipe_time snipe_owned_pool_coordinators_heard (void *ctx, snipe_time now);
 snipe_time snipe_owned_pool_coordinator_heard (void *ctx, uint64_t coordinator,
                                                snipe_time now);
 /** Logs that a batch is sent to another owner, and whether the earlier one
--- a/src/pool/endpoint.c
+++ b/src/pool/endpoint.c
@@ -284,18 +284,6 @@
   return MAX (heard, batch->handled_at) + pool->resend_after - pool->stop_max;
 }
 
-snipe_time
-snipe_pool_found_end_due (const struct snipe_pool *pool, snipe_time now)
-{
-  const struct snipe_pool_callbacks *callbacks = &pool->callbacks;
-  snipe_time heard;
-
-  if (callbacks->coordinators_heard == NULL)
-    return INT64_MAX;
-  heard = callbacks->coordinators_heard (callbacks->ctx, now);
-  return heard == 0 ? now : heard + pool->resend_after - pool->stop_max;
-}
-
 snipe_time
 snipe_pool_run_end_due (const struct snipe_pool *pool, const struct run *run,
                         snipe_time now)
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -12,6 +12,10 @@
 
 /* Time that an orphaned run is kept for its batch to be sent again. */
 #define ORPHAN_TIMEOUT (500 * SNIPE_MS)
+/* The same beside runs that a batch has claimed: their lease is not extended
+ * before the orphaned one has ended, and may end soon. The coordinators of
+ * live jobs hear of a claim at once, and send their batches again. */
+#define ORPHAN_TIMEOUT_BESIDE_CLAIMED (20 * SNIPE_MS)
 /* Time that reading the list of endpoints takes after a claim while the store
  * is healthy; a multiple of its response time. */
 #define DIRECTORY_WAIT (60 * SNIPE_MS)
@@ -63,7 +67,6 @@
     }
   pool->token = options->token;
   pool->lease_max = options->lease_max;
-  pool->unclaimed_lease_max = options->unclaimed_lease_max;
   pool->resend_after = options->resend_after;
   pool->stop_max = options->stop_max;
   pool->callbacks = options->callbacks;
@@ -557,13 +560,12 @@
   return now > lease_certain_end (pool, endpoint);
 }
 
-/* Time after which an orphaned run is stopped. While the lease is extended for
- * other runs, the orphaned one does not end by itself. */
+/* Time after which an orphaned run is stopped. */
 static snipe_time
-orphan_timeout (const struct snipe_pool *pool, const struct run *run)
+orphan_timeout (const struct run *run)
 {
   return snipe_pool_endpoint_has_claimed_run (run->endpoint)
-             ? MIN (pool->unclaimed_lease_max, ORPHAN_TIMEOUT)
+             ? ORPHAN_TIMEOUT_BESIDE_CLAIMED
              : ORPHAN_TIMEOUT;
 }
 
@@ -582,7 +584,7 @@
     snipe_pool_resend_start (pool, run, now);
   if (batch == NULL)
     {
-      if (now - run->orphaned_since >= orphan_timeout (pool, run))
+      if (now - run->orphaned_since >= orphan_timeout (run))
         snipe_pool_run_stop (pool, run, now);
       return;
     }
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -236,7 +236,6 @@
 {
   uint64_t token;
   snipe_time lease_max;
-  snipe_time unclaimed_lease_max;
   snipe_time resend_after;
   snipe_time stop_max;
   struct snipe_pool_callbacks callbacks;
@@ -327,12 +326,6 @@
 snipe_time snipe_pool_batch_end_due (const struct snipe_pool *pool,
                                      const struct batch *batch,
                                      snipe_time now);
-/** @return when a run has to have ended that was found at an endpoint and
- * whose coordinator is unknown: it may be the host that was not heard for
- * longest. Never before @p now if nothing is known: until then, the earlier
- * owner has allowed it. */
-snipe_time snipe_pool_found_end_due (const struct snipe_pool *pool,
-                                     snipe_time now);
 /** @return until when a run may go on at most. A stop request may be lost, so
  * that only the lease ends the run, and a request that arrives later would
  * extend it again. INT64_MAX: without end. */
--- a/src/pool/requests.c
+++ b/src/pool/requests.c
@@ -57,18 +57,9 @@
 lease_needed_until (const struct snipe_pool *pool,
                     const struct snipe_pool_endpoint *endpoint, snipe_time now)
 {
-  snipe_time until = 0;
-
-  if (snipe_pool_endpoint_has_claimed_run (endpoint))
-    return now + snipe_pool_lease_bound (pool, endpoint, now);
-  for (guint i = 0; i < endpoint->runs->len; i++)
-    {
-      const struct run *run = g_ptr_array_index (endpoint->runs, i);
-
-      if (run->state != RUN_STOPPING)
-        until = MAX (until, run->orphaned_since + pool->unclaimed_lease_max);
-    }
-  return MIN (until, now + snipe_pool_lease_bound (pool, endpoint, now));
+  return snipe_pool_endpoint_has_claimed_run (endpoint)
+             ? now + snipe_pool_lease_bound (pool, endpoint, now)
+             : 0;
 }
 
 /* Reports a decision on a lease that depends on more than claimed runs of live
@@ -677,7 +668,8 @@
   /* The run was alive after this time, so the previous owner extended its
    * lease less than lease_max before. */
   run->orphaned_since = sent;
-  run->end_due = snipe_pool_found_end_due (pool, now);
+  /* Its caller may have left long ago, and only the earlier owner knew. */
+  run->end_due = now;
   claimed = snipe_pool_adopt_run (pool, run);
   report_found_run (pool, endpoint, found, claimed, now - sent);
   if (claimed)
