Hold back what a host vouches for until its cancellations are acknowledged

Callers whose host lost the connection to the owner of a pool together with a cancellation, and then stood still for less than its failure timeout, were back while the first run went on: two runs of one task. Cause: for 250 ms after a new connection an owner did not count the other host's messages, as a lost cancellation comes again by then. A host that stands still in that time sends a heartbeat before it; and a cancellation may be lost twice. Change: while an owner has not acknowledged a cancellation, heartbeats to it vouch for callers only up to the time that had been handled when the batch was cancelled. A batch no longer vouches for the other batches of its coordinator. Cost: a pass over the unacknowledged cancellations, some milliseconds old, for each heartbeat; nothing grows with the fleet.

--- a/include/snipe/coordinator.h
+++ b/include/snipe/coordinator.h
@@ -143,6 +143,9 @@
    * @return 0, or a negative status if the message is certain not to arrive.
    */
   int (*commit) (void *ctx, uint64_t owner, uint64_t number);
+  /** @return the latest time up to which all that callers sent is handled;
+   * never later than @p now. NULL: the present time. */
+  snipe_time (*callers_handled) (void *ctx, snipe_time now);
   /** For the log; may be NULL. */
   void (*moved) (void *ctx, const struct snipe_coordinator_move *move);
   /** For the log; may be NULL. */
@@ -224,6 +227,11 @@
 bool
 snipe_coordinator_has_batch_at (const struct snipe_coordinator *coordinator,
                                 uint64_t owner);
+/** @return a time before which no caller had left whose batch was cancelled at
+ * the host without its acknowledgement; @p owner 0: at any host. INT64_MAX if
+ * there is none. */
+snipe_time snipe_coordinator_cancelled_handled (
+    const struct snipe_coordinator *coordinator, uint64_t owner);
 /** @return the number of jobs that have not been answered. */
 uint32_t
 snipe_coordinator_job_count (const struct snipe_coordinator *coordinator);
--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -94,25 +94,20 @@
 snipe_time snipe_members_delay (const struct snipe_members *members,
                                 uint64_t incarnation, snipe_time sent,
                                 snipe_time now);
-/** The host has opened a new connection to this one. */
-void snipe_members_connection_opened (struct snipe_members *members,
-                                      uint64_t incarnation, snipe_time now);
-/** Records a time, by the host's clock, up to which it had handled all that
- * its callers sent when it sent a message. */
+/** Records a time, by the host's clock, up to which it has handled all that
+ * its callers sent, and all cancellations that follow from it have arrived. */
 void snipe_members_record_handled (struct snipe_members *members,
-                                   uint64_t incarnation, snipe_time handled,
-                                   snipe_time now);
+                                   uint64_t incarnation, snipe_time handled);
 /** @return the time of this host's clock at which the clock of another one
  * showed @p stamp, plus the shortest transit time; never later than @p now.
  * 0: unknown. */
 snipe_time snipe_members_local_time (const struct snipe_members *members,
                                      uint64_t incarnation, snipe_time stamp,
                                      snipe_time now);
-/** @return the latest time up to which the host has handled all that its
- * callers sent and before which all cancellations that follow from it have
- * arrived, plus the shortest transit time; never later than @p now. 0:
- * unknown. Messages that do not tell it do not count, as they may have stood
- * in their connection. */
+/** @return the latest time that was recorded for the host, by this host's
+ * clock, plus the shortest transit time; never later than @p now. 0: unknown.
+ * Messages that do not tell it do not count, as they may have stood in their
+ * connection. */
 snipe_time snipe_members_heard_at (const struct snipe_members *members,
                                    uint64_t incarnation, snipe_time now);
 /** Notes that a message other than a heartbeat was sent to the host; it
--- a/src/coordinator/cancellation.c
+++ b/src/coordinator/cancellation.c
@@ -14,6 +14,10 @@
  * repetition, a cancellation that is lost twice still arrives 0.7 s before the
  * caller is back, 1.3 s after its connection broke. */
 #define MOVED_CANCEL_DELAY (200 * SNIPE_MS)
+/* Time after the caller's deadline for which a cancellation counts as not
+ * acknowledged: the owner counts that deadline from the arrival of the batch.
+ */
+#define RETENTION_MARGIN (1 * SNIPE_S)
 
 /* A batch may have cancellations at several owners at the same time, one of
  * each. */
@@ -22,6 +26,9 @@
   struct snipe_coordinator_cancellation message; /**< the next one to send */
   snipe_time due;
   snipe_time expires_at; /**< the pool ends the batch by itself then */
+  /** A time before which the caller of the batch had not left, INT64_MAX: it
+   * has not. */
+  snipe_time handled;
 };
 
 static guint
@@ -52,25 +59,23 @@
 
 void
 snipe_cancellations_add (GHashTable *cancellations, uint64_t owner,
-                         uint64_t number, snipe_time expires_at,
-                         snipe_time now)
+                         uint64_t number, snipe_time caller_deadline,
+                         snipe_time handled, snipe_time now)
 {
-  struct cancellation *cancellation;
+  struct cancellation *cancellation = g_new (struct cancellation, 1);
 
-  if (now >= expires_at)
-    return;
-  cancellation = g_new (struct cancellation, 1);
   *cancellation = (struct cancellation){
     .message = { .owner = owner, .number = number, .again = true },
     .due = now + CANCEL_RESEND_INTERVAL,
-    .expires_at = expires_at,
+    .expires_at = caller_deadline,
+    .handled = handled,
   };
   g_hash_table_replace (cancellations, cancellation, cancellation);
 }
 
 void
 snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
-                               uint64_t number, snipe_time expires_at,
+                               uint64_t number, snipe_time caller_deadline,
                                snipe_time now)
 {
   struct cancellation *cancellation = g_new (struct cancellation, 1);
@@ -78,7 +83,8 @@
   *cancellation = (struct cancellation){
     .message = { .owner = owner, .number = number, .moved = true },
     .due = now + MOVED_CANCEL_DELAY,
-    .expires_at = expires_at,
+    .expires_at = caller_deadline,
+    .handled = INT64_MAX,
   };
   g_hash_table_replace (cancellations, cancellation, cancellation);
 }
@@ -110,7 +116,8 @@
 }
 
 void
-snipe_cancellations_batch_removed (GHashTable *cancellations, uint64_t number)
+snipe_cancellations_batch_removed (GHashTable *cancellations, uint64_t number,
+                                   snipe_time handled)
 {
   GHashTableIter iter;
   gpointer key;
@@ -120,12 +127,32 @@
     {
       struct cancellation *cancellation = key;
 
-      if (cancellation->message.number == number
-          && !cancellation->message.again)
+      if (cancellation->message.number != number)
+        continue;
+      cancellation->handled = MIN (cancellation->handled, handled);
+      if (!cancellation->message.again)
         cancellation->due = 0;
     }
 }
 
+snipe_time
+snipe_cancellations_handled (GHashTable *cancellations, uint64_t owner)
+{
+  snipe_time handled = INT64_MAX;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, cancellations);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct cancellation *cancellation = key;
+
+      if (owner == 0 || cancellation->message.owner == owner)
+        handled = MIN (handled, cancellation->handled);
+    }
+  return handled;
+}
+
 void
 snipe_cancellations_send (GHashTable *cancellations, uint64_t incarnation,
                           const struct snipe_coordinator_callbacks *callbacks,
@@ -140,12 +167,12 @@
       struct cancellation *cancellation = key;
       struct snipe_coordinator_cancellation message = cancellation->message;
 
-      if (now >= cancellation->expires_at)
+      if (now >= cancellation->expires_at + RETENTION_MARGIN)
         {
           g_hash_table_iter_remove (&iter);
           continue;
         }
-      if (now < cancellation->due)
+      if (now < cancellation->due || now >= cancellation->expires_at)
         continue;
       cancellation->message.again = true;
       cancellation->due = now + CANCEL_RESEND_INTERVAL;
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -102,12 +102,25 @@
   g_free (coordinator);
 }
 
+/* @return the latest time up to which all that callers sent is handled. */
+static snipe_time
+callers_handled (const struct snipe_coordinator *coordinator, snipe_time now)
+{
+  const struct snipe_coordinator_callbacks *callbacks
+      = &coordinator->callbacks;
+
+  return callbacks->callers_handled == NULL
+             ? now
+             : callbacks->callers_handled (callbacks->ctx, now);
+}
+
 static void
-remove_batch (struct snipe_coordinator *coordinator, struct batch *batch)
+remove_batch (struct snipe_coordinator *coordinator, struct batch *batch,
+              snipe_time now)
 {
   g_ptr_array_remove (batch->job->batches, batch);
-  snipe_cancellations_batch_removed (coordinator->cancellations,
-                                     batch->number);
+  snipe_cancellations_batch_removed (coordinator->cancellations, batch->number,
+                                     callers_handled (coordinator, now));
   g_hash_table_remove (coordinator->batches, &batch->number);
 }
 
@@ -123,7 +136,7 @@
   if (batch->owner != coordinator->incarnation)
     snipe_cancellations_add (coordinator->cancellations, batch->owner,
                              batch->number, batch->job->spec.caller_deadline,
-                             now);
+                             callers_handled (coordinator, now), now);
 }
 
 /* Removes the job and cancels its batches. */
@@ -137,7 +150,7 @@
 
       if (batch->owner != 0)
         cancel_batch (coordinator, batch, now);
-      remove_batch (coordinator, batch);
+      remove_batch (coordinator, batch, now);
     }
   g_hash_table_remove (coordinator->jobs, job->spec.id);
 }
@@ -360,7 +373,7 @@
     }
   if (status == SNIPE_E_UNREACHABLE)
     share->pool->retry_at = now + RECONNECT_DELAY;
-  remove_batch (coordinator, batch);
+  remove_batch (coordinator, batch, now);
   return status;
 }
 
@@ -584,6 +597,13 @@
   return count;
 }
 
+snipe_time
+snipe_coordinator_cancelled_handled (
+    const struct snipe_coordinator *coordinator, uint64_t owner)
+{
+  return snipe_cancellations_handled (coordinator->cancellations, owner);
+}
+
 bool
 snipe_coordinator_has_batch_at (const struct snipe_coordinator *coordinator,
                                 uint64_t owner)
@@ -870,7 +890,7 @@
                                   batch->number);
     }
   batch->owner = 0;
-  remove_batch (coordinator, batch);
+  remove_batch (coordinator, batch, now);
   if (failed)
     answer_job (coordinator, job, SNIPE_COORDINATOR_FAILED, result->code, 0,
                 now);
@@ -1000,7 +1020,7 @@
             continue;
           g_array_append_vals (indexes, batch->indexes, batch->count);
           cancel_batch (coordinator, batch, now);
-          remove_batch (coordinator, batch);
+          remove_batch (coordinator, batch, now);
         }
       dispatch (coordinator, job, (const uint32_t *)(void *)indexes->data,
                 indexes->len, now);
--- a/src/coordinator/private.h
+++ b/src/coordinator/private.h
@@ -148,16 +148,18 @@
 /** @return a table of cancellations that the owners have not acknowledged, by
  * owner and number of the batch. */
 GHashTable *snipe_cancellations_new (void);
-/** Adds a cancellation that has just been sent. It is repeated until
- * @p expires_at, when the pool ends the batch by itself. */
+/** Adds a cancellation that has just been sent. It is repeated until the pool
+ * ends the batch by itself, at @p caller_deadline.
+ * @param handled a time before which the caller of the batch had not left */
 void snipe_cancellations_add (GHashTable *cancellations, uint64_t owner,
-                              uint64_t number, snipe_time expires_at,
-                              snipe_time now);
+                              uint64_t number, snipe_time caller_deadline,
+                              snipe_time handled, snipe_time now);
 /** Adds a cancellation at the earlier owner of a batch that has moved. It is
  * sent as soon as the claim of the new owner has reached the endpoints, and
- * repeated until @p expires_at. */
+ * repeated like any other. */
 void snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
-                                    uint64_t number, snipe_time expires_at,
+                                    uint64_t number,
+                                    snipe_time caller_deadline,
                                     snipe_time now);
 /** The owner has acknowledged the cancellation, or gets the batch again. */
 void snipe_cancellations_remove (GHashTable *cancellations, uint64_t owner,
@@ -166,9 +168,15 @@
  * on it become due. */
 void snipe_cancellations_expedite (GHashTable *cancellations, uint64_t owner);
 /** The batch is not continued anywhere: its cancellations that have not been
- * sent yet become due. */
+ * sent yet become due.
+ * @param handled a time before which its caller had not left */
 void snipe_cancellations_batch_removed (GHashTable *cancellations,
-                                        uint64_t number);
+                                        uint64_t number, snipe_time handled);
+/** @return a time before which no caller had left whose batch is cancelled at
+ * the owner, 0: at any, without an acknowledgement; INT64_MAX: there is none.
+ */
+snipe_time snipe_cancellations_handled (GHashTable *cancellations,
+                                        uint64_t owner);
 /** Sends the cancellations that are due, and drops expired ones.
  * @param incarnation of this host */
 void
--- a/src/link/link.c
+++ b/src/link/link.c
@@ -67,18 +67,6 @@
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
-static void
-identify (struct channel *channel, uint64_t incarnation)
-{
-  const struct snipe_link_options *options = &channel->link->options;
-
-  if (channel->incarnation == incarnation)
-    return;
-  channel->incarnation = incarnation;
-  if (options->identified != NULL)
-    options->identified (options->ctx, incarnation);
-}
-
 /* Decodes an RPC call and passes its arguments to the callback. */
 static int
 on_record (void *ctx, struct snipe_peer_connection *connection)
@@ -92,7 +80,7 @@
   if (status == SNIPE_OK)
     {
       if (message.procedure == LINK_SEND_HEARTBEAT)
-        identify (channel, message.args.heartbeat.incarnation);
+        channel->incarnation = message.args.heartbeat.incarnation;
       link->options.received (link->options.ctx, channel->incarnation,
                               &message);
       snipe_link_message_clear (&message);
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -49,9 +49,6 @@
    * returns. */
   void (*received) (void *ctx, uint64_t incarnation,
                     const struct snipe_link_message *message);
-  /** That host has opened a connection to this one; called before its first
-   * heartbeat is handled. May be NULL. */
-  void (*identified) (void *ctx, uint64_t incarnation);
   /** A connection from that host to this one was closed or broke. */
   void (*closed) (void *ctx, uint64_t incarnation);
   /** A connection to @p address is being opened: a message sent from here
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -42,11 +42,6 @@
  * intervals. */
 #define STALLED_INTERVALS 2.6
 
-/* Time after a peer has opened a new connection in which it has sent again the
- * cancellations that were lost with the earlier one: their interval of 200 ms,
- * and that of its ticks. */
-#define LOST_CANCELLATIONS_TIME (250 * SNIPE_MS)
-
 /* Time after a pause of the process in which heartbeats of the other hosts are
  * received before a pool is claimed. */
 #define RESUME_SETTLE_DELAY (400 * SNIPE_MS)
@@ -262,26 +257,13 @@
   return now - sent - MIN (peer->min_transit[0], peer->min_transit[1]);
 }
 
-void
-snipe_members_connection_opened (struct snipe_members *members,
-                                 uint64_t incarnation, snipe_time now)
-{
-  struct peer *peer = find_peer (members, incarnation);
-
-  if (peer != NULL)
-    peer->cancellations_due = now + LOST_CANCELLATIONS_TIME;
-}
-
 void
 snipe_members_record_handled (struct snipe_members *members,
-                              uint64_t incarnation, snipe_time handled,
-                              snipe_time now)
+                              uint64_t incarnation, snipe_time handled)
 {
   struct peer *peer = find_peer (members, incarnation);
 
-  if (peer == NULL)
-    return;
-  if (now >= peer->cancellations_due)
+  if (peer != NULL)
     peer->handled_stamp = MAX (peer->handled_stamp, handled);
 }
 
--- a/src/member/private.h
+++ b/src/member/private.h
@@ -28,8 +28,6 @@
   /** Latest time, by the peer's clock, up to which it had handled all that its
    * callers sent, 0: unknown. */
   snipe_time handled_stamp;
-  /** Cancellations that were lost with an earlier connection arrive before. */
-  snipe_time cancellations_due;
   bool live;
   snipe_time live_since;
 };
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -39,6 +39,12 @@
                 FAILURE_TIMEOUT_MIN, FAILURE_TIMEOUT_MAX);
 }
 
+static snipe_time
+on_callers_handled (void *ctx, snipe_time now)
+{
+  return snipe_node_callers_handled (ctx, now);
+}
+
 int
 snipe_node_new (struct snipe_node **out,
                 const struct snipe_node_options *options, snipe_time now)
@@ -83,7 +89,6 @@
   link.loop = options->loop;
   link.listen = options->listen;
   link.received = snipe_node_received;
-  link.identified = snipe_node_link_identified;
   link.closed = snipe_node_link_closed;
   link.opened = snipe_node_link_opened;
   link.refused = snipe_node_link_refused;
@@ -120,6 +125,7 @@
     .submit = snipe_node_send_batch,
     .cancel = snipe_node_send_cancel,
     .commit = snipe_node_send_commit,
+    .callers_handled = on_callers_handled,
     .moved = snipe_node_batch_moved,
     .routed = snipe_node_batch_routed,
     .rejected = snipe_node_job_rejected,
--- a/src/node/private.h
+++ b/src/node/private.h
@@ -390,7 +390,6 @@
 void snipe_node_send_loads (struct snipe_node *node, snipe_time now);
 void snipe_node_received (void *ctx, uint64_t incarnation,
                           const struct snipe_link_message *message);
-void snipe_node_link_identified (void *ctx, uint64_t incarnation);
 void snipe_node_link_closed (void *ctx, uint64_t incarnation);
 void snipe_node_link_opened (void *ctx, const char *address);
 void snipe_node_link_refused (void *ctx, const char *address);
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -78,11 +78,17 @@
 }
 
 /* @return the time before @p now up to which this host has handled what its
- * callers sent. */
+ * callers sent, and the receiver of a message knows of those who left.
+ * @param receiver 0: unknown */
 static u_int
-encode_unhandled (const struct snipe_node *node, snipe_time now)
+encode_unhandled (const struct snipe_node *node, uint64_t receiver,
+                  snipe_time now)
 {
-  return (u_int)MIN (now - snipe_node_callers_handled (node, now), UINT32_MAX);
+  snipe_time handled = MIN (
+      snipe_node_callers_handled (node, now),
+      snipe_coordinator_cancelled_handled (node->coordinator, receiver));
+
+  return (u_int)MIN (now - handled, UINT32_MAX);
 }
 
 /* @return the time, by the sender's clock, up to which it had handled what its
@@ -136,7 +142,8 @@
       .number = batch->number,
       .attempt = batch->attempt,
       .sent_us = now,
-      .unhandled_us = encode_unhandled (node, now),
+      .unhandled_us
+      = (u_int)MIN (now - snipe_node_callers_handled (node, now), UINT32_MAX),
       .pool = snipe_node_encode_pool (pool),
       .job = (char *)batch->job,
       .step = batch->step,
@@ -290,7 +297,7 @@
     .args.heartbeat
     = { .incarnation = node->incarnation,
         .sent_us = now,
-        .unhandled_us = encode_unhandled (node, now),
+        .unhandled_us = encode_unhandled (node, incarnation, now),
         .name = (char *)node->options.name,
         .address = node->address,
         .domain = (char *)node->options.domain,
@@ -718,7 +725,7 @@
                                 now);
   snipe_members_record_handled (
       node->members, member.incarnation,
-      decode_handled (heartbeat->sent_us, heartbeat->unhandled_us), now);
+      decode_handled (heartbeat->sent_us, heartbeat->unhandled_us));
   if (effect != SNIPE_HEARTBEAT_UNCHANGED)
     node->ownership_due = 0;
   if (effect == SNIPE_HEARTBEAT_NEW_HOST)
@@ -874,8 +881,6 @@
       return;
     }
   handled = decode_handled (from->sent_us, from->unhandled_us);
-  snipe_members_record_handled (node->members, from->coordinator, handled,
-                                now);
   delay = snipe_members_delay (node->members, from->coordinator,
                                snipe_node_decode_sent (from->sent_us), now);
   batch.sent_at = now - MAX (delay, 0);
@@ -1068,15 +1073,6 @@
   snipe_node_process_local_queue (node, now);
 }
 
-void
-snipe_node_link_identified (void *ctx, uint64_t incarnation)
-{
-  struct snipe_node *node = ctx;
-
-  snipe_members_connection_opened (node->members, incarnation,
-                                   snipe_clock_now ());
-}
-
 void
 snipe_node_link_closed (void *ctx, uint64_t incarnation)
 {
--- a/tests/coordinator/test_cancellation.c
+++ b/tests/coordinator/test_cancellation.c
@@ -25,6 +25,16 @@
   uint64_t owner;    /**< to which the last one was sent */
 };
 
+/* The caller left while its host stood still. */
+#define HANDLED (START - 300 * SNIPE_MS)
+
+static snipe_time
+callers_handled (void *ctx, snipe_time now)
+{
+  (void)ctx;
+  return MIN (now, HANDLED);
+}
+
 static int
 on_submit (void *ctx, uint64_t owner, const struct snipe_pool_id *pool,
            const struct snipe_pool_batch *batch)
@@ -95,6 +105,8 @@
       = (struct snipe_coordinator_callbacks){ .ctx = record,
                                               .submit = on_submit,
                                               .cancel = on_cancel,
+                                              .callers_handled
+                                              = callers_handled,
                                               .answer = on_answer };
   CU_ASSERT_EQUAL_FATAL (snipe_coordinator_new (&coordinator, &options),
                          SNIPE_OK);
@@ -167,11 +179,61 @@
     }
 }
 
+/* Guards against a host that vouches for its callers to the owner of a pool
+ * which does not know yet that one of them has left: the cancellation was lost
+ * with its connection, and a heartbeat overtakes the next one. */
+static void
+test_unacknowledged (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t owner;    /**< of the pool */
+    uint64_t receiver; /**< of the heartbeat, 0: unknown */
+    snipe_time at;     /**< after the cancellation */
+    bool acknowledged; /**< before */
+    snipe_time expected;
+  } cases[] = {
+    { "at once", OWNER, OWNER, 0, false, HANDLED },
+    { "sent again", OWNER, OWNER, 600 * SNIPE_MS, false, HANDLED },
+    { "receiver unknown", OWNER, 0, 0, false, HANDLED },
+    { "another host", OWNER, OTHER_HOST, 0, false, INT64_MAX },
+    { "acknowledged", OWNER, OWNER, 20 * SNIPE_MS, true, INT64_MAX },
+    { "batch may be there", OWNER, OWNER, CALLER_TIMEOUT, false, HANDLED },
+    { "batch has ended", OWNER, OWNER, CALLER_TIMEOUT + SNIPE_S, false,
+      INT64_MAX },
+    { "own pool", SELF, 0, 0, false, INT64_MAX },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct record record;
+      struct snipe_coordinator *coordinator
+          = abandon_job (&record, cases[i].owner);
+      struct snipe_pool_result result = { .coordinator = SELF,
+                                          .number = record.number,
+                                          .code = SNIPE_E_CANCELLED };
+      snipe_time handled;
+
+      if (cases[i].acknowledged)
+        snipe_coordinator_handle_result (coordinator, OWNER, &result, START);
+      for (snipe_time t = 0; t <= cases[i].at; t += TICK)
+        snipe_coordinator_tick (coordinator, START + t);
+      handled = snipe_coordinator_cancelled_handled (coordinator,
+                                                     cases[i].receiver);
+      if (handled != cases[i].expected)
+        printf ("\n  %s: %" G_GINT64_FORMAT, cases[i].name, handled);
+      CU_ASSERT_EQUAL (handled, cases[i].expected);
+      snipe_coordinator_free (coordinator);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "repeated until acknowledged", test_repeated },
+    { "unacknowledged", test_unacknowledged },
     CU_TEST_INFO_NULL,
   };
 
