Count the descriptors that were ready before their watches were removed

Cause: the loop takes all ready descriptors for handled once as many were returned as are watched. It counted the watches after the callbacks, and a closed connection is watched no more after its callback. With 128 callers that leave, 64 are returned, 65 watches are left, and the next 64 make the count complete; with 65, one call is taken for all. The existing case did not find it, as its busy descriptors stay watched. Change: the watches are counted when the first of the calls returns, before its callbacks.

--- a/src/loop/loop.c
+++ b/src/loop/loop.c
@@ -36,8 +36,9 @@
   uint32_t watch_count;
   snipe_time handled_until;
   /* If the last call did not return all ready descriptors: since which call,
-   * and how many were returned since. */
+   * how many were watched then, and how many were returned since. */
   snipe_time truncated_since;
+  uint32_t ready_max;
   uint32_t returned_count;
   struct snipe_loop_watch wake;
   snipe_time (*prepare) (void *ctx, snipe_time now);
@@ -194,20 +195,23 @@
   loop->event_count = 0;
 }
 
-/* Notes that the events of an epoll_wait () that was called at @p called_at
- * are handled. A call that returns EVENTS_MAX may have left out others;
- * further calls go round all ready descriptors (epoll_wait (2)). */
+/* Notes that the events of an epoll_wait () that was called at @p called_at,
+ * with @p watch_count descriptors, are handled. A call that returns EVENTS_MAX
+ * may have left out others; further calls go round all ready descriptors
+ * (epoll_wait (2)). */
 static void
-note_handled (struct snipe_loop *loop, int count, snipe_time called_at)
+note_handled (struct snipe_loop *loop, int count, uint32_t watch_count,
+              snipe_time called_at)
 {
   if (loop->truncated_since == 0)
     {
       loop->truncated_since = called_at;
       loop->returned_count = 0;
+      loop->ready_max = watch_count;
     }
   loop->returned_count += (uint32_t)MAX (count, 0);
   if (count < 0
-      || (count == EVENTS_MAX && loop->returned_count < loop->watch_count))
+      || (count == EVENTS_MAX && loop->returned_count < loop->ready_max))
     return;
   loop->handled_until = loop->truncated_since;
   loop->truncated_since = 0;
@@ -248,6 +252,7 @@
       int timeout_ms
           = remaining <= 0 ? 0 : (int)((remaining + SNIPE_MS - 1) / SNIPE_MS);
       int count;
+      uint32_t watch_count;
 
       log_stall ("callbacks", now - returned_at);
       count
@@ -255,8 +260,9 @@
       returned_at = snipe_clock_now ();
       log_stall ("wait", returned_at - now - timeout_ms * SNIPE_MS);
       loop->event_count = count < 0 ? 0 : count;
+      watch_count = loop->watch_count;
       dispatch_events (loop);
-      note_handled (loop, count, now);
+      note_handled (loop, count, watch_count, now);
       now = snipe_clock_now ();
       if (now >= next_tick)
         next_tick = now + tick (ctx, now);
