Wait a round trip before a run beside claimed ones is stopped

Callers whose host is 20 ms away from the new owner of a pool lost a run that went on well: it was stopped and started again from the beginning. Cause: beside a claimed run, a new owner stopped a run that no batch claims 20 ms after its first poll. A coordinator hears of the claim one way later, and its batch needs another one. Evidence: test_unclaimed_runs "distant coordinator", a batch 30 and 42 ms after the claim with most of the lease left: three starts instead of two before, two now. Change: 20 ms and the longest of the shortest round trips to the live hosts, by the transit times that heartbeats tell, taken at the claim: a pass over the hosts for each claim, which is announced to all of them anyway.

--- a/include/snipe/member.h
+++ b/include/snipe/member.h
@@ -105,6 +105,8 @@
  * which includes the difference of the two clocks; 0: unknown. */
 snipe_time snipe_members_transit (const struct snipe_members *members,
                                   uint64_t incarnation);
+/** @return the longest of the shortest round trips to the live hosts. */
+snipe_time snipe_members_round_trip_max (const struct snipe_members *members);
 /** @return a time of this host's clock that is not later than the moment at
  * which the clock of another one showed @p stamp: earlier by the shortest
  * transit time from here to there. 0: unknown, as that host has not told what
--- a/include/snipe/pool.h
+++ b/include/snipe/pool.h
@@ -426,6 +426,8 @@
    * @c stop_max, after its run's coordinator was heard. */
   snipe_time resend_after;
   snipe_time stop_max; /**< longest duration of a stop */
+  /** Longest round trip to a coordinator, if its host is not slow. */
+  snipe_time round_trip_max;
   /** Runs that were lost with their endpoints, shared by the pools of a host;
    * NULL: the pool has a table of its own. */
   struct snipe_crash_table *crashes;
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -283,6 +283,28 @@
              : MIN (peer->min_transit[0], peer->min_transit[1]);
 }
 
+snipe_time
+snipe_members_round_trip_max (const struct snipe_members *members)
+{
+  snipe_time longest = 0;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, members->peers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct peer *peer = value;
+
+      /* The difference of the clocks is in both, with opposite signs. */
+      if (peer->live && peer->advertised.transit != 0)
+        longest = MAX (longest, peer->advertised.transit
+                                    + snipe_members_transit (
+                                        members, *(const uint64_t *)key));
+    }
+  return longest;
+}
+
 /* The peer's clock showed the peer's transit more than this one when a message
  * of this host had reached it, so at no later moment. The transit of its own
  * messages tells a time that is later than the true one by an unknown part. */
--- a/src/node/owners.c
+++ b/src/node/owners.c
@@ -95,6 +95,7 @@
   options.lease_max = node->options.lease_max;
   options.resend_after = node->options.resend_after;
   options.stop_max = node->options.stop_max;
+  options.round_trip_max = snipe_members_round_trip_max (node->members);
   options.spread_load = node->options.spread_load;
   options.shared_order = node->options.shared_order;
   options.crashes = node->crashes;
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -14,7 +14,8 @@
 #define ORPHAN_TIMEOUT (500 * SNIPE_MS)
 /* The same beside runs that a batch has claimed: their lease is not extended
  * before the orphaned one has ended, and may end soon. The coordinators of
- * live jobs hear of a claim at once, and send their batches again. */
+ * live jobs hear of a claim at once, and send their batches again: a round
+ * trip. */
 #define ORPHAN_TIMEOUT_BESIDE_CLAIMED (20 * SNIPE_MS)
 /* Time that reading the list of endpoints takes after a claim while the store
  * is healthy; a multiple of its response time. */
@@ -67,6 +68,7 @@
     }
   pool->token = options->token;
   pool->lease_max = options->lease_max;
+  pool->round_trip_max = options->round_trip_max;
   pool->resend_after = options->resend_after;
   pool->stop_max = options->stop_max;
   pool->callbacks = options->callbacks;
@@ -562,10 +564,11 @@
 
 /* Time after which an orphaned run is stopped. */
 static snipe_time
-orphan_timeout (const struct run *run)
+orphan_timeout (const struct snipe_pool *pool, const struct run *run)
 {
   return snipe_pool_endpoint_has_claimed_run (run->endpoint)
-             ? ORPHAN_TIMEOUT_BESIDE_CLAIMED
+             ? MIN (ORPHAN_TIMEOUT_BESIDE_CLAIMED + pool->round_trip_max,
+                    ORPHAN_TIMEOUT)
              : ORPHAN_TIMEOUT;
 }
 
@@ -584,7 +587,7 @@
     snipe_pool_resend_start (pool, run, now);
   if (batch == NULL)
     {
-      if (now - run->orphaned_since >= orphan_timeout (run))
+      if (now - run->orphaned_since >= orphan_timeout (pool, run))
         snipe_pool_run_stop (pool, run, now);
       return;
     }
--- a/src/pool/private.h
+++ b/src/pool/private.h
@@ -238,6 +238,7 @@
   snipe_time lease_max;
   snipe_time resend_after;
   snipe_time stop_max;
+  snipe_time round_trip_max;
   struct snipe_pool_callbacks callbacks;
   snipe_time created;
   GHashTable *endpoints; /**< id -> struct snipe_pool_endpoint */
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -782,6 +782,7 @@
               .transit
               = row->transit == NEVER ? 0 : row->transit - difference };
       snipe_time now = START + difference;
+      snipe_time fastest = INT64_MAX;
 
       CU_ASSERT_EQUAL (snipe_members_heard_at (members, 1, now), 0);
       for (size_t k = 0;
@@ -790,6 +791,7 @@
           snipe_time sent = START + row->messages[k].sent;
 
           now = sent + difference + row->messages[k].took;
+          fastest = MIN (fastest, row->messages[k].took);
           receive_heartbeat (members, &host, now);
           snipe_members_record_transit (members, 1, sent, now);
           snipe_members_record_handled (members, 1, sent);
@@ -799,6 +801,8 @@
                 (long)(snipe_members_heard_at (members, 1, now) - START
                        - difference));
       CU_ASSERT_EQUAL (snipe_members_heard_at (members, 1, now), expected);
+      CU_ASSERT_EQUAL (snipe_members_round_trip_max (members),
+                       row->transit == NEVER ? 0 : fastest + row->transit);
       /* Other messages do not tell when they were sent. */
       snipe_members_message_received (members, 1, now + SNIPE_S);
       CU_ASSERT_EQUAL (snipe_members_heard_at (members, 1, now + SNIPE_S),
--- a/tests/pool/model.h
+++ b/tests/pool/model.h
@@ -221,6 +221,7 @@
   /** When a coordinator, by its number, sent its last message; 0: it is live.
    */
   snipe_time silent_since[MODEL_COORDINATORS];
+  snipe_time round_trip_max; /**< from an owner to a coordinator */
   uint64_t last_request;
   GHashTable *answered; /**< numbers of the answered requests */
   /** struct model_done, by the name of a task. Tests remove the entries of a
@@ -1261,6 +1262,7 @@
   options.remote_factor = model->remote_factor;
   options.drain_max = model->drain_max;
   options.whole_jobs = model->whole_jobs;
+  options.round_trip_max = model->round_trip_max;
   options.list = model->list.read_at == 0 ? NULL : &model->list;
   options.callbacks
       = (struct snipe_pool_callbacks){ .ctx = &model->owners[owner],
@@ -1276,9 +1278,7 @@
                                        .locality = model->on_locality,
                                        .displaced = model->on_displaced };
   if (model->heartbeat_interval > 0)
-    {
-      options.callbacks.coordinator_heard = model_on_coordinator_heard;
-    }
+    options.callbacks.coordinator_heard = model_on_coordinator_heard;
   CU_ASSERT_EQUAL_FATAL (
       snipe_pool_new (&model->owners[owner].pool, &options, model->now), 0);
   for (uint32_t i = 0; i < known; i++)
--- a/tests/pool/test_unclaimed_runs.c
+++ b/tests/pool/test_unclaimed_runs.c
@@ -120,6 +120,45 @@
     }
 }
 
+/* Guards against stopping the run of a live job whose coordinator is in
+ * another region, 20 ms away, so that its batch arrives later at the new owner
+ * than that of a job beside it. Most of the lease that the earlier owner
+ * granted is left. */
+static void
+test_distant_coordinator (void)
+{
+  static const snipe_time delays[]
+      = { 10 * SNIPE_MS, 30 * SNIPE_MS, 42 * SNIPE_MS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (delays); i++)
+    {
+      struct model_job distant = job (UNCLAIMED_JOB, 1);
+      struct model_job near = job (CLAIMED_JOB, 2);
+      struct model model;
+
+      start_both_jobs (&model);
+      model.round_trip_max = 40 * SNIPE_MS;
+      distant.resent = near.resent = true;
+      distant.endpoint_digest = near.endpoint_digest
+          = model_digest (&model, FIRST);
+      model_release (&model, FIRST);
+      model_advance (&model, model.now + 300 * SNIPE_MS);
+      model_claim (&model, SECOND, 2 << 20, 1);
+      snipe_pool_directory_synced (model.owners[SECOND].pool);
+      model_advance (&model, model.now + 5 * SNIPE_MS);
+      model_submit (&model, SECOND, &near);
+      model_advance (&model, model.now - 5 * SNIPE_MS + delays[i]);
+      model_submit (&model, SECOND, &distant);
+      model_advance (&model, model.now + 2 * TASK_TIME);
+      if (model.starts != 2)
+        printf ("\n  batch %d ms after the claim: %u starts",
+                (int)(delays[i] / SNIPE_MS), model.starts);
+      CU_ASSERT_EQUAL (model.starts, 2);
+      CU_ASSERT_TRUE (snipe_pool_idle (model.owners[SECOND].pool));
+      model_clear (&model);
+    }
+}
+
 /* Guards against polls that extend the lease of a run whose stop requests are
  * lost, and against capacity that stays in use after the lease has expired. */
 static void
@@ -183,6 +222,7 @@
 {
   CU_TestInfo tests[] = {
     { "takeover", test_takeover },
+    { "distant coordinator", test_distant_coordinator },
     { "lost stops", test_lost_stops },
     { "silent after a cancel", test_silent_after_cancel },
     { "unexpected run", test_unexpected_run },
