--- a/tests/adapter/test_front.c
+++ b/tests/adapter/test_front.c
@@ -1,11 +1,14 @@
 #include <CUnit/Basic.h>
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include "front.h"
@@ -15,6 +18,22 @@
   "POST /jobs/0123456789abcdef HTTP/1.1\r\nHost: h.example:80\r\n"            \
   "Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n{}"
 
+/* Whether the loop cannot watch further connections of clients. */
+static bool watches_fail;
+
+/* In place of the C library's. */
+int
+epoll_ctl (int epoll_fd, int operation, int fd, struct epoll_event *event)
+{
+  if (__atomic_load_n (&watches_fail, __ATOMIC_RELAXED)
+      && operation == EPOLL_CTL_ADD && event->events == EPOLLRDHUP)
+    {
+      errno = ENOSPC;
+      return -1;
+    }
+  return (int)syscall (SYS_epoll_ctl, epoll_fd, operation, fd, event);
+}
+
 struct observed
 {
   struct snipe_loop *loop;
@@ -102,6 +121,7 @@
   bool answer;
   int requests;
   int abandoned;
+  bool unwatched;   /**< the loop cannot watch the client's connection */
   const char *text; /**< contained in the answer, NULL: answer is not read */
 };
 
@@ -122,15 +142,20 @@
 
 /* Guards against executing a request whose client closed the connection while
  * this process was stopped and then sent the job to another host (task run
- * TWICE, soak seed 10), and against working for clients that disconnected. */
+ * TWICE, soak seed 10), against working for clients that disconnected, and
+ * against starting a job of which the caller's leaving would not be noticed.
+ */
 static void
 test_requests (void)
 {
   const struct front_case cases[] = {
-    { "answered", false, false, true, 1, 0, "Retry-After: 2" },
-    { "client disconnects while it waits", false, true, false, 1, 1, NULL },
+    { "answered", false, false, true, 1, 0, false, "Retry-After: 2" },
+    { "client disconnects while it waits", false, true, false, 1, 1, false,
+      NULL },
     { "client disconnected before the request was read", true, false, true, 0,
-      0, NULL },
+      0, false, NULL },
+    { "connection cannot be watched", false, false, true, 0, 0, true,
+      "HTTP/1.1 503" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -164,8 +189,10 @@
         }
       if (row->close_during)
         observed.close_fd = fd;
+      __atomic_store_n (&watches_fail, row->unwatched, __ATOMIC_RELAXED);
       observed.stop_at = snipe_clock_now () + 100 * SNIPE_MS;
       snipe_loop_run (observed.loop, on_tick, &observed);
+      __atomic_store_n (&watches_fail, false, __ATOMIC_RELAXED);
       if (row->text != NULL)
         CU_ASSERT_TRUE (recv (fd, text, sizeof text - 1, 0) > 0);
       if (!row->close_before && !row->close_during)
