Ignore rejections of copies that were sent before a commit

Cause: a held batch is sent again when its connection broke or its owner seems not to hear this host, and such a copy is not marked as resent, as nothing is started before the commit. If it takes more than 400 ms, its owner rejects it as not run, though it has the earlier copy. If that copy's grant arrives meanwhile, the commit is sent before the rejection is received. The owner starts the batch by its earlier copy, and the coordinator, for which the rejection answers the last copy, sends the same tasks to another pool: two runs of one task without a second submission. The same holds if the copy is rejected because its host has released the pool after the commit. Only with the setting whole-jobs. Change: a batch of which more than one copy was sent gets a further attempt with its commit, and is sent again as resent; a rejection of an earlier copy counts no more. The copy starts nothing: the owner has the batch, or treats it like any resent one. Evidence: test_held_batches "late copy" fails before: in three of four cases a task of the committed batch goes to another pool.

--- a/src/coordinator/held.c
+++ b/src/coordinator/held.c
@@ -47,6 +47,16 @@
   return tasks == job->unfinished;
 }
 
+/* Whether more than one copy of the batch was sent. */
+static bool
+was_sent_again (const struct batch *batch)
+{
+  uint32_t first = batch->declinable ? SNIPE_POOL_DECLINABLE_ATTEMPT
+                                     : SNIPE_POOL_DECLINABLE_ATTEMPT + 1;
+
+  return batch->attempts > first;
+}
+
 static void
 commit_job (struct snipe_coordinator *coordinator, struct job *job,
             snipe_time now)
@@ -60,6 +70,14 @@
                                          batch->owner, batch->number)
           != SNIPE_OK)
         batch->resend_at = now;
+      /* The owner may reject the last copy, which is late, and start the batch
+       * by an earlier one: only a further copy tells its results from that
+       * rejection. */
+      if (was_sent_again (batch))
+        {
+          batch->attempts++;
+          batch->resend_at = now;
+        }
     }
 }
 
--- a/tests/coordinator/test_held_batches.c
+++ b/tests/coordinator/test_held_batches.c
@@ -91,6 +91,7 @@
   uint32_t commits[4]; /**< to each owner */
   uint32_t cancelled[4]; /**< batches, at each owner */
   uint64_t numbers[4];   /**< of the last batch of each owner */
+  uint32_t attempts[4];  /**< of its last copy */
   bool unreachable;      /**< for commits */
   uint32_t answers;
   struct snipe_coordinator_answer answer;
@@ -108,6 +109,7 @@
   else
     exchange->unheld[owner] += batch->count;
   exchange->numbers[owner] = batch->number;
+  exchange->attempts[owner] = batch->attempt;
   return SNIPE_OK;
 }
 
@@ -160,17 +162,17 @@
   snipe_coordinator_update_load (exchange->coordinator, &load, now);
 }
 
-/* A result of tasks that were not run. */
+/* A result of tasks that were not run, for a copy of the last batch. */
 static void
-reject (struct exchange *exchange, uint64_t owner, int code, snipe_time now)
+reject (struct exchange *exchange, uint64_t owner, uint32_t attempt, int code,
+        snipe_time now)
 {
   const uint32_t outcomes[] = { SNIPE_TASK_NOT_RUN };
-  const struct snipe_pool_result result
-      = { .number = exchange->numbers[owner],
-          .attempt = SNIPE_POOL_DECLINABLE_ATTEMPT,
-          .outcomes = outcomes,
-          .count = 1,
-          .code = code };
+  const struct snipe_pool_result result = { .number = exchange->numbers[owner],
+                                            .attempt = attempt,
+                                            .outcomes = outcomes,
+                                            .count = 1,
+                                            .code = code };
 
   snipe_coordinator_handle_result (exchange->coordinator, owner, &result, now);
 }
@@ -218,11 +220,13 @@
       report_slots (exchange, 3, 1, now);
       break;
     case EVENT_DECLINE_2:
-      reject (exchange, 2, SNIPE_E_REFUSED, now);
+      reject (exchange, 2, SNIPE_POOL_DECLINABLE_ATTEMPT, SNIPE_E_REFUSED,
+              now);
       break;
     case EVENT_EXPIRE_1:
       report_slots (exchange, 1, 1, now);
-      reject (exchange, 1, SNIPE_E_HOLD_EXPIRED, now);
+      reject (exchange, 1, SNIPE_POOL_DECLINABLE_ATTEMPT, SNIPE_E_HOLD_EXPIRED,
+              now);
       break;
     case EVENT_LOSE_2:
       snipe_coordinator_owner_lost (coordinator, 2, now);
@@ -234,6 +238,42 @@
     }
 }
 
+/* Submits a job for which pools 1 and 2 have room together. */
+static void
+submit_wide_job (struct exchange *exchange, snipe_time now)
+{
+  struct snipe_coordinator_options options = SNIPE_COORDINATOR_OPTIONS_INIT;
+  const struct snipe_coordinator_job job
+      = { .id = "00000000000000aa",
+          .route = "r",
+          .service = "work",
+          .spec = { .data = (char *)"s", .len = 1 },
+          .count = 2,
+          .task_resources = { .cpu = 32000, .mem_mb = 64 },
+          .label = "",
+          .rack = "",
+          .attempts = 3,
+          .estimate = 100 * SNIPE_MS,
+          .slack_factor = 1.6,
+          .slo = 60 * SNIPE_MS,
+          .caller_deadline = 2500 * SNIPE_MS };
+
+  options.incarnation = 100;
+  options.domain = "a";
+  options.whole_jobs = true;
+  options.callbacks
+      = (struct snipe_coordinator_callbacks){ .ctx = exchange,
+                                              .submit = note_submit,
+                                              .cancel = note_cancel,
+                                              .commit = note_commit,
+                                              .answer = note_answer };
+  CU_ASSERT_EQUAL_FATAL (
+      snipe_coordinator_new (&exchange->coordinator, &options), 0);
+  for (uint64_t k = 1; k <= 3; k++)
+    report_slots (exchange, k, k < 3, now);
+  snipe_coordinator_submit (exchange->coordinator, &job, now);
+}
+
 /* Guards against a job of which a part is started although another has no
  * room: because of a grant of another host, of an earlier copy, or before a
  * part that was declined or lost with its owner has room elsewhere; and
@@ -291,38 +331,9 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct exchange exchange = { 0 };
-      struct snipe_coordinator_options options
-          = SNIPE_COORDINATOR_OPTIONS_INIT;
-      const struct snipe_coordinator_job job
-          = { .id = "00000000000000aa",
-              .route = "r",
-              .service = "work",
-              .spec = { .data = (char *)"s", .len = 1 },
-              .count = 2,
-              .task_resources = { .cpu = 32000, .mem_mb = 64 },
-              .label = "",
-              .rack = "",
-              .attempts = 3,
-              .estimate = 100 * SNIPE_MS,
-              .slack_factor = 1.6,
-              .slo = 60 * SNIPE_MS,
-              .caller_deadline = 2500 * SNIPE_MS };
       snipe_time now = SNIPE_S;
 
-      options.incarnation = 100;
-      options.domain = "a";
-      options.whole_jobs = true;
-      options.callbacks
-          = (struct snipe_coordinator_callbacks){ .ctx = &exchange,
-                                                  .submit = note_submit,
-                                                  .cancel = note_cancel,
-                                                  .commit = note_commit,
-                                                  .answer = note_answer };
-      CU_ASSERT_EQUAL_FATAL (
-          snipe_coordinator_new (&exchange.coordinator, &options), 0);
-      for (uint64_t k = 1; k <= 3; k++)
-        report_slots (&exchange, k, k < 3, now);
-      snipe_coordinator_submit (exchange.coordinator, &job, now);
+      submit_wide_job (&exchange, now);
       for (size_t k = 0; k < G_N_ELEMENTS (cases[i].events); k++)
         play (&exchange, cases[i].events[k], now += SNIPE_MS);
       for (size_t k = 0; k < 4; k++)
@@ -345,11 +356,61 @@
     }
 }
 
+/* Guards against a task that runs in two pools: a held batch is sent again, as
+ * its connection broke, and that copy is so late that its owner rejects it,
+ * although it has the earlier copy and starts it at the commit. */
+static void
+test_late_copy (void)
+{
+  static const struct
+  {
+    const char *name;
+    bool again;     /**< the batch of pool 1 is sent again before the grants */
+    bool ticks;     /**< the coordinator does, after the commits */
+    int code;       /**< with which that copy, or the only one, is rejected */
+    uint32_t moved; /**< tasks that go to pool 3 then */
+  } cases[] = {
+    { "one copy, late", false, false, SNIPE_E_DEADLINE, 1 },
+    { "second copy late", true, true, SNIPE_E_DEADLINE, 0 },
+    { "second copy late, known at once", true, false, SNIPE_E_DEADLINE, 0 },
+    { "second copy misdirected", true, true, SNIPE_E_UNREACHABLE, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct exchange exchange = { 0 };
+      snipe_time now = SNIPE_S;
+      uint32_t attempt;
+
+      submit_wide_job (&exchange, now);
+      report_slots (&exchange, 3, 1, now);
+      if (cases[i].again)
+        snipe_coordinator_resend (exchange.coordinator, 1);
+      attempt = exchange.attempts[1];
+      if (cases[i].again)
+        {
+          play (&exchange, EVENT_GRANT_1, now += SNIPE_MS);
+          play (&exchange, EVENT_GRANT_2, now += SNIPE_MS);
+        }
+      if (cases[i].ticks)
+        snipe_coordinator_tick (exchange.coordinator, now);
+      reject (&exchange, 1, attempt, cases[i].code, now += SNIPE_MS);
+      if (exchange.held[3] + exchange.unheld[3] != cases[i].moved)
+        printf ("\n  %s: %u tasks moved", cases[i].name,
+                exchange.held[3] + exchange.unheld[3]);
+      CU_ASSERT_EQUAL (exchange.held[3] + exchange.unheld[3], cases[i].moved);
+      CU_ASSERT_EQUAL (exchange.commits[1], cases[i].again);
+      CU_ASSERT_EQUAL (exchange.answers, 0);
+      snipe_coordinator_free (exchange.coordinator);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "events", test_events },
+    { "late copy", test_late_copy },
     { "faults", test_faults },
     CU_TEST_INFO_NULL,
   };
