--- a/tests/coordinator/test_earlier_owner.c
+++ b/tests/coordinator/test_earlier_owner.c
@@ -18,6 +18,7 @@
 #define TICK (20 * SNIPE_MS)
 /* Callers come back no sooner than this after their connection broke. */
 #define RESEND_DELAY (1300 * SNIPE_MS)
+#define HEARTBEAT_INTERVAL (150 * SNIPE_MS)
 #define OFFSETS 20
 #define OFFSET (50 * SNIPE_MS)
 /* Time until the endpoints have answered a claim, or started tasks. */
@@ -206,10 +207,19 @@
           deliver (fleet, message);
           g_free (message);
         }
-      if (fleet->model.now % TICK == 0)
-        for (uint32_t i = 0; i < COORDINATORS; i++)
-          snipe_coordinator_tick (fleet->hosts[i].coordinator,
-                                  fleet->model.now);
+      for (uint32_t i = 0; i < COORDINATORS; i++)
+        {
+          struct snipe_coordinator *coordinator = fleet->hosts[i].coordinator;
+          snipe_time handled = snipe_coordinator_cancelled_handled (
+              coordinator, FIRST + OWNER_INCARNATION);
+
+          if (fleet->model.now % TICK == 0)
+            snipe_coordinator_tick (coordinator, fleet->model.now);
+          /* With model.heartbeat_interval: its heartbeats vouch for no later
+           * time. */
+          fleet->model.silent_since[COORDINATOR_INCARNATION + i]
+              = handled == INT64_MAX ? 0 : handled;
+        }
     }
 }
 
@@ -265,13 +275,14 @@
 }
 
 static void
-fleet_init (struct fleet *fleet)
+fleet_init (struct fleet *fleet, snipe_time heartbeat_interval)
 {
   *fleet = (struct fleet){ 0 };
   current = fleet;
   g_queue_init (&fleet->messages);
   model_init (&fleet->model, ENDPOINTS, 60000, long_duration);
   fleet->model.on_result = on_result;
+  fleet->model.heartbeat_interval = heartbeat_interval;
   for (uint32_t i = 0; i < COORDINATORS; i++)
     {
       struct snipe_coordinator_options options
@@ -306,16 +317,39 @@
   model_clear (&fleet->model);
 }
 
+/* @return the first endpoint with a run. */
+static uint32_t
+find_run (const struct fleet *fleet)
+{
+  uint32_t i = 0;
+
+  while (i + 1 < ENDPOINTS && fleet->model.endpoints[i].run_count == 0)
+    i++;
+  CU_ASSERT_FATAL (fleet->model.endpoints[i].run_count > 0);
+  return i;
+}
+
 /* Cuts the new owner off from the first endpoint with a run. */
 static void
 cut_endpoint (struct fleet *fleet)
 {
+  fleet->model.endpoints[find_run (fleet)].cut_owners |= 1U << SECOND;
+}
+
+/* Claims the pool for the new owner, whose list lacks an endpoint.
+ * @param lost_stops stop requests do not arrive there any more */
+static void
+claim_without (struct fleet *fleet, uint32_t unlisted, bool lost_stops)
+{
+  struct model *model = &fleet->model;
+
+  model->endpoints[unlisted].drops_stops = lost_stops;
+  model_claim (model, SECOND, 2 << 20, 0);
   for (uint32_t i = 0; i < ENDPOINTS; i++)
-    if (fleet->model.endpoints[i].run_count > 0)
-      {
-        fleet->model.endpoints[i].cut_owners |= 1U << SECOND;
-        return;
-      }
+    if (i != unlisted)
+      snipe_pool_endpoint_set (model->owners[SECOND].pool,
+                               &model->endpoints[i].entry, model->now);
+  snipe_pool_directory_synced (model->owners[SECOND].pool);
 }
 
 static uint32_t
@@ -368,7 +402,7 @@
         {
           struct fleet fleet;
 
-          fleet_init (&fleet);
+          fleet_init (&fleet, 0);
           submit (&fleet, 0);
           advance (&fleet, CLAIM_TIME + k * OFFSET);
           CU_ASSERT_EQUAL (fleet.model.starts, TASKS);
@@ -407,11 +441,60 @@
     }
 }
 
+/* Guards against a task that the new owner starts while its run goes on at an
+ * endpoint that only the earlier owner lists, which extends the lease there
+ * until it hears of the move: no caller leaves, and nothing is submitted
+ * again. */
+static void
+test_unlisted_endpoint (void)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t lost_cancels; /**< cancellations to the earlier owner */
+    bool lost_stops;       /**< its stop requests to that endpoint */
+  } cases[] = {
+    { "stopped", 0, false },
+    { "cancellation lost three times", 3, false },
+    { "stops lost", 0, true },
+    { "cancellation lost twice, stops lost", 2, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      uint32_t duplicates = 0;
+      uint32_t duplicate_offsets = 0;
+
+      for (uint32_t k = 0; k < OFFSETS; k++)
+        {
+          struct fleet fleet;
+
+          fleet_init (&fleet, HEARTBEAT_INTERVAL);
+          submit (&fleet, 0);
+          advance (&fleet, CLAIM_TIME + k * OFFSET);
+          CU_ASSERT_EQUAL (fleet.model.starts, TASKS);
+          fleet.lost_cancels = cases[i].lost_cancels;
+          claim_without (&fleet, find_run (&fleet), cases[i].lost_stops);
+          report_owner (&fleet, SECOND, 2 << 20);
+          advance (&fleet, 3 * TASK_TIME);
+          duplicates += fleet.model.duplicate_runs;
+          duplicate_offsets += fleet.model.duplicate_runs > 0;
+          CU_ASSERT_TRUE (fleet.hosts[0].answered);
+          fleet_clear (&fleet);
+        }
+      CU_ASSERT_EQUAL (duplicates, 0);
+      if (duplicates > 0)
+        printf ("\n  %s: %u duplicate runs at %u of %d offsets", cases[i].name,
+                duplicates, duplicate_offsets, OFFSETS);
+    }
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "caller comes back", test_caller_comes_back },
+    { "unlisted endpoint", test_unlisted_endpoint },
     CU_TEST_INFO_NULL,
   };
 
