Tell a host the loads of pools when it is heard or connected

Cause: a load is sent when it has changed. A host that starts in a quiet moment gets none, knows no pool that can serve, and is never ready. Change: a host sends the loads of its own pools to one that it hears for the first time or again, that had lost it, or to which it opens a connection. So a load that was lost with a connection is not missed either.

--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -481,6 +481,28 @@
                     result->job, snipe_status_last ());
 }
 
+/* Sends a host the loads of this host's pools. It may have none, or have lost
+ * the last ones, and a load that does not change is not sent again. */
+static void
+send_loads_to (struct snipe_node *node, const char *address, snipe_time now)
+{
+  for (guint i = 0; i < node->owned_pools->len; i++)
+    {
+      const struct owned_pool *pool = g_ptr_array_index (node->owned_pools, i);
+      struct pool_load load;
+      struct snipe_link_message message;
+
+      read_load (&load, pool, now);
+      message = encode_load (node, pool, &load);
+      if (snipe_link_send (node->link, address, &message) < 0)
+        {
+          snipe_node_log (node, "event=loads_unsent address=%s reason=\"%s\"",
+                          address, snipe_status_last ());
+          return;
+        }
+    }
+}
+
 /* Tells what waits in a pool by urgency, to the hosts that are told its load.
  */
 static void
@@ -748,6 +770,7 @@
           now);
       snipe_node_resend_losses (node, member.address, since_received, now);
       snipe_node_send_evacuations (node, member.address);
+      send_loads_to (node, member.address, now);
     }
   for (u_int i = 0; i < member.claim_count && !member.leaving; i++)
     snipe_coordinator_set_owner (node->coordinator, &claims[i].pool,
@@ -768,6 +791,7 @@
                              now);
       snipe_node_resend_losses (node, member.address, 0, now);
       snipe_node_send_evacuations (node, member.address);
+      send_loads_to (node, member.address, now);
     }
   note_config_version (node, heartbeat, now);
   snipe_node_request_list (node, now);
@@ -1107,6 +1131,7 @@
   resend_cancelled_jobs (node, address, CANCELLED_JOB_RESEND_AGE, now);
   snipe_node_resend_losses (node, address, 0, now);
   snipe_node_send_evacuations (node, address);
+  send_loads_to (node, address, now);
 }
 
 void
