Convert the time of sending of a batch to one that is not too late

Cause: a batch that comes back to an owner after its cancellation is told from a copy that was sent before it by the time of sending, which was converted with the shortest transit time of the sender's heartbeats. That is too late while these were held up. A resent copy that took longer than its cancellation was then started by an owner that had acknowledged the cancellation: its coordinator has removed the batch, cancels it no more, and vouches for its callers again, so that the run goes on up to the caller's deadline, beside that of a second submission. Change: the time is converted like the stamps that bound leases. It is too early by the way of a message, so that a batch that is back may be acknowledged as cancelled and is sent again, as before. Evidence: test_cancel_batch "heartbeats held up", in which all heartbeats of the coordinator say that they took 200 ms, fails before: the copy is started and not stopped. It passes now, as does the test without that.

--- a/src/node/local.c
+++ b/src/node/local.c
@@ -10,9 +10,10 @@
  * but its clock is not this host's, and its message takes time. A batch whose
  * result was dropped too early would be started again. */
 #define RESULT_RETENTION_MARGIN (1 * SNIPE_S)
-/* The time of sending is exact but for the difference between the transit
- * times of two messages. A batch that was sent later, but is taken for an old
- * copy, is acknowledged as cancelled, and its coordinator sends it again. */
+/* The time of sending is not too late but for the difference between the rates
+ * of two clocks, and too early by the time that messages take. A batch that
+ * was sent later, but is taken for an old copy, is acknowledged as cancelled,
+ * and its coordinator sends it again. */
 #define SENT_TIME_ERROR (50 * SNIPE_MS)
 
 void
--- a/src/node/wire.c
+++ b/src/node/wire.c
@@ -909,7 +909,9 @@
   handled = decode_handled (from->sent_us, from->unhandled_us);
   delay = snipe_members_delay (node->members, from->coordinator,
                                snipe_node_decode_sent (from->sent_us), now);
-  batch.sent_at = now - MAX (delay, 0);
+  batch.sent_at
+      = snipe_members_local_time (node->members, from->coordinator,
+                                  snipe_node_decode_sent (from->sent_us), now);
   /* Nothing is started for it while the time is unknown. */
   batch.handled_at = MAX (snipe_members_local_time (
                               node->members, from->coordinator, handled, now),
--- a/tests/node/test_cancel_batch.c
+++ b/tests/node/test_cancel_batch.c
@@ -47,6 +47,7 @@
   snipe_time started_at;
   snipe_time cancelled_at; /**< before the second batch is cancelled */
   snipe_time heartbeat_due;
+  snipe_time held_up; /**< for how long all heartbeats are */
   bool poll_pending;
   uint64_t poll_token;
   uint32_t starts;
@@ -122,7 +123,7 @@
   struct snipe_link_message message
       = { .procedure = LINK_SEND_HEARTBEAT,
           .args.heartbeat = { .incarnation = COORDINATOR,
-                              .sent_us = now,
+                              .sent_us = now - test->held_up,
                               .name = (char *)"c",
                               .address = test->link_address,
                               .domain = (char *)"b",
@@ -250,7 +251,7 @@
       test->step = STEP_SUBMIT_CANCELLED;
       break;
     case STEP_SUBMIT_CANCELLED:
-      if (test->acknowledgements < 3)
+      if (test->acknowledgements < 3 || now - test->cancelled_at < BACK_DELAY)
         break;
       send_batch (test, LATE_BATCH, test->cancelled_at, true);
       test->step = STEP_SUBMIT_OLD;
@@ -320,7 +321,7 @@
  * its coordinator has to be told. A host that counted the node as lost has
  * dropped its messages, so it is told again. */
 static void
-test_acknowledged (void)
+play (snipe_time held_up)
 {
   struct snipe_node_options options = SNIPE_NODE_OPTIONS_INIT;
   struct snipe_link_options link = SNIPE_LINK_OPTIONS_INIT;
@@ -332,7 +333,7 @@
           .capacity = { .cpu = 64000, .mem_mb = 65536 },
           .started_ms = 1 };
   snipe_time now = snipe_clock_now ();
-  struct test test = { .started_at = now };
+  struct test test = { .started_at = now, .held_up = held_up };
 
   CU_ASSERT_EQUAL_FATAL (snipe_loop_new (&test.loop), SNIPE_OK);
   link.loop = options.loop = test.loop;
@@ -365,11 +366,27 @@
   snipe_loop_free (test.loop);
 }
 
+static void
+test_acknowledged (void)
+{
+  play (0);
+}
+
+/* Guards against starting a copy that was sent before its cancellation, and
+ * was in transit for longer: its coordinator, which has removed the batch,
+ * would not cancel it any more. */
+static void
+test_heartbeats_held_up (void)
+{
+  play (200 * SNIPE_MS);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = {
     { "cancellation acknowledged", test_acknowledged },
+    { "heartbeats held up", test_heartbeats_held_up },
     CU_TEST_INFO_NULL,
   };
 
