--- a/src/coordinator/cancellation.c
+++ b/src/coordinator/cancellation.c
@@ -26,8 +26,8 @@
   struct snipe_coordinator_cancellation message; /**< the next one to send */
   snipe_time due;
   snipe_time expires_at; /**< the pool ends the batch by itself then */
-  /** A time before which the caller of the batch had not left, and the batch
-   * had not moved. */
+  /** A time before which the caller of the batch had not left, INT64_MAX: it
+   * has not. */
   snipe_time handled;
 };
 
@@ -76,7 +76,7 @@
 void
 snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
                                uint64_t number, snipe_time caller_deadline,
-                               snipe_time handled, snipe_time now)
+                               snipe_time now)
 {
   struct cancellation *cancellation = g_new (struct cancellation, 1);
 
@@ -84,7 +84,7 @@
     .message = { .owner = owner, .number = number, .moved = true },
     .due = now + MOVED_CANCEL_DELAY,
     .expires_at = caller_deadline,
-    .handled = handled,
+    .handled = INT64_MAX,
   };
   g_hash_table_replace (cancellations, cancellation, cancellation);
 }
--- a/src/coordinator/coordinator.c
+++ b/src/coordinator/coordinator.c
@@ -672,8 +672,7 @@
                               batch->number);
   snipe_cancellations_add_moved (coordinator->cancellations, earlier,
                                  batch->number,
-                                 batch->job->spec.caller_deadline,
-                                 callers_handled (coordinator, now), now);
+                                 batch->job->spec.caller_deadline, now);
 }
 
 static void
--- a/src/coordinator/private.h
+++ b/src/coordinator/private.h
@@ -156,12 +156,11 @@
                               snipe_time handled, snipe_time now);
 /** Adds a cancellation at the earlier owner of a batch that has moved. It is
  * sent as soon as the claim of the new owner has reached the endpoints, and
- * repeated like any other.
- * @param handled a time before which the batch had not moved */
+ * repeated like any other. */
 void snipe_cancellations_add_moved (GHashTable *cancellations, uint64_t owner,
                                     uint64_t number,
                                     snipe_time caller_deadline,
-                                    snipe_time handled, snipe_time now);
+                                    snipe_time now);
 /** The owner has acknowledged the cancellation, or gets the batch again. */
 void snipe_cancellations_remove (GHashTable *cancellations, uint64_t owner,
                                  uint64_t number);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -176,15 +176,13 @@
 /* Whether all leases that a previous owner can have granted for a resent batch
  * have expired, also on a clock that runs 2 % slow. At an endpoint that this
  * owner does not know, that owner extends them until it hears of the claim, or
- * of the batch's move from the coordinator: until then, the coordinator's
- * heartbeats to it vouch for no later time than that of the move. */
+ * of the batch's move from the coordinator. */
 static bool
 previous_leases_expired (const struct snipe_pool *pool,
                          const struct batch *batch, snipe_time now)
 {
   return now >= MAX (pool->earlier_owner_until, batch->arrived)
-                    + MAX (pool->lease_max + pool->lease_max / 20,
-                           pool->resend_after);
+                    + pool->lease_max + pool->lease_max / 20;
 }
 
 /* Whether a batch may be started. A resent one may already run: it has to wait
