--- a/src/link/snipe_link.h
+++ b/src/link/snipe_link.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _T_H_RPCGEN
-#define _T_H_RPCGEN
+#ifndef _SNIPE_LINK_H_RPCGEN
+#define _SNIPE_LINK_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -433,4 +433,4 @@
 }
 #endif
 
-#endif /* !_T_H_RPCGEN */
+#endif /* !_SNIPE_LINK_H_RPCGEN */
