--- a/tests/pool/test_lease_bound.c
+++ b/tests/pool/test_lease_bound.c
@@ -16,8 +16,9 @@
 #define HEARTBEAT_INTERVAL (200 * SNIPE_MS)
 #define FAILURE_TIMEOUT (600 * SNIPE_MS)
 /* A live coordinator whose connection is silent and replaced counts as heard
- * again after the loss of heartbeats was noticed (390 ms), the cancellations
- * were repeated (250 ms) and the next heartbeat has come (200 ms). */
+ * again after the loss of heartbeats was noticed (390 ms), cancellations were
+ * repeated and acknowledged (250 ms) and the next heartbeat has come (200 ms).
+ */
 #define SILENCE_MAX (840 * SNIPE_MS)
 #define STEP (10 * SNIPE_MS)
 #define TASK_TIME (4 * SNIPE_S)
