Search for runs that go on when their callers are back

Change: a play "callers return" beside the others, of the callers' second mode. Up to three callers lose their connections to a host, which stands still for 20 to 590 ms before, across and after that, in both orders of waiting events; other hosts stand still too; stops of all hosts are late for 1 to 5 s, polls and starts at times; the host, another one or both are killed within 700 ms; their connections are reset or go silent. Three to six such moments, some of them overlapping; callers return at a host of another domain. The planted faults are one table now, with the same cases, seeds and bounds, and one more: hosts that vouch for callers while they have not read their connections.

--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -405,7 +405,8 @@
   snipe_time behind_since
       = sim.processes[((struct fleet_host *)ctx)->index].behind_since;
 
-  return behind_since == 0 ? sim.now : behind_since;
+  return behind_since == 0 || fleet.plan->ignores_stalls ? sim.now
+                                                         : behind_since;
 }
 
 /* The host reads the operator's requests, again and again until the store
@@ -607,13 +608,16 @@
 fleet_submit_again (void *data)
 {
   const struct submission *submission = data;
+  const uint32_t *domains = fleet.plan->host_domains;
   uint32_t hosts = fleet.plan->host_count;
-
-  fleet_submit (
-      submission->job,
-      (submission->host + (uint32_t)sim_draw (&sim.random, 1, hosts - 1))
-          % hosts,
-      submission->number + 1);
+  uint32_t host
+      = (submission->host + (uint32_t)sim_draw (&sim.random, 1, hosts - 1))
+        % hosts;
+
+  while (fleet.plan->returns_elsewhere
+         && domains[host] == domains[submission->host])
+    host = (host + 1) % hosts;
+  fleet_submit (submission->job, host, submission->number + 1);
 }
 
 /* The outcome of a submission is unknown to its caller. */
@@ -689,6 +693,15 @@
                      fleet.plan->jobs[disturbance->other].id, sim.now);
 }
 
+/* Adds to the causes that hold back a kind of request of all hosts. */
+static void
+fleet_hold_back_all (uint32_t kind, int32_t change)
+{
+  for (uint32_t i = 0; i < fleet.plan->host_count; i++)
+    for (uint32_t k = 0; k < endpoints.count; k++)
+      endpoints.list[k].late[i][kind] += (uint32_t)change;
+}
+
 /* Cuts a host off from all others, or heals that. */
 static void
 fleet_isolate (const struct disturbance *disturbance, bool begins)
@@ -788,7 +801,7 @@
   uint32_t host = disturbance->host;
   uint32_t other = disturbance->other;
 
-  if (disturbance->kind < DISTURB_LEAVE || disturbance->kind == DISTURB_STORE)
+  if (disturbance->kind < DISTURB_LEAVE || disturbance->kind >= DISTURB_STORE)
     fleet_note_disturbance (disturbance, true);
   switch (disturbance->kind)
     {
@@ -850,6 +863,9 @@
       fleet.store_cuts[host]++;
       fleet.store_silent[host] += disturbance->hard;
       break;
+    case DISTURB_LATE_ALL:
+      fleet_hold_back_all (disturbance->detail, 1);
+      break;
     case DISTURB_KINDS:
       break;
     }
@@ -908,6 +924,9 @@
       fleet.store_cuts[host]--;
       fleet.store_silent[host] -= disturbance->hard;
       break;
+    case DISTURB_LATE_ALL:
+      fleet_hold_back_all (disturbance->detail, -1);
+      break;
     default:
       return;
     }
@@ -1119,6 +1138,8 @@
       const struct disturbance *disturbance = &plan->disturbances[i];
       snipe_time begin = fleet.start + disturbance->begin;
       snipe_time end = begin + disturbance->length;
+      bool late = disturbance->kind == DISTURB_LATE
+                  || disturbance->kind == DISTURB_LATE_ALL;
 
       if (disturbance->off)
         continue;
@@ -1128,9 +1149,7 @@
       sim_at (begin, SIM_NO_HOST, fleet_begin_disturbance,
               (void *)disturbance);
       sim_at (end, SIM_NO_HOST, fleet_end_disturbance, (void *)disturbance);
-      until = MAX (
-          until,
-          end + (disturbance->kind == DISTURB_LATE ? FLEET_LATE_MAX : 0));
+      until = MAX (until, end + (late ? FLEET_LATE_MAX : 0));
     }
   for (uint32_t i = 0; i < plan->resize_count; i++)
     sim_at (fleet.start + plan->resizes[i].begin, SIM_NO_HOST,
--- a/tests/fleet/plan.h
+++ b/tests/fleet/plan.h
@@ -21,6 +21,11 @@
 /* Patience of a caller whose job crashes its endpoints: time for several. */
 #define PLAN_CRASH_PATIENCE (15 * SNIPE_S)
 #define PLAN_STORMS 3
+/* With callers that return: moments, and what is drawn for each of them. */
+#define PLAN_RETURN_STORMS 6
+#define PLAN_RETURN_CALLERS 3
+#define PLAN_RETURN_PARTS 11
+#define PLAN_RETURN_JOBS 32
 /* Jobs arrive and disturbances begin within this time, once the hosts have
  * claimed their pools. */
 #define PLAN_BEGIN (2 * SNIPE_S)
@@ -51,7 +56,8 @@
   DISTURB_LEAVE,        /**< a caller */
   DISTURB_CALLER_RESET, /**< connection of a caller */
   DISTURB_CANCEL,       /**< by job id at another host */
-  DISTURB_STORE, /**< a host cannot read the store; plans draw it apart */
+  DISTURB_STORE,    /**< a host cannot read the store; plans draw it apart */
+  DISTURB_LATE_ALL, /**< of all hosts to all endpoints; drawn apart */
   DISTURB_KINDS,
 };
 
@@ -72,7 +78,8 @@
                                                  "caller leaves",
                                                  "caller reset",
                                                  "cancellation",
-                                                 "store away" };
+                                                 "store away",
+                                                 "all late" };
 
 struct disturbance
 {
@@ -138,8 +145,9 @@
   int64_t endpoint_cpu;
   struct plan_job jobs[PLAN_JOBS_MAX];
   uint32_t job_count;
-  struct disturbance disturbances[PLAN_DISTURBANCES_MAX + PLAN_RESTARTS_MAX
-                                  + 2 * PLAN_STORE_CUTS];
+  struct disturbance disturbances
+      [PLAN_DISTURBANCES_MAX + PLAN_RESTARTS_MAX + 2 * PLAN_STORE_CUTS
+       + PLAN_RETURN_STORMS * (PLAN_RETURN_CALLERS + PLAN_RETURN_PARTS)];
   uint32_t disturbance_count;
   struct plan_resize resizes[PLAN_RESIZES];
   uint32_t resize_count;
@@ -152,7 +160,9 @@
   snipe_time store_write_interval;
   bool whole_jobs;   /**< a job starts only when all of its tasks can */
   bool shared_order; /**< jobs of three priorities, the urgent ones first */
-  bool drops_losses; /**< planted: hosts are not told of lost runs */
+  bool returns_elsewhere; /**< callers, to a host of another domain */
+  bool drops_losses;      /**< planted: hosts are not told of lost runs */
+  bool ignores_stalls;    /**< planted: hosts vouch for unread connections */
 };
 
 /** A moment around which disturbances overlap, and the host that most of them
@@ -236,6 +246,7 @@
     case DISTURB_ISOLATE:
     case DISTURB_CUT_DOMAIN:
     case DISTURB_STORE:
+    case DISTURB_LATE_ALL:
     case DISTURB_KINDS:
       break;
     }
@@ -403,4 +414,107 @@
     };
 }
 
+/* Adds a host that stands still, is killed or loses connections around the
+ * moment at which callers lose their connections to it, while stops are late.
+ */
+static void
+plan_draw_return (struct plan *plan, const struct storm *storm,
+                  struct sim_random *random)
+{
+  static const struct
+  {
+    enum disturbance_kind kind;
+    int64_t percent; /**< chance */
+    /** Since the break, and length, in ms: the least and the most. */
+    int64_t begin_min, begin_max, length_min, length_max;
+    uint32_t detail;
+    bool any_host;
+  } parts[PLAN_RETURN_PARTS] = {
+    { DISTURB_FREEZE, 60, -60, 20, 200, 590, 0, false },
+    { DISTURB_FREEZE, 40, -590, 200, 20, 590, 0, false },
+    { DISTURB_FREEZE, 30, -590, 600, 20, 590, 0, true },
+    { DISTURB_LATE_ALL, 85, -300, 50, 1000, 5000, ENDPOINT_STOP, true },
+    { DISTURB_LATE_ALL, 15, -300, 600, 50, 800, ENDPOINT_POLL, true },
+    { DISTURB_LATE_ALL, 15, -300, 600, 50, 800, ENDPOINT_START, true },
+    { DISTURB_KILL, 25, 0, 700, 300, 3000, 0, false },
+    { DISTURB_KILL, 40, 0, 700, 300, 3000, 0, true },
+    { DISTURB_RESET, 40, 0, 2, 0, 0, 0, false },
+    { DISTURB_RESET, 40, -5, 250, 0, 0, 0, false },
+    { DISTURB_SILENT, 30, -300, 250, 0, 0, 0, false },
+  };
+
+  for (int64_t i = sim_draw (random, 1, PLAN_RETURN_CALLERS); i > 0; i--)
+    {
+      uint32_t index = (uint32_t)sim_draw (random, 0, plan->job_count - 1);
+      struct plan_job *job = &plan->jobs[index];
+
+      job->host = storm->host;
+      job->begin = storm->at - sim_draw (random, 20, 1200) * SNIPE_MS;
+      job->duration = sim_draw (random, 2600, 5000) * SNIPE_MS;
+      job->estimate = job->duration;
+      job->patience = sim_draw (random, 6000, 12000) * SNIPE_MS;
+      plan->disturbances[plan->disturbance_count++] = (struct disturbance){
+        .kind = DISTURB_CALLER_RESET,
+        .begin = storm->at + sim_draw (random, 0, 20 * SNIPE_MS),
+        .other = index,
+      };
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      struct disturbance *out = &plan->disturbances[plan->disturbance_count];
+      uint32_t hosts = MAX (plan->host_count, 2);
+
+      if (!sim_chance (random, parts[i].percent))
+        continue;
+      plan->disturbance_count++;
+      *out = (struct disturbance){
+        .kind = parts[i].kind,
+        .begin = storm->at
+                 + sim_draw (random, parts[i].begin_min * SNIPE_MS,
+                             parts[i].begin_max * SNIPE_MS),
+        .length = sim_draw (random, parts[i].length_min * SNIPE_MS,
+                            parts[i].length_max * SNIPE_MS),
+        .host = parts[i].any_host ? (uint32_t)sim_draw (random, 0, hosts - 1)
+                                  : storm->host,
+        .detail = parts[i].kind == DISTURB_FREEZE
+                      ? (uint32_t)sim_draw (random, 0, 1)
+                      : parts[i].detail,
+        .hard = sim_chance (random, 50),
+      };
+      out->other
+          = (out->host + (uint32_t)sim_draw (random, 1, hosts - 1)) % hosts;
+    }
+}
+
+/* Replaces the disturbances by callers that lose their connections and return
+ * at a host of another domain. */
+static inline void
+plan_draw_returns (struct plan *plan)
+{
+  struct sim_random random = { plan->seed ^ UINT64_C (0xc2b2ae35) };
+  uint32_t storms = (uint32_t)sim_draw (&random, 3, PLAN_RETURN_STORMS);
+  struct storm storm = { 0 };
+
+  if (plan->domain_count == 1)
+    {
+      plan->domain_count = 2;
+      plan->endpoint_count += plan->endpoint_counts[1]
+          = plan->endpoint_counts[0];
+      for (uint32_t i = 0; i < plan->host_count; i++)
+        plan->host_domains[i] = i % plan->domain_count;
+    }
+  plan->store_write_interval = PLAN_STORE_WRITE_INTERVAL;
+  plan->returns_elsewhere = true;
+  plan->job_count = CLAMP (plan->job_count, 1, PLAN_RETURN_JOBS);
+  plan->disturbance_count = 0;
+  for (uint32_t i = 0; i < storms; i++)
+    {
+      storm.at = i > 0 && sim_chance (&random, 40)
+                     ? storm.at + sim_draw (&random, 0, 1500 * SNIPE_MS)
+                     : PLAN_BEGIN + sim_draw (&random, 0, PLAN_LENGTH);
+      storm.host = (uint32_t)sim_draw (&random, 0, plan->host_count - 1);
+      plan_draw_return (plan, &storm, &random);
+    }
+}
+
 #endif
--- a/tests/fleet/search.h
+++ b/tests/fleet/search.h
@@ -18,6 +18,8 @@
 
 /* Of each mode; both take some 7 s of CPU time. */
 #define SEEDS 300
+/* With callers that return, some 4 s. */
+#define RETURN_SEEDS 200
 static bool
 still_fails (const struct plan *plan, enum violation_kind kind)
 {
@@ -86,6 +88,7 @@
   EXTRA_NONE,
   EXTRA_CRASHES,
   EXTRA_OLD_LISTS,
+  EXTRA_RETURNS,
   EXTRA_WHOLE_JOBS,
   EXTRA_SHARED_ORDER,
 };
@@ -105,6 +108,9 @@
     case EXTRA_OLD_LISTS:
       plan_draw_old_lists (plan);
       break;
+    case EXTRA_RETURNS:
+      plan_draw_returns (plan);
+      break;
     case EXTRA_WHOLE_JOBS:
       plan->whole_jobs = true;
       break;
@@ -149,7 +155,8 @@
   uint64_t first = seed == NULL ? 1 : g_ascii_strtoull (seed, NULL, 10);
   uint64_t seeds = count != NULL  ? g_ascii_strtoull (count, NULL, 10)
                    : seed != NULL ? 1
-                                  : SEEDS;
+                   : extras == EXTRA_RETURNS ? RETURN_SEEDS
+                                             : SEEDS;
   uint32_t failures = 0;
 
   if (only != NULL && atoi (only) != (int)mode)
--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -6,7 +6,6 @@
 
 /* Of each planted fault; the search ends with the first one that finds it. */
 #define PLANTED_SEEDS 500
-#define UNTOLD_FIRST_SEED 1
 
 /* Guards against a task with two runs at a time, a wrong or missing answer and
  * a run that is left, whatever fails, if callers never submit a job again. */
@@ -40,15 +39,51 @@
   search (PLAN_NEVER_AGAIN, EXTRA_OLD_LISTS);
 }
 
-/* Faults of the client to the endpoints that the search has to find. */
+/* Guards against two runs of a task whose caller returns at a host of another
+ * domain, whatever its first host does around the break of its connection. */
+static void
+test_returns (void)
+{
+  search (PLAN_AGAIN, EXTRA_RETURNS);
+}
+
+/* Faults that the search has to find: of the client to the endpoints, hosts
+ * that do not tell each other of lost runs, and hosts that vouch for callers
+ * whose connections they have not read. */
 static void
 test_planted_faults (void)
 {
   static const struct
   {
+    enum plan_mode mode;
+    enum extras extras;
     enum model_network network;
+    bool drops_losses;
+    bool ignores_stalls;
+    enum violation_kind kind;
     uint64_t first_seed;
-  } faults[] = { { MODEL_SENT_AGAIN, 351 }, { MODEL_SENT_LATE, 1 } };
+  } faults[] = {
+    { .mode = PLAN_NEVER_AGAIN,
+      .network = MODEL_SENT_AGAIN,
+      .kind = VIOLATION_TWO_RUNS,
+      .first_seed = 351 },
+    { .mode = PLAN_NEVER_AGAIN,
+      .network = MODEL_SENT_LATE,
+      .kind = VIOLATION_TWO_RUNS,
+      .first_seed = 1 },
+    { .mode = PLAN_AGAIN,
+      .extras = EXTRA_CRASHES,
+      .network = MODEL_CONNECTIONS,
+      .drops_losses = true,
+      .kind = VIOLATION_FORBIDDEN,
+      .first_seed = 1 },
+    { .mode = PLAN_AGAIN,
+      .extras = EXTRA_RETURNS,
+      .network = MODEL_CONNECTIONS,
+      .ignores_stalls = true,
+      .kind = VIOLATION_TWO_RUNS,
+      .first_seed = 1 },
+  };
 
   for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
     {
@@ -56,42 +91,20 @@
       uint64_t seed = faults[i].first_seed;
       uint64_t end = seed + PLANTED_SEEDS;
 
-      for (; found != VIOLATION_TWO_RUNS && seed < end; seed++)
+      for (; found != faults[i].kind && seed < end; seed++)
         {
           struct plan plan;
 
-          plan_draw (&plan, seed, PLAN_NEVER_AGAIN);
+          draw (&plan, seed, faults[i].mode, faults[i].extras);
           plan.network = faults[i].network;
+          plan.drops_losses = faults[i].drops_losses;
+          plan.ignores_stalls = faults[i].ignores_stalls;
           found = fleet_play (&plan, false).kind;
           fleet_end ();
         }
       printf ("found with seed %" G_GUINT64_FORMAT " ", seed - 1);
-      CU_ASSERT_EQUAL (found, VIOLATION_TWO_RUNS);
-    }
-}
-
-/* Hosts that do not tell each other of lost runs, which the search has to
- * find. */
-static void
-test_planted_silence (void)
-{
-  enum violation_kind found = VIOLATION_NONE;
-  uint64_t seed = UNTOLD_FIRST_SEED;
-
-  for (; found != VIOLATION_FORBIDDEN
-         && seed < UNTOLD_FIRST_SEED + PLANTED_SEEDS;
-       seed++)
-    {
-      struct plan plan;
-
-      plan_draw (&plan, seed, PLAN_AGAIN);
-      plan_draw_crashes (&plan);
-      plan.drops_losses = true;
-      found = fleet_play (&plan, false).kind;
-      fleet_end ();
+      CU_ASSERT_EQUAL (found, faults[i].kind);
     }
-  printf ("found with seed %" G_GUINT64_FORMAT " ", seed - 1);
-  CU_ASSERT_EQUAL (found, VIOLATION_FORBIDDEN);
 }
 
 int
@@ -102,8 +115,8 @@
     { "jobs are submitted again", test_again },
     { "tasks that crash their endpoints", test_crashes },
     { "old lists", test_old_lists },
+    { "callers return", test_returns },
     { "planted faults", test_planted_faults },
-    { "planted silence", test_planted_silence },
     CU_TEST_INFO_NULL,
   };
 
