Tell two submissions of a job to the same process apart in the fleet search

Cause: the check of "not run" took each run that the same coordinator requested after the submission for one of its runs. A job that was answered as not run and comes back to the same process, in its third submission or as the host that it picked is down, is run there by right. Change: a run counts for the latest submission of its job to that process.

--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -950,10 +950,29 @@
   return false;
 }
 
+/* Returns when the job was submitted to the same process again, INT64_MAX if
+ * never. */
+static snipe_time
+fleet_submitted_again_at (const struct submission *submission)
+{
+  snipe_time at = INT64_MAX;
+
+  for (guint i = 0; i < fleet.submissions->len; i++)
+    {
+      const struct submission *other = fleet.submissions->pdata[i];
+
+      if (other->job == submission->job && other->at > submission->at
+          && other->incarnation == submission->incarnation)
+        at = MIN (at, other->at);
+    }
+  return at;
+}
+
 static void
 fleet_check_submission (const struct submission *submission)
 {
   const struct plan_job *job = &fleet.plan->jobs[submission->job];
+  snipe_time next = fleet_submitted_again_at (submission);
 
   if (submission->submitted && !submission->broken && submission->answers != 1)
     fleet_violate (VIOLATION_ANSWERS, job->id, "submission %u got %u answers",
@@ -973,7 +992,8 @@
         if (strncmp (run->task, job->id, 16) == 0
             && (fleet.plan->mode == PLAN_NEVER_AGAIN
                 || (run->coordinator == submission->incarnation
-                    && run->requested_at >= submission->at)))
+                    && run->requested_at >= submission->at
+                    && run->requested_at < next)))
           fleet_violate (VIOLATION_NOT_RUN, run->task,
                          "answered as not run, but run %u was started at %s",
                          run->run, endpoints.list[run->endpoint].entry.id);
--- a/tests/fleet/test_fleet_search.c
+++ b/tests/fleet/test_fleet_search.c
@@ -6,6 +6,8 @@
 
 /* Of each planted fault; the search ends with the first one that finds it. */
 #define PLANTED_SEEDS 500
+/* A job that was not run is submitted to the same process again. */
+#define SAME_PROCESS_SEED 812593
 
 /* Guards against a task with two runs at a time, a wrong or missing answer and
  * a run that is left, whatever fails, if callers never submit a job again. */
@@ -45,6 +47,7 @@
 test_returns (void)
 {
   search (PLAN_AGAIN, EXTRA_RETURNS);
+  CU_ASSERT_TRUE (play_seed (SAME_PROCESS_SEED, PLAN_AGAIN, EXTRA_RETURNS));
 }
 
 /* Faults that the search has to find: of the client to the endpoints, hosts
