Measure by how much two runs of a task overlap in the soak

Cause: the checker reported TWICE when the second run started, by a note of the last endpoint only. How long both ran, in which failure domains, and how near a run that held had been was not told. A run ends when its time or its lease is over; the stand-in tells how late it has noticed that. Every request makes it look first, so no request can extend such a run. Stand-ins can carry out a share of the stops, and a quarter as many of the starts, 1 to 12 s later without an answer (PROTOCOL.md: such a call may be executed seconds later).

--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -28,6 +28,10 @@
                           int64_t draining_for_ms);
 /** A run has ended at an endpoint. @param done it completed */
 void checker_run_ended (const char *endpoint, const char *task, bool done);
+/** A run that is about to be reported as ended has been over for a time, as
+ * the stand-in of its endpoint was not scheduled. */
+void checker_run_overdue (const char *endpoint, const char *task,
+                          int64_t late_ms);
 /** An endpoint has crashed because it started @p task. */
 void checker_endpoint_crashed (const char *endpoint, const char *task);
 /** The operator evacuates a failure domain, or (@p domain NULL) takes it back.
@@ -42,6 +46,11 @@
  * of the monotonic clock, in ms. Faults of the store and of hosts delay that.
  */
 bool checker_is_shrink_known (int64_t shrunk_at_ms);
+/** @return the domain in which the first task of @p job runs, NULL: none. */
+const char *checker_running_domain (const char *job);
+/** Prints how far apart the runs of the same tasks at different endpoints
+ * were, and how long they overlapped. */
+void checker_print_distances (void);
 /** Checks what is known only after all attempts have ended. */
 void checker_finish (void);
 
--- a/tests/soak/fake_endpoint.c
+++ b/tests/soak/fake_endpoint.c
@@ -11,6 +11,7 @@
 #pragma weak checker_endpoint_crashed
 #pragma weak checker_is_shrink_known
 #pragma weak checker_started_in_domain
+#pragma weak checker_run_overdue
 
 /* A task's spec, "d=MS c=CPU x=N", gives its duration and the cores it takes,
  * in thousandths; if N is 1, its first task crashes the endpoint. */
@@ -21,6 +22,11 @@
 #define CRASH_DELAY_MS 5
 /* Time for which a crashed endpoint answers nothing. */
 #define DOWN_MS 3000
+/* Time after which a request that receives no answer is carried out. */
+#define REQUEST_DELAY_MIN_MS 1000
+#define REQUEST_DELAY_MAX_MS 12000
+/* Share of the starts that are delayed, over that of the stops. */
+#define DELAYED_STARTS 0.25
 
 struct run
 {
@@ -63,6 +69,7 @@
   int64_t draining_since_ms; /**< 0: not draining */
   bool fail_runs;
   double dropped_answer_share;
+  double delayed_stop_share;
   uint64_t list_sequence;
   int64_t listed_at_ms;
   GRand *rand;
@@ -137,10 +144,16 @@
     {
       const struct run *run = g_ptr_array_index (endpoint->runs, i - 1);
 
-      if (run->end_ms <= now)
-        end_run (endpoint, i - 1, endpoint->fail_runs ? "failed" : "done");
-      else if (endpoint->lease_end_ms < now)
-        end_run (endpoint, i - 1, "lapsed");
+      int64_t due_ms = MIN (run->end_ms, endpoint->lease_end_ms + 1);
+
+      if (due_ms > now)
+        continue;
+      if (checker_run_overdue != NULL)
+        checker_run_overdue (endpoint->id, run->task, now - due_ms);
+      end_run (endpoint, i - 1,
+               run->end_ms > now     ? "lapsed"
+               : endpoint->fail_runs ? "failed"
+                                     : "done");
     }
 }
 
@@ -266,6 +279,8 @@
     run->crash_ms = clock_ms (endpoint) + CRASH_DELAY_MS;
   g_ptr_array_add (endpoint->runs, run);
   extend_lease (endpoint, body);
+  if (checker_started_in_domain != NULL)
+    checker_started_in_domain (endpoint->id, endpoint->domain, task);
   checker_run_started (
       endpoint->id, task, spec, used + cpu_millicores,
       checker_is_shrink_known != NULL
@@ -275,8 +290,6 @@
       endpoint->draining_since_ms > 0
           ? g_get_monotonic_time () / 1000 - endpoint->draining_since_ms
           : 0);
-  if (checker_started_in_domain != NULL)
-    checker_started_in_domain (endpoint->id, endpoint->domain, task);
   send_answer (endpoint, exchange, json_object ());
 }
 
@@ -364,6 +377,25 @@
       json_pack ("{s:o, s:o}", "running", running, "finished", finished));
 }
 
+/* @return the delay of a request that is carried out late, 0: at once. */
+static gulong
+draw_delay_ms (struct fake_endpoint *endpoint, const char *path)
+{
+  double share = endpoint->delayed_stop_share;
+  gulong delay_ms = 0;
+
+  if (strcmp (path, "/api/run-start") == 0)
+    share *= DELAYED_STARTS;
+  else if (strcmp (path, "/api/run-stop") != 0)
+    return 0;
+  g_mutex_lock (&endpoint->lock);
+  if (share > 0 && g_rand_double (endpoint->rand) < share)
+    delay_ms = (gulong)g_rand_int_range (endpoint->rand, REQUEST_DELAY_MIN_MS,
+                                         REQUEST_DELAY_MAX_MS);
+  g_mutex_unlock (&endpoint->lock);
+  return delay_ms;
+}
+
 static void
 handle_exchange (void *ctx, struct http_exchange *exchange)
 {
@@ -372,7 +404,9 @@
       = json_loadb (exchange->body->str, exchange->body->len, 0, NULL);
   uint64_t token
       = (uint64_t)json_integer_value (json_object_get (body, "fencing_token"));
+  gulong delay_ms = draw_delay_ms (endpoint, exchange->path);
 
+  g_usleep (1000 * delay_ms);
   g_mutex_lock (&endpoint->lock);
   update_runs (endpoint);
   if (endpoint->down_until_ms > 0)
@@ -392,7 +426,7 @@
         exchange->status = 404;
     }
   /* It may have crashed while a poll waited. */
-  if (endpoint->down_until_ms > 0)
+  if (endpoint->down_until_ms > 0 || delay_ms > 0)
     exchange->status = 0;
   if (endpoint->dropped_answer_share > 0
       && g_rand_double (endpoint->rand) < endpoint->dropped_answer_share)
@@ -502,6 +536,14 @@
   g_mutex_unlock (&endpoint->lock);
 }
 
+void
+fake_endpoint_delay_stops (struct fake_endpoint *endpoint, double share)
+{
+  g_mutex_lock (&endpoint->lock);
+  endpoint->delayed_stop_share = share;
+  g_mutex_unlock (&endpoint->lock);
+}
+
 void
 fake_endpoint_tick (struct fake_endpoint *endpoint)
 {
--- a/tests/soak/fakes.h
+++ b/tests/soak/fakes.h
@@ -45,6 +45,9 @@
 void fake_endpoint_fail (struct fake_endpoint *endpoint, bool fail);
 /** Executes requests, but sends no answer to a @p share of them. */
 void fake_endpoint_drop_answers (struct fake_endpoint *endpoint, double share);
+/** Carries out a @p share of the stop requests, and a quarter as many of the
+ *  starts, seconds later and without an answer. */
+void fake_endpoint_delay_stops (struct fake_endpoint *endpoint, double share);
 /** Ends runs whose time or lease is over and renews the entry in the list; to
  *  be called every few milliseconds. */
 void fake_endpoint_tick (struct fake_endpoint *endpoint);
